--- a/api.go
+++ b/api.go
@@ -1,9 +1,9 @@
-// Package chalkcross decides, inside one edge proxy, which core server gets which call set-up.
+// Package elmseam decides, inside one edge proxy, which core server gets which call set-up.
 //
 // The embedding proxy makes one Controller from its Settings, hands it every event with the time at
 // which it happened, and carries out the actions that come back. Nothing in the package keeps a
 // clock, starts a goroutine or does I/O. A Controller is not safe for concurrent use.
-package chalkcross
+package elmseam
 
 import "time"
 
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"os"
 
-	"chalkcross/internal/wire"
+	"elmseam/internal/wire"
 )
 
 func main() {
--- a/controller.go
+++ b/controller.go
@@ -1,4 +1,4 @@
-package chalkcross
+package elmseam
 
 // The decision module. Its interface - settings, events and actions - is api.go.
 // Top down: constants, state, lists, the map from told figures to a share, route, admission,
@@ -162,7 +162,7 @@
 // New makes a controller. The seed sets the phases of its budgets: those of many senders are not in step.
 func New(set Settings, seed uint64) (*Controller, error) {
 	if err := check(&set); err != nil {
-		return nil, fmt.Errorf("chalkcross: settings: %w", err)
+		return nil, fmt.Errorf("elmseam: settings: %w", err)
 	}
 	c := &Controller{
 		set:        set,
--- a/controller_test.go
+++ b/controller_test.go
@@ -1,4 +1,4 @@
-package chalkcross
+package elmseam
 
 import (
 	"bufio"
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -5,7 +5,7 @@
 	"io"
 	"time"
 
-	"chalkcross"
+	"elmseam"
 )
 
 // Event codes.
@@ -54,33 +54,33 @@
 const maxLists = 16
 
 // causes maps the wire's outcome codes.
-var causes = map[byte]chalkcross.Cause{
-	10: chalkcross.CauseEnded,
-	20: chalkcross.CauseBusy,
-	30: chalkcross.CauseFull,
-	40: chalkcross.CauseTimeout,
-	50: chalkcross.CauseUnreachable,
-	60: chalkcross.CauseReset,
-	70: chalkcross.CauseCancelled,
-	80: chalkcross.CauseNotSent,
+var causes = map[byte]elmseam.Cause{
+	10: elmseam.CauseEnded,
+	20: elmseam.CauseBusy,
+	30: elmseam.CauseFull,
+	40: elmseam.CauseTimeout,
+	50: elmseam.CauseUnreachable,
+	60: elmseam.CauseReset,
+	70: elmseam.CauseCancelled,
+	80: elmseam.CauseNotSent,
 }
 
 // Host runs one Controller for each instance of a stream of batches. The instances share nothing.
 type Host struct {
-	instances map[uint16]*chalkcross.Controller
-	lists     map[uint32][]chalkcross.ListEntry
+	instances map[uint16]*elmseam.Controller
+	lists     map[uint32][]elmseam.ListEntry
 	current   uint16 // instance that the events are for
 	spoken    uint16 // instance that the last context record named
 	hasSpoken bool
-	actions   []chalkcross.Action
+	actions   []elmseam.Action
 	reply     Reply
 }
 
 // NewHost makes a host without instances.
 func NewHost() *Host {
 	return &Host{
-		instances: make(map[uint16]*chalkcross.Controller),
-		lists:     make(map[uint32][]chalkcross.ListEntry),
+		instances: make(map[uint16]*elmseam.Controller),
+		lists:     make(map[uint32][]elmseam.ListEntry),
 	}
 }
 
@@ -119,7 +119,7 @@
 }
 
 // event handles one record.
-func (h *Host) event(b *Batch, rec []byte, now chalkcross.Time) error {
+func (h *Host) event(b *Batch, rec []byte, now elmseam.Time) error {
 	switch rec[0] {
 	case evTo:
 		h.current = le.Uint16(rec[1:])
@@ -163,8 +163,8 @@
 	delete(h.instances, h.current)
 	settings, err := decodeSettings(text)
 	if err == nil {
-		var c *chalkcross.Controller
-		if c, err = chalkcross.New(settings, seed); err == nil {
+		var c *elmseam.Controller
+		if c, err = elmseam.New(settings, seed); err == nil {
 			h.instances[h.current] = c
 			return
 		}
@@ -174,7 +174,7 @@
 
 // handle passes an event to a controller and writes down its actions. A panic there is reported as
 // the wire's failure action.
-func (h *Host) handle(c *chalkcross.Controller, now chalkcross.Time, ev chalkcross.Event) {
+func (h *Host) handle(c *elmseam.Controller, now elmseam.Time, ev elmseam.Event) {
 	defer func() {
 		if p := recover(); p != nil {
 			delete(h.instances, h.current)
@@ -203,23 +203,23 @@
 }
 
 // decode reads an event that is for a controller.
-func (h *Host) decode(rec []byte) (chalkcross.Event, error) {
+func (h *Host) decode(rec []byte) (elmseam.Event, error) {
 	switch rec[0] {
 	case evArrival:
 		return decodeArrival(rec), nil
 	case evAckFirst:
-		return chalkcross.Standing{
-			Call: chalkcross.CallID(le.Uint32(rec[1:])), Server: serverID(rec[5:]), Took: duration(rec[12:]),
+		return elmseam.Standing{
+			Call: elmseam.CallID(le.Uint32(rec[1:])), Server: serverID(rec[5:]), Took: duration(rec[12:]),
 		}, nil
 	case evDone:
 		return decodeOutcome(rec)
 	case evVanished:
-		return chalkcross.CallerGone{Call: chalkcross.CallID(le.Uint32(rec[1:]))}, nil
+		return elmseam.CallerGone{Call: elmseam.CallID(le.Uint32(rec[1:]))}, nil
 	case evDue:
-		return chalkcross.Wake{Token: le.Uint32(rec[1:])}, nil
+		return elmseam.Wake{Token: le.Uint32(rec[1:])}, nil
 	case evHealth:
 		report, err := decodeReport(rec[12:])
-		return chalkcross.Health{Server: serverID(rec[1:]), OK: rec[7] == 10, Report: report}, err
+		return elmseam.Health{Server: serverID(rec[1:]), OK: rec[7] == 10, Report: report}, err
 	case evUpdate:
 		return h.decodeUpdate(rec)
 	}
@@ -227,10 +227,10 @@
 }
 
 // decodeUpdate reads what the list of core servers says, by the numbered list that it refers to.
-func (h *Host) decodeUpdate(rec []byte) (chalkcross.Event, error) {
+func (h *Host) decodeUpdate(rec []byte) (elmseam.Event, error) {
 	slot, scope := le.Uint32(rec[5:]), rec[9]
 	if scope == scopeFailed {
-		return chalkcross.ListFailed{}, nil
+		return elmseam.ListFailed{}, nil
 	}
 	entries, known := h.lists[slot]
 	if !known {
@@ -238,17 +238,17 @@
 	}
 	switch scope {
 	case scopeDelta:
-		return chalkcross.ListDelta{Entries: entries}, nil
+		return elmseam.ListDelta{Entries: entries}, nil
 	case scopeFull, scopeCached:
-		return chalkcross.ListFull{Entries: entries, Cached: scope == scopeCached}, nil
+		return elmseam.ListFull{Entries: entries, Cached: scope == scopeCached}, nil
 	}
 	return nil, fmt.Errorf("update: unknown scope %d", scope)
 }
 
-func decodeArrival(rec []byte) chalkcross.Arrival {
+func decodeArrival(rec []byte) elmseam.Arrival {
 	flags := le.Uint16(rec[23:])
-	return chalkcross.Arrival{
-		Call:    chalkcross.CallID(le.Uint32(rec[1:])),
+	return elmseam.Arrival{
+		Call:    elmseam.CallID(le.Uint32(rec[1:])),
 		Class:   int(le.Uint16(rec[5:])),
 		Number:  le.Uint64(rec[11:]),
 		Tenant:  int(le.Uint32(rec[19:])),
@@ -259,14 +259,14 @@
 	}
 }
 
-func decodeOutcome(rec []byte) (chalkcross.Outcome, error) {
+func decodeOutcome(rec []byte) (elmseam.Outcome, error) {
 	cause, known := causes[rec[15]]
 	if !known {
-		return chalkcross.Outcome{}, fmt.Errorf("outcome: unknown code %d", rec[15])
+		return elmseam.Outcome{}, fmt.Errorf("outcome: unknown code %d", rec[15])
 	}
 	report, err := decodeReport(rec[22:])
-	out := chalkcross.Outcome{
-		Call:    chalkcross.CallID(le.Uint32(rec[1:])),
+	out := elmseam.Outcome{
+		Call:    elmseam.CallID(le.Uint32(rec[1:])),
 		Final:   rec[5] != 0,
 		Attempt: int(rec[6]),
 		Cause:   cause,
@@ -275,10 +275,10 @@
 	}
 	why := le.Uint32(rec[11:])
 	switch note := why & 15; {
-	case note == 3, note == 2 && cause == chalkcross.CauseFull && why&16 != 0:
-		out.Refusal = chalkcross.RefusalProcessor
+	case note == 3, note == 2 && cause == elmseam.CauseFull && why&16 != 0:
+		out.Refusal = elmseam.RefusalProcessor
 	case note == 4:
-		out.Refusal = chalkcross.RefusalNumber
+		out.Refusal = elmseam.RefusalNumber
 	}
 	if why&15 == 3 {
 		out.Wait = time.Duration(why>>4) * time.Millisecond
@@ -287,7 +287,7 @@
 }
 
 // decodeReport reads a load report of at most four values.
-func decodeReport(b []byte) (chalkcross.Report, error) {
+func decodeReport(b []byte) (elmseam.Report, error) {
 	n := int(b[0])
 	if n > 4 {
 		return nil, fmt.Errorf("load report of %d values", n)
@@ -295,20 +295,20 @@
 	if n == 0 {
 		return nil, nil
 	}
-	report := make(chalkcross.Report, n)
+	report := make(elmseam.Report, n)
 	for i := range report {
 		report[i] = float(b[1+4*i:])
 	}
 	return report, nil
 }
 
-func decodeEntries(raw []byte) []chalkcross.ListEntry {
-	entries := make([]chalkcross.ListEntry, 0, len(raw)/entrySize)
+func decodeEntries(raw []byte) []elmseam.ListEntry {
+	entries := make([]elmseam.ListEntry, 0, len(raw)/entrySize)
 	for ; len(raw) >= entrySize; raw = raw[entrySize:] {
-		entries = append(entries, chalkcross.ListEntry{
+		entries = append(entries, elmseam.ListEntry{
 			Server:  serverID(raw),
 			Cell:    int(le.Uint16(raw[8:])),
-			Phase:   chalkcross.Phase(raw[10]),
+			Phase:   elmseam.Phase(raw[10]),
 			Started: time.Duration(le.Uint64(raw[15:])) * time.Microsecond,
 		})
 	}
@@ -316,29 +316,29 @@
 }
 
 // encode writes one action down.
-func (h *Host) encode(a chalkcross.Action) {
+func (h *Host) encode(a elmseam.Action) {
 	h.speak()
 	switch a := a.(type) {
-	case chalkcross.Send:
+	case elmseam.Send:
 		rec := h.reply.add(acForward)
 		le.PutUint32(rec[1:], uint32(a.Call))
 		putServer(rec[5:], a.Server)
 		putDuration(rec[11:], a.Timeout)
-	case chalkcross.Refuse:
+	case elmseam.Refuse:
 		rec := h.reply.add(acDeny)
 		le.PutUint32(rec[1:], uint32(a.Call))
 		putDuration(rec[5:], a.RetryAfter)
-	case chalkcross.Fail:
+	case elmseam.Fail:
 		le.PutUint32(h.reply.add(acFailure)[1:], uint32(a.Call))
-	case chalkcross.Cancel:
+	case elmseam.Cancel:
 		rec := h.reply.add(acDrop)
 		le.PutUint32(rec[1:], uint32(a.Call))
 		rec[5] = byte(a.Attempt)
-	case chalkcross.SetTimer:
+	case elmseam.SetTimer:
 		rec := h.reply.add(acDefer)
 		le.PutUint32(rec[1:], a.Token)
 		le.PutUint64(rec[5:], uint64((a.At+time.Microsecond-1)/time.Microsecond))
-	case chalkcross.Subscribe:
+	case elmseam.Subscribe:
 		h.reply.add(acWatch)[1] = 1
 	default:
 		panic(fmt.Sprintf("no wire form for %T", a))
@@ -350,11 +350,11 @@
 func putDuration(b []byte, d time.Duration) { le.PutUint32(b, uint32(d/time.Microsecond)) }
 
 // serverID packs an address and a port; the module compares it and never looks inside.
-func serverID(b []byte) chalkcross.ServerID {
-	return chalkcross.ServerID(uint64(le.Uint32(b)) | uint64(le.Uint16(b[4:]))<<32)
+func serverID(b []byte) elmseam.ServerID {
+	return elmseam.ServerID(uint64(le.Uint32(b)) | uint64(le.Uint16(b[4:]))<<32)
 }
 
-func putServer(b []byte, id chalkcross.ServerID) {
+func putServer(b []byte, id elmseam.ServerID) {
 	le.PutUint32(b, uint32(id))
 	le.PutUint16(b[4:], uint16(id>>32))
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"chalkcross"
+	"elmseam"
 )
 
 // micros is a time on the wire.
@@ -52,31 +52,31 @@
 	} `json:"tenants"`
 }
 
-var figures = map[string]chalkcross.Figure{
-	"spare":       chalkcross.FigureFreeLines,
-	"total":       chalkcross.FigureLines,
-	"outstanding": chalkcross.FigureOutstanding,
-	"backlog":     chalkcross.FigureQueue,
-	"utilization": chalkcross.FigureUtilisation,
-	"recent_ms":   chalkcross.FigureWait,
-	"allowed":     chalkcross.FigureRate,
-	"cut_by":      chalkcross.FigureShare,
+var figures = map[string]elmseam.Figure{
+	"spare":       elmseam.FigureFreeLines,
+	"total":       elmseam.FigureLines,
+	"outstanding": elmseam.FigureOutstanding,
+	"backlog":     elmseam.FigureQueue,
+	"utilization": elmseam.FigureUtilisation,
+	"recent_ms":   elmseam.FigureWait,
+	"allowed":     elmseam.FigureRate,
+	"cut_by":      elmseam.FigureShare,
 }
 
-var repeats = map[string]chalkcross.Repeat{
-	"free":        chalkcross.RepeatFree,
-	"guarded":     chalkcross.RepeatGuard,
-	"single_shot": chalkcross.RepeatNever,
+var repeats = map[string]elmseam.Repeat{
+	"free":        elmseam.RepeatFree,
+	"guarded":     elmseam.RepeatGuard,
+	"single_shot": elmseam.RepeatNever,
 }
 
 // decodeSettings reads the settings that an instance starts with.
-func decodeSettings(text []byte) (chalkcross.Settings, error) {
+func decodeSettings(text []byte) (elmseam.Settings, error) {
 	var info bootInfo
 	info.FamilyInfo.OwnNumber = -1
 	if err := json.Unmarshal(text, &info); err != nil {
-		return chalkcross.Settings{}, fmt.Errorf("settings: %w", err)
+		return elmseam.Settings{}, fmt.Errorf("settings: %w", err)
 	}
-	s := chalkcross.Settings{
+	s := elmseam.Settings{
 		OverShareWorth: info.OverShareWorth,
 		MaxAttempts:    info.Limits.MaxAttempts,
 		CanCancel:      info.Limits.Cancel,
@@ -102,14 +102,14 @@
 		if !known && c.Effect != "" {
 			return s, fmt.Errorf("settings: class %d: unknown effect %q", i, c.Effect)
 		}
-		class := chalkcross.Class{Aim: c.Objective.duration(), Deadline: c.HardLimit.duration(), Worth: c.Gain, Repeat: repeat}
+		class := elmseam.Class{Aim: c.Objective.duration(), Deadline: c.HardLimit.duration(), Worth: c.Gain, Repeat: repeat}
 		if i < len(info.FamilyInfo.ClassCells) {
 			class.Cells = info.FamilyInfo.ClassCells[i]
 		}
 		s.Classes = append(s.Classes, class)
 	}
 	for _, t := range info.Tenants {
-		s.Tenants = append(s.Tenants, chalkcross.Tenant{AllowancePerSec: t.Allowance})
+		s.Tenants = append(s.Tenants, elmseam.Tenant{AllowancePerSec: t.Allowance})
 	}
 	return s, nil
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"chalkcross"
+	"elmseam"
 )
 
 // unhex reads hex digits, with spaces anywhere and +N for N zero bytes.
@@ -55,7 +55,7 @@
 		t.Errorf("batch %d of %d records at %d", b.Seq, b.Len(), b.Clock)
 	}
 	got := decodeArrival(b.record(1))
-	want := chalkcross.Arrival{
+	want := elmseam.Arrival{
 		Call: 0x5d3a91c4, Number: 0x91f03b7c55d20a64, Within: 240 * time.Millisecond, Cell: 57,
 	}
 	if got != want {
@@ -71,30 +71,30 @@
 	tests := []struct {
 		name string
 		rec  string
-		want func(chalkcross.Event) bool
+		want func(elmseam.Event) bool
 	}{
-		{"standing", "17 c4913a5d 0a124a07 2b23 00 22240000 +32", func(ev chalkcross.Event) bool {
-			return ev == chalkcross.Standing{Call: 0x5d3a91c4, Server: server, Took: 9250 * time.Microsecond}
+		{"standing", "17 c4913a5d 0a124a07 2b23 00 22240000 +32", func(ev elmseam.Event) bool {
+			return ev == elmseam.Standing{Call: 0x5d3a91c4, Server: server, Took: 9250 * time.Microsecond}
 		}},
 		{"outcome", "14 c4913a5d 01 00 44480000 00000000 0a 0a124a07 2b23 03 cdcccc3e 0000a03f 00000c43 00000000 +9",
-			func(ev chalkcross.Event) bool {
-				o := ev.(chalkcross.Outcome)
-				return o.Final && o.Cause == chalkcross.CauseEnded && o.Server == server && len(o.Report) == 3 && o.Report[2] == 140
+			func(ev elmseam.Event) bool {
+				o := ev.(elmseam.Outcome)
+				return o.Final && o.Cause == elmseam.CauseEnded && o.Server == server && len(o.Report) == 3 && o.Report[2] == 140
 			}},
-		{"full for 500 ms", "14 c4913a5d 00 00 44480000 431f0000 1e 0a124a07 2b23 00 +25", func(ev chalkcross.Event) bool {
-			o := ev.(chalkcross.Outcome)
-			return o.Refusal == chalkcross.RefusalProcessor && o.Wait == 500*time.Millisecond && !o.Final
+		{"full for 500 ms", "14 c4913a5d 00 00 44480000 431f0000 1e 0a124a07 2b23 00 +25", func(ev elmseam.Event) bool {
+			o := ev.(elmseam.Outcome)
+			return o.Refusal == elmseam.RefusalProcessor && o.Wait == 500*time.Millisecond && !o.Final
 		}},
-		{"health", "10 0a9011f2 5423 0a 78050000 03 cdcccc3e 0000a03f 00000c43 00000000 +19", func(ev chalkcross.Event) bool {
-			return ev.(chalkcross.Health).OK
+		{"health", "10 0a9011f2 5423 0a 78050000 03 cdcccc3e 0000a03f 00000c43 00000000 +19", func(ev elmseam.Event) bool {
+			return ev.(elmseam.Health).OK
 		}},
-		{"list", "16 29000000 00000000 02 +38", func(ev chalkcross.Event) bool {
-			l := ev.(chalkcross.ListFull)
-			return l.Cached && len(l.Entries) == 2 && l.Entries[1].Phase == chalkcross.Draining &&
+		{"list", "16 29000000 00000000 02 +38", func(ev elmseam.Event) bool {
+			l := ev.(elmseam.ListFull)
+			return l.Cached && len(l.Entries) == 2 && l.Entries[1].Phase == elmseam.Draining &&
 				l.Entries[1].Started == 6100000*time.Microsecond
 		}},
-		{"gone", "18 192b6f0e +43", func(ev chalkcross.Event) bool { return ev == chalkcross.CallerGone{Call: 0x0e6f2b19} }},
-		{"due", "15 4d000000 +43", func(ev chalkcross.Event) bool { return ev == chalkcross.Wake{Token: 77} }},
+		{"gone", "18 192b6f0e +43", func(ev elmseam.Event) bool { return ev == elmseam.CallerGone{Call: 0x0e6f2b19} }},
+		{"due", "15 4d000000 +43", func(ev elmseam.Event) bool { return ev == elmseam.Wake{Token: 77} }},
 	}
 	for _, tt := range tests {
 		ev, err := h.decode(unhex(t, tt.rec))
@@ -109,13 +109,13 @@
 func TestEncodeWorkedActions(t *testing.T) {
 	h := NewHost()
 	h.current = 3
-	h.encode(chalkcross.Send{Call: 0x5d3a91c4, Server: serverID(unhex(t, "0a124a07 2b23")), Timeout: 80 * time.Millisecond})
-	h.encode(chalkcross.SetTimer{Token: 77, At: 0x87fd7a * time.Microsecond})
+	h.encode(elmseam.Send{Call: 0x5d3a91c4, Server: serverID(unhex(t, "0a124a07 2b23")), Timeout: 80 * time.Millisecond})
+	h.encode(elmseam.SetTimer{Token: 77, At: 0x87fd7a * time.Microsecond})
 	h.current = 5
-	h.encode(chalkcross.Refuse{Call: 0x0e6f2b19, RetryAfter: 250 * time.Millisecond})
-	h.encode(chalkcross.Fail{Call: 0x5d3a91c4})
-	h.encode(chalkcross.Cancel{Call: 0x5d3a91c4, Attempt: 2})
-	h.encode(chalkcross.Subscribe{})
+	h.encode(elmseam.Refuse{Call: 0x0e6f2b19, RetryAfter: 250 * time.Millisecond})
+	h.encode(elmseam.Fail{Call: 0x5d3a91c4})
+	h.encode(elmseam.Cancel{Call: 0x5d3a91c4, Attempt: 2})
+	h.encode(elmseam.Subscribe{})
 	var out bytes.Buffer
 	if err := h.reply.WriteTo(&out, 12); err != nil {
 		t.Fatal(err)
@@ -222,7 +222,7 @@
 func TestPanicIsReported(t *testing.T) {
 	h := NewHost()
 	h.current = 3
-	h.instances[3] = new(chalkcross.Controller) // not made by New: it has no settings
+	h.instances[3] = new(elmseam.Controller) // not made by New: it has no settings
 	frame := unhex(t, "01000000 60000000 02000000 +8 19 0300 +45 12 +47")
 	var out bytes.Buffer
 	if err := h.Serve(bytes.NewReader(frame), &out, func() error { return nil }); err != nil {
