--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,151 @@
+// Package config reads what a softswitch is told at its start, and holds every limit it keeps.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"elmseam"
+	"elmseam/internal/core"
+	"elmseam/internal/feed"
+	"elmseam/internal/link"
+	"elmseam/internal/settings"
+)
+
+// Limits are all sizes, counts and times. They are filled once, by Load, and handed down.
+type Limits struct {
+	Core    core.Limits
+	Link    link.Limits
+	Feed    feed.Limits
+	Dial    time.Duration // to connect to a server
+	Callers int           // connections of callers at once
+	Inbox   int           // events that wait for the core
+	Memory  int64         // bytes the garbage collector aims to stay under
+}
+
+// Config is all that a softswitch is told.
+type Config struct {
+	Name     string
+	Listen   string
+	Seed     uint64
+	Channel  string
+	Cursor   int64
+	Known    []feed.Command
+	Settings elmseam.Settings
+	Node     settings.Node
+	Limits   Limits
+}
+
+// file is the form of the configuration file.
+type file struct {
+	Name   string `json:"name"`
+	Listen string `json:"listen"`
+	Seed   string `json:"seed"`
+	Limits struct {
+		MemoryMB int `json:"memory_mb"`
+		Sockets  int `json:"sockets"`
+	} `json:"limits"`
+	Channel string `json:"channel"`
+	Known   struct {
+		Cursor int64          `json:"cursor"`
+		Cmds   []feed.Command `json:"cmds"`
+	} `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// Load reads the configuration that the environment names. An error is one line that names the field.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv("ROUTER_CONFIG")
+	if path == "" {
+		return nil, fmt.Errorf("ROUTER_CONFIG: not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
+	}
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
+	}
+	if v := getenv("ROUTER_NAME"); v != "" {
+		f.Name = v
+	}
+	if v := getenv("ROUTER_LISTEN"); v != "" {
+		f.Listen = v
+	}
+	return build(f)
+}
+
+// build checks the fields and fills the limits.
+func build(f file) (*Config, error) {
+	c := &Config{Name: f.Name, Listen: f.Listen, Channel: f.Channel, Cursor: f.Known.Cursor, Known: f.Known.Cmds}
+	if c.Name == "" {
+		return nil, fmt.Errorf("name: missing")
+	}
+	for _, a := range []struct{ field, address string }{{"listen", f.Listen}, {"channel", f.Channel}} {
+		if _, _, err := net.SplitHostPort(a.address); err != nil {
+			return nil, fmt.Errorf("%s: %w", a.field, err)
+		}
+	}
+	var err error
+	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: %q is not hex", f.Seed)
+	}
+	if f.Limits.MemoryMB <= 0 {
+		return nil, fmt.Errorf("limits.memory_mb: %d", f.Limits.MemoryMB)
+	}
+	if f.Limits.Sockets < leastSockets {
+		return nil, fmt.Errorf("limits.sockets: %d, %d are needed", f.Limits.Sockets, leastSockets)
+	}
+	if c.Settings, err = settings.Decode(f.Settings); err != nil {
+		return nil, err
+	}
+	if c.Node, err = settings.DecodeNode(f.Settings); err != nil {
+		return nil, err
+	}
+	c.Limits = limits(f, c.Node)
+	return c, nil
+}
+
+const leastSockets = 32
+
+// limits fills the one set of limits, from what the platform tells where it does.
+func limits(f file, n settings.Node) Limits {
+	message := 16 << 10
+	l := Limits{
+		Core: core.Limits{
+			AnswerMargin: 15 * time.Millisecond,
+			Rebind:       100 * time.Millisecond, // a crossing close shows within 50 ms
+			RedialLeast:  100 * time.Millisecond,
+			RedialMost:   500 * time.Millisecond,
+			ServerLost:   6 * time.Second, // releases are owed 8 s after the end at the latest
+			StopGrace:    700 * time.Millisecond,
+			StopMost:     max(n.LongestWait, 3*time.Second) + 600*time.Millisecond,
+			MaxOpen:      n.MaxOpen,
+			Remember:     max(n.LongestWait, 10*time.Second) * 6,
+		},
+		Link: link.Limits{
+			ReadFirst: 4 << 10, Message: message, Outbox: 1 << 20,
+			WriteStall: 5 * time.Second, Stuck: 50 * time.Millisecond,
+		},
+		Feed: feed.Limits{
+			Connect: time.Second, Silence: 2500 * time.Millisecond, // a comment comes each second
+			Retry: 100 * time.Millisecond, Event: 1 << 20, First: 4 << 10,
+		},
+		Dial:    n.ConnectTimeout,
+		Callers: f.Limits.Sockets * 2 / 3, // callers hold a third; the rest is for servers and the channel
+		Inbox:   4096,
+		Memory:  int64(f.Limits.MemoryMB) << 20 * 6 / 10,
+	}
+	if l.Dial <= 0 {
+		l.Dial = 500 * time.Millisecond
+	}
+	if l.Core.MaxOpen <= 0 {
+		l.Core.MaxOpen = 20000
+	}
+	return l
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,630 @@
+// Package core is the softswitch without its sockets: a reducer that takes in one event at a time
+// and says what is to be done. It owns the calls, the attempts, the list of servers and the
+// decision module, and it keeps the rules by guards of its own, whatever the module decides.
+//
+// It does no I/O, reads no clock and knows no protocol. A Core is not safe for concurrent use.
+package core
+
+import (
+	"time"
+
+	"elmseam"
+)
+
+// phase is where an attempt is on its way.
+type phase uint8
+
+const (
+	waiting phase = iota // for a connection
+	sent
+	ending // given up; the end has not been written
+)
+
+// attempt is a set-up that is out at a server.
+type attempt struct {
+	number int
+	server *server
+	phase  phase
+	at     Time
+	cause  elmseam.Cause // that the module is told when the end is written
+}
+
+// call is a call in hand, up to its release.
+type call struct {
+	SetUp
+	cid      elmseam.CallID
+	front    Front
+	deadline Time
+	orphan   bool // its caller's connection has ended
+	answered bool // the final answer is out
+	gone     bool // its caller has left
+	sends    int
+	out      *attempt
+	gap      Time    // not sent again before
+	stands   *server // where it stands
+	desc     []byte  // what that server answered
+}
+
+// server is a server of the list.
+type server struct {
+	Server
+	id        elmseam.ServerID
+	link      Link
+	dialing   bool
+	backoff   time.Duration
+	lost      Time // out of reach since; 0: not
+	paused    bool // by its own signalling
+	cutOff    bool // the way there is withdrawn
+	told      elmseam.Phase
+	standing  map[ID]*call
+	out       map[ID]*call // attempts out, those that are ending included
+	redialing bool         // a timer runs
+}
+
+// over remembers a call that has ended.
+type over struct {
+	id ID
+	at Time
+}
+
+// Core is the reducer.
+type Core struct {
+	limits   Limits
+	guard    time.Duration // the release gap
+	most     int           // attempts a call may have
+	ctl      *elmseam.Controller
+	now      Time
+	out      []Effect
+	calls    map[ID]*call
+	byCID    map[elmseam.CallID]*call
+	open     int // set-ups with no final answer
+	lastCID  elmseam.CallID
+	servers  map[string]*server
+	byID     map[elmseam.ServerID]*server
+	order    []*server
+	lastID   elmseam.ServerID
+	callers  map[Link]Front
+	links    []Link // the callers', oldest first
+	pending  []*pendingRelease
+	ended    map[ID]Time
+	endedAt  []over
+	stopping bool
+	graced   bool
+	stopped  bool
+	serving  bool
+}
+
+// pendingRelease is a release that finds no connection of its caller.
+type pendingRelease struct {
+	front Front
+	id    ID
+	why   Reason
+	at    Time
+}
+
+// New makes a core round the decision module.
+func New(set elmseam.Settings, seed uint64, limits Limits) (*Core, error) {
+	ctl, err := elmseam.New(set, seed)
+	if err != nil {
+		return nil, err
+	}
+	return &Core{
+		limits:  limits,
+		guard:   set.ReleaseGuard,
+		most:    set.MaxAttempts,
+		ctl:     ctl,
+		calls:   make(map[ID]*call),
+		byCID:   make(map[elmseam.CallID]*call),
+		servers: make(map[string]*server),
+		byID:    make(map[elmseam.ServerID]*server),
+		callers: make(map[Link]Front),
+		ended:   make(map[ID]Time),
+	}, nil
+}
+
+// Step takes in one event. The effects are to be carried out in their order, and are valid until the
+// next Step. A time before that of the last Step counts as the last one's.
+func (c *Core) Step(now Time, ev Event) []Effect {
+	c.now, c.out = max(now, c.now), c.out[:0]
+	switch ev := ev.(type) {
+	case CallerUp:
+		c.callers[ev.Link] = ev.Front
+		c.links = append(c.links, ev.Link)
+		c.flush()
+	case CallerDown:
+		c.callerDown(ev.Link)
+	case SetUp:
+		c.setUp(ev)
+	case CallerEnd:
+		c.callerEnd(ev)
+	case ServerUp:
+		c.serverUp(ev)
+	case ServerDown:
+		c.serverDown(ev)
+	case ServerAnswer:
+		c.answer(ev)
+	case ServerEnd:
+		c.serverEnd(ev)
+	case ServerReport:
+		if s := c.servers[ev.Server]; s != nil {
+			c.tell(elmseam.Health{Server: s.id, OK: true, Report: ev.Report})
+		}
+	case ServerPaused:
+		if s := c.servers[ev.Server]; s != nil {
+			s.paused = ev.Paused
+			c.phases([]*server{s}, false, false)
+		}
+	case Route:
+		c.route(ev)
+	case Written:
+		c.written(ev.Server, ev.ID)
+	case NotSent:
+		c.notSent(ev.Server, ev.ID)
+	case List:
+		c.list(ev)
+	case Due:
+		c.due(ev.Token)
+	case Stop:
+		if !c.stopping {
+			c.stopping = true
+			c.timer(c.now+c.limits.StopGrace, Token{kind: tokenStop})
+			c.timer(c.now+c.limits.StopMost, Token{kind: tokenFinal})
+		}
+	}
+	c.serve()
+	return c.out
+}
+
+func (c *Core) do(e Effect) { c.out = append(c.out, e) }
+
+func (c *Core) timer(at Time, t Token) { c.do(Timer{At: at, Token: t}) }
+
+// tell hands the module an event and carries out what it decides.
+func (c *Core) tell(ev elmseam.Event) {
+	for _, a := range c.ctl.Handle(c.now, ev, nil) {
+		switch a := a.(type) {
+		case elmseam.Send:
+			if k := c.byCID[a.Call]; k != nil {
+				c.send(k, a)
+			}
+		case elmseam.Refuse:
+			if k := c.byCID[a.Call]; k != nil {
+				c.final(k, Rejected{Reason: Congested, RetryAfter: a.RetryAfter})
+			}
+		case elmseam.Fail:
+			if k := c.byCID[a.Call]; k != nil {
+				c.final(k, Rejected{Reason: Failed})
+			}
+		case elmseam.Cancel:
+			if k := c.byCID[a.Call]; k != nil && k.out != nil && k.out.number == a.Attempt {
+				c.giveUp(k, elmseam.CauseCancelled)
+			}
+		case elmseam.SetTimer:
+			c.timer(a.At, Token{kind: tokenController, number: a.Token})
+		}
+	}
+}
+
+// serve says when new calls begin or cease to be welcome, and when a stop is complete.
+func (c *Core) serve() {
+	yes := false
+	for _, s := range c.order {
+		yes = yes || s.told == elmseam.Ready
+	}
+	if yes = yes && !c.stopping; yes != c.serving {
+		c.serving = yes
+		c.do(Serving{Yes: yes})
+	}
+	if c.graced && !c.stopped && len(c.calls) == 0 && len(c.pending) == 0 {
+		c.stopped = true
+		c.do(Stopped{})
+	}
+}
+
+// setUp takes in a call. One that is known already came again after its connection closed: it goes on
+// with the new connection, and is told what its caller may have missed.
+func (c *Core) setUp(ev SetUp) {
+	if k := c.calls[ev.ID]; k != nil {
+		k.From, k.orphan = ev.From, false
+		switch {
+		case k.stands != nil:
+			c.do(Answered{To: k.From, ID: k.ID, Desc: k.desc})
+		case k.answered:
+			c.do(Rejected{To: ev.From, ID: ev.ID, Reason: Congested})
+		}
+		return
+	}
+	left := ev.Left - (c.now - ev.At) - c.limits.AnswerMargin
+	if ev.Class < 0 || left <= 0 || c.open >= c.limits.MaxOpen {
+		why := Congested
+		if ev.Class < 0 {
+			why = Unsupported
+		}
+		c.do(Rejected{To: ev.From, ID: ev.ID, Reason: why})
+		return
+	}
+	c.lastCID++
+	k := &call{SetUp: ev, cid: c.lastCID, front: c.callers[ev.From], deadline: c.now + left}
+	c.calls[k.ID], c.byCID[k.cid] = k, k
+	c.open++
+	c.timer(k.deadline, Token{kind: tokenDeadline, call: k.ID, number: uint32(k.cid)})
+	c.tell(elmseam.Arrival{
+		Call: k.cid, Class: ev.Class, Number: ev.Number, Cell: ev.Cell, Cut: ev.Cut,
+		Within: left,
+	})
+}
+
+// final gives a call its one final answer other than standing.
+func (c *Core) final(k *call, r Rejected) {
+	if k.answered {
+		c.do(Broken{ID: k.ID, Rule: "second final answer"})
+		return
+	}
+	if !k.gone {
+		r.To, r.ID = k.From, k.ID
+		c.do(r)
+	}
+	c.close(k)
+}
+
+// close ends a call's part with its caller. An attempt that is still out is given up first.
+func (c *Core) close(k *call) {
+	if !k.answered {
+		k.answered = true
+		c.open--
+	}
+	if k.out != nil && k.out.phase != ending {
+		c.giveUp(k, elmseam.CauseCancelled)
+	}
+	if k.out == nil {
+		c.drop(k)
+	}
+}
+
+// drop forgets a call, but for its id.
+func (c *Core) drop(k *call) {
+	if c.calls[k.ID] != k {
+		return
+	}
+	delete(c.calls, k.ID)
+	delete(c.byCID, k.cid)
+	c.ended[k.ID] = c.now
+	c.endedAt = append(c.endedAt, over{k.ID, c.now})
+	for len(c.endedAt) > 0 && c.endedAt[0].at < c.now-c.limits.Remember {
+		if c.ended[c.endedAt[0].id] == c.endedAt[0].at {
+			delete(c.ended, c.endedAt[0].id)
+		}
+		c.endedAt = c.endedAt[1:]
+	}
+}
+
+// send starts an attempt, if the rules permit it: no answer is out, no other attempt is, there are not
+// too many, and the server takes new work. Within the release gap it waits.
+func (c *Core) send(k *call, a elmseam.Send) {
+	s := c.byID[a.Server]
+	if k.answered || k.gone || k.out != nil || s == nil {
+		c.do(Broken{ID: k.ID, Rule: "send of a call that may not be sent"})
+		return
+	}
+	at := &attempt{number: k.sends, server: s, at: c.now}
+	k.sends++
+	k.out, s.out[k.ID] = at, k
+	switch {
+	case c.now >= k.deadline || c.most > 0 && k.sends > c.most || s.told != elmseam.Ready:
+		c.outcome(k, elmseam.Outcome{Cause: elmseam.CauseNotSent})
+		return
+	case a.Timeout > 0:
+		c.timer(c.now+a.Timeout, Token{kind: tokenTimeout, call: k.ID, number: uint32(at.number)})
+	}
+	c.offer(k)
+}
+
+// offer writes an attempt, or has it wait for the release gap or a connection.
+func (c *Core) offer(k *call) {
+	s := k.out.server
+	switch {
+	case c.now < k.gap:
+		c.timer(k.gap, Token{kind: tokenGap, call: k.ID, number: uint32(k.out.number)})
+	case s.link == 0:
+		c.dial(s)
+	default:
+		k.out.phase, k.out.at = sent, c.now
+		c.do(Offer{To: s.link, ID: k.ID, Class: k.Class, Key: k.Key, Desc: k.SetUp.Desc, Cell: s.Cell, Until: k.deadline})
+	}
+}
+
+// giveUp calls an attempt off. It is out until its end has been written.
+func (c *Core) giveUp(k *call, cause elmseam.Cause) {
+	a := k.out
+	switch {
+	case a.phase == waiting:
+		c.outcome(k, elmseam.Outcome{Cause: elmseam.CauseNotSent})
+	case a.phase == sent:
+		a.phase, a.cause = ending, cause
+		c.do(End{To: a.server.link, ID: k.ID, Tell: true})
+	}
+}
+
+// outcome takes in the end of the attempt that is out and tells the module.
+func (c *Core) outcome(k *call, o elmseam.Outcome) {
+	a := k.out
+	k.out = nil
+	delete(a.server.out, k.ID)
+	switch o.Cause {
+	case elmseam.CauseTimeout, elmseam.CauseReset, elmseam.CauseCancelled:
+		k.gap = c.now + c.guard
+	}
+	o.Call, o.Server, o.Attempt, o.Final = k.cid, a.server.id, a.number, k.answered || k.gone
+	if o.Final {
+		c.drop(k)
+	}
+	c.tell(o)
+}
+
+// written says that the end of an attempt has left.
+func (c *Core) written(name string, id ID) {
+	if k := c.at(name, id); k != nil && k.out.phase == ending {
+		c.outcome(k, elmseam.Outcome{Cause: k.out.cause})
+	}
+}
+
+// notSent says that an attempt never left.
+func (c *Core) notSent(name string, id ID) {
+	if k := c.at(name, id); k != nil {
+		c.outcome(k, elmseam.Outcome{Cause: elmseam.CauseNotSent})
+	}
+}
+
+// at finds the call that has an attempt out at a server.
+func (c *Core) at(name string, id ID) *call {
+	s := c.servers[name]
+	if s == nil {
+		return nil
+	}
+	return s.out[id]
+}
+
+// answer takes in that a call stands. An answer to an attempt that is over is released, never passed on.
+func (c *Core) answer(ev ServerAnswer) {
+	s := c.servers[ev.Server]
+	if s == nil {
+		return
+	}
+	k := s.out[ev.ID]
+	switch {
+	case k == nil && s.standing[ev.ID] != nil:
+		return // said twice
+	case k == nil:
+		c.do(End{To: s.link, ID: ev.ID})
+		return
+	case k.out.phase != sent:
+		return // its end is on the way
+	case k.orphan || k.gone || k.answered || c.now > k.deadline+c.limits.AnswerMargin:
+		c.giveUp(k, elmseam.CauseCancelled)
+		return
+	}
+	took := c.now - k.out.at
+	k.out = nil
+	delete(s.out, k.ID)
+	k.stands, k.desc, k.answered = s, ev.Desc, true
+	s.standing[k.ID] = k
+	c.open--
+	c.do(Answered{To: k.From, ID: k.ID, Desc: ev.Desc})
+	c.tell(elmseam.Standing{Call: k.cid, Server: s.id, Took: took})
+	if ev.Report != nil {
+		c.tell(elmseam.Health{Server: s.id, OK: true, Report: ev.Report})
+	}
+}
+
+// serverEnd takes in a refusal or a release.
+func (c *Core) serverEnd(ev ServerEnd) {
+	s := c.servers[ev.Server]
+	if s == nil {
+		return
+	}
+	o := elmseam.Outcome{Refusal: ev.Refusal, Report: ev.Report}
+	if k := s.standing[ev.ID]; k != nil {
+		if o.Cause = elmseam.CauseReset; ev.Reason == Normal {
+			o.Cause = elmseam.CauseEnded
+		}
+		c.released(k, ev.Reason, o)
+		return
+	}
+	k := s.out[ev.ID]
+	if k == nil || k.out.phase != sent {
+		if ev.Report != nil {
+			c.tell(elmseam.Health{Server: s.id, OK: true, Report: ev.Report})
+		}
+		if k == nil {
+			c.stray(ev)
+		}
+		return
+	}
+	switch ev.Reason {
+	case Full, Congested:
+		o.Cause = elmseam.CauseFull
+	case Busy, Failed, Unsupported:
+		o.Cause = elmseam.CauseBusy
+	case Unsent:
+		o.Cause = elmseam.CauseNotSent
+	default:
+		o.Cause = elmseam.CauseReset
+	}
+	c.outcome(k, o)
+}
+
+// stray passes on the release of a call that stood before this program started, or that this program
+// never saw: it is nobody's second answer, as ids of calls that ended here are remembered.
+func (c *Core) stray(ev ServerEnd) {
+	if _, known := c.ended[ev.ID]; known || c.calls[ev.ID] != nil || ev.Reason == Full || ev.Reason == Busy || ev.Reason == Unsent {
+		return
+	}
+	c.ended[ev.ID] = c.now
+	c.endedAt = append(c.endedAt, over{ev.ID, c.now})
+	c.release("", 0, ev.ID, ev.Reason)
+}
+
+// released ends a call that stands, towards its caller and in the module.
+func (c *Core) released(k *call, why Reason, o elmseam.Outcome) {
+	delete(k.stands.standing, k.ID)
+	c.drop(k)
+	if !k.gone {
+		c.release(k.front, k.From, k.ID, why)
+	}
+	o.Call, o.Server, o.Final = k.cid, k.stands.id, true
+	o.Attempt = max(k.sends-1, 0)
+	c.tell(o)
+	c.tidy(k.stands)
+}
+
+// release sends a caller the end of a call that stood, on its connection or any other of its front; if
+// there is none, on the next.
+func (c *Core) release(front Front, to Link, id ID, why Reason) {
+	if _, up := c.callers[to]; !up {
+		to = 0
+		for _, l := range c.links {
+			if front == "" || c.callers[l] == front {
+				to = l
+			}
+		}
+	}
+	if to == 0 {
+		c.pending = append(c.pending, &pendingRelease{front, id, why, c.now})
+		return
+	}
+	c.do(Released{To: to, ID: id, Reason: why})
+}
+
+// flush sends the releases that found no connection.
+func (c *Core) flush() {
+	waiting := c.pending
+	c.pending = nil
+	for _, p := range waiting {
+		if p.at > c.now-c.limits.Remember {
+			c.release(p.front, 0, p.id, p.why)
+		}
+	}
+}
+
+// callerEnd is a set-up given up, or the release of a call that stands, perhaps from before a restart.
+func (c *Core) callerEnd(ev CallerEnd) {
+	k := c.calls[ev.ID]
+	switch {
+	case k == nil:
+		if _, known := c.ended[ev.ID]; !known {
+			for _, s := range c.order {
+				if s.link != 0 {
+					c.do(End{To: s.link, ID: ev.ID})
+				}
+			}
+		}
+	case k.stands != nil:
+		k.gone = true
+		if l := k.stands.link; l != 0 {
+			c.do(End{To: l, ID: k.ID})
+		}
+		c.released(k, Normal, elmseam.Outcome{Cause: elmseam.CauseCancelled})
+	default:
+		c.callerGone(k)
+	}
+}
+
+// callerGone ends a set-up that nobody waits for any more. No answer is owed.
+func (c *Core) callerGone(k *call) {
+	if k.gone {
+		return
+	}
+	k.gone = true
+	if k.answered {
+		return
+	}
+	c.tell(elmseam.CallerGone{Call: k.cid})
+	c.close(k)
+}
+
+// callerDown ends a caller's connection. Its set-ups may come again on another one shortly.
+func (c *Core) callerDown(l Link) {
+	delete(c.callers, l)
+	for i, have := range c.links {
+		if have == l {
+			c.links = append(c.links[:i], c.links[i+1:]...)
+			break
+		}
+	}
+	for _, k := range inOrder(c.calls) {
+		if k.From == l && k.stands == nil && !k.answered {
+			k.orphan = true
+			c.timer(c.now+c.limits.Rebind, Token{kind: tokenRebind, call: k.ID, number: uint32(k.cid)})
+		}
+	}
+}
+
+// due takes in a timer. None is ever unset, so each looks whether it still means something.
+func (c *Core) due(t Token) {
+	k := c.calls[t.call]
+	switch t.kind {
+	case tokenController:
+		c.tell(elmseam.Wake{Token: t.number})
+	case tokenDeadline:
+		if k != nil && uint32(k.cid) == t.number && !k.answered {
+			c.deadline(k)
+		}
+	case tokenRebind:
+		if k != nil && uint32(k.cid) == t.number && k.orphan {
+			c.callerGone(k)
+		}
+	case tokenTimeout:
+		if k != nil && k.out != nil && uint32(k.out.number) == t.number {
+			c.giveUp(k, elmseam.CauseTimeout)
+		}
+	case tokenGap:
+		if k != nil && k.out != nil && uint32(k.out.number) == t.number && k.out.phase == waiting {
+			c.retry(k)
+		}
+	case tokenRedial:
+		if s := c.servers[t.server]; s != nil {
+			s.redialing = false
+			if s.link == 0 && (s.told == elmseam.Ready || len(s.standing) > 0) {
+				c.dial(s)
+			}
+		}
+	case tokenLost:
+		if s := c.servers[t.server]; s != nil && s.lost != 0 && c.now >= s.lost+c.limits.ServerLost {
+			c.cutAll(s)
+		}
+	case tokenStop:
+		c.graced = true
+	case tokenFinal:
+		if c.graced && !c.stopped {
+			c.stopped = true
+			c.do(Stopped{})
+		}
+	}
+}
+
+// retry looks again at an attempt that waited, before its first byte.
+func (c *Core) retry(k *call) {
+	if k.gone || k.answered || c.now >= k.deadline || k.out.server.told != elmseam.Ready {
+		c.outcome(k, elmseam.Outcome{Cause: elmseam.CauseNotSent})
+		return
+	}
+	c.offer(k)
+}
+
+// deadline gives a call its final answer while its caller still waits. What is out ends first.
+func (c *Core) deadline(k *call) {
+	if a := k.out; a != nil {
+		if a.phase == sent {
+			c.do(End{To: a.server.link, ID: k.ID})
+		}
+		cause := elmseam.CauseTimeout
+		if a.phase == waiting {
+			cause = elmseam.CauseNotSent
+		}
+		c.outcome(k, elmseam.Outcome{Cause: cause})
+	}
+	if !k.answered { // the module holds it still
+		c.tell(elmseam.CallerGone{Call: k.cid})
+		c.final(k, Rejected{Reason: Failed})
+	}
+}
--- /dev/null
+++ b/internal/core/servers.go
@@ -0,0 +1,211 @@
+package core
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+
+	"elmseam"
+)
+
+// list takes in news of the servers.
+func (c *Core) list(ev List) {
+	named := make(map[string]bool)
+	var changed []*server
+	for _, e := range ev.Servers {
+		named[e.Name] = true
+		s := c.servers[e.Name]
+		switch {
+		case s == nil:
+			c.lastID++
+			s = &server{id: c.lastID, standing: make(map[ID]*call), out: make(map[ID]*call)}
+			c.servers[e.Name], c.byID[s.id] = s, s
+			c.order = append(c.order, s)
+		case s.Started != e.Started || s.Address != e.Address:
+			// Another process: what stood at the one before is cut. Its connection is of no use.
+			c.cutAll(s)
+			c.hangUp(s)
+		}
+		s.Server = e
+		changed = append(changed, s)
+	}
+	if ev.Full {
+		for _, s := range c.order {
+			if !named[s.Name] {
+				s.Phase = elmseam.Gone
+				changed = append(changed, s)
+			}
+		}
+	}
+	c.phases(changed, ev.Full, ev.Cached)
+}
+
+// phases tells the module of servers whose state may have changed, stops new work where it must, and
+// looks after the connections.
+func (c *Core) phases(changed []*server, full, cached bool) {
+	var entries []elmseam.ListEntry
+	for _, s := range changed {
+		s.told = s.Phase
+		switch {
+		case s.told == elmseam.Ready && s.cutOff:
+			s.told = elmseam.Gone
+		case s.told == elmseam.Ready && s.paused:
+			s.told = elmseam.Draining
+		}
+		entries = append(entries, elmseam.ListEntry{Server: s.id, Cell: s.Cell, Phase: s.told, Started: s.Started})
+	}
+	if full {
+		c.tell(elmseam.ListFull{Entries: entries, Cached: cached})
+	} else {
+		c.tell(elmseam.ListDelta{Entries: entries})
+	}
+	for _, s := range changed {
+		if s.told == elmseam.Ready {
+			if s.link == 0 {
+				c.dial(s)
+			}
+			continue
+		}
+		if s.link != 0 {
+			c.do(Withdraw{To: s.link})
+		}
+		for _, k := range inOrder(s.out) {
+			if k.out.phase == waiting {
+				c.outcome(k, elmseam.Outcome{Cause: elmseam.CauseNotSent})
+			}
+		}
+		if s.Phase == elmseam.Gone { // closing the connection gives up what is out there
+			c.cutAll(s)
+			c.hangUp(s)
+			c.tidy(s)
+		}
+	}
+}
+
+// tidy closes the connection to a server that is gone and of which nothing is left, and forgets it.
+func (c *Core) tidy(s *server) {
+	if s.Phase != elmseam.Gone || len(s.standing)+len(s.out) > 0 || c.servers[s.Name] != s {
+		return
+	}
+	c.hangUp(s)
+	delete(c.servers, s.Name)
+	delete(c.byID, s.id)
+	for i, have := range c.order {
+		if have == s {
+			c.order = append(c.order[:i], c.order[i+1:]...)
+			break
+		}
+	}
+}
+
+// route takes in that the way to a host has gone or come.
+func (c *Core) route(ev Route) {
+	var changed []*server
+	for _, s := range c.order {
+		if at, err := netip.ParseAddrPort(s.Address); err == nil && at.Addr().String() == ev.Host && s.cutOff == ev.Up {
+			s.cutOff = !ev.Up
+			changed = append(changed, s)
+		}
+	}
+	if len(changed) > 0 {
+		c.phases(changed, false, false)
+	}
+}
+
+// dial asks for a connection, once at a time.
+func (c *Core) dial(s *server) {
+	if s.dialing || s.link != 0 {
+		return
+	}
+	s.dialing = true
+	c.do(Dial{Server: s.Name, Address: s.Address, Front: s.Front})
+}
+
+// hangUp ends the connection to a server; what is out there is cut.
+func (c *Core) hangUp(s *server) {
+	if s.link == 0 {
+		return
+	}
+	l := s.link
+	s.link = 0
+	c.do(Hangup{To: l})
+	c.cutOut(s, elmseam.CauseReset)
+}
+
+// serverUp sends what has waited for the connection.
+func (c *Core) serverUp(ev ServerUp) {
+	s := c.servers[ev.Server]
+	if s == nil || s.link != 0 {
+		c.do(Hangup{To: ev.Link})
+		return
+	}
+	if s.dialing = false; s.Address != ev.Address { // it has moved meanwhile
+		c.do(Hangup{To: ev.Link})
+		c.dial(s)
+		return
+	}
+	s.link, s.dialing, s.backoff, s.lost = ev.Link, false, 0, 0
+	for _, k := range inOrder(s.out) {
+		if k.out.phase == waiting && c.now >= k.gap {
+			c.retry(k)
+		}
+	}
+}
+
+// serverDown takes in that a connection has ended or could not be made. Set-ups open on it are cut or
+// were never sent; what stands there stands on, and a new connection will tell of it.
+func (c *Core) serverDown(ev ServerDown) {
+	s := c.servers[ev.Server]
+	if s == nil || ev.Link != s.link {
+		return
+	}
+	cause := elmseam.CauseReset
+	if s.link == 0 {
+		cause = elmseam.CauseUnreachable
+	}
+	s.link, s.dialing = 0, false
+	if s.lost == 0 {
+		s.lost = c.now
+		c.timer(c.now+c.limits.ServerLost, Token{kind: tokenLost, server: s.Name})
+	}
+	c.cutOut(s, cause)
+	if s.link == 0 && !s.dialing && !s.redialing && (s.told == elmseam.Ready || len(s.standing) > 0) {
+		at := c.now
+		if cause == elmseam.CauseUnreachable {
+			s.backoff = min(max(2*s.backoff, c.limits.RedialLeast), c.limits.RedialMost)
+			at += s.backoff
+		}
+		s.redialing = true
+		c.timer(at, Token{kind: tokenRedial, server: s.Name})
+	}
+	c.tidy(s)
+}
+
+// cutOut ends the attempts out at a server whose connection has ended.
+func (c *Core) cutOut(s *server, cause elmseam.Cause) {
+	for _, k := range inOrder(s.out) {
+		if k.out == nil || k.out.server != s {
+			continue
+		}
+		o := elmseam.Outcome{Cause: cause}
+		switch {
+		case k.out.phase == ending:
+			o.Cause = k.out.cause
+		case k.out.phase == waiting && cause == elmseam.CauseReset:
+			o.Cause = elmseam.CauseNotSent
+		}
+		c.outcome(k, o)
+	}
+}
+
+// cutAll releases the calls that stand at a server which is no more.
+func (c *Core) cutAll(s *server) {
+	for _, k := range inOrder(s.standing) {
+		c.released(k, Reset, elmseam.Outcome{Cause: elmseam.CauseReset})
+	}
+}
+
+// inOrder lists calls as they came, so that the same events have the same effects.
+func inOrder(calls map[ID]*call) []*call {
+	return slices.SortedFunc(maps.Values(calls), func(a, b *call) int { return int(a.cid) - int(b.cid) })
+}
--- /dev/null
+++ b/internal/core/types.go
@@ -0,0 +1,261 @@
+package core
+
+import (
+	"time"
+
+	"elmseam"
+)
+
+// Time is an instant on the clock that Step is given.
+type Time = elmseam.Time
+
+// ID names a call towards callers and servers. A call keeps it on every attempt.
+type ID uint64
+
+// Link names one connection, of a caller or to a server. 0 is none.
+type Link uint64
+
+// Front names a signalling protocol.
+type Front string
+
+// Reason says why a call or a set-up ended, in no protocol's terms.
+type Reason uint8
+
+// The reasons.
+const (
+	Normal      Reason = iota // ended or called off
+	Full                      // turned away before it ran
+	Busy                      // the number called, or its signalling, is at fault
+	Reset                     // broken on its way, or cut
+	Unsent                    // it never left
+	Congested                 // refused here: trying again is harmless
+	Failed                    // given up here
+	Unsupported               // the set-up makes no sense
+)
+
+// Server is one server of the list.
+type Server struct {
+	Name    string
+	Address string
+	Front   Front
+	Cell    int
+	Phase   elmseam.Phase
+	Started Time
+}
+
+// Event is something that has happened; see the types below.
+type Event interface{ event() }
+
+type (
+	// CallerUp and CallerDown say that a caller's connection begins and ends.
+	CallerUp struct {
+		Link  Link
+		Front Front
+	}
+	CallerDown struct{ Link Link }
+	// SetUp is a call that a caller asks for.
+	SetUp struct {
+		ID     ID
+		From   Link
+		Class  int
+		Number uint64
+		Key    string // the number called as the caller wrote it
+		Desc   []byte // the caller's description, passed on as it is
+		Cell   int    // first choice, -1: none
+		Cut    bool   // it stood, was cut and comes again
+		Left   time.Duration
+		At     Time // when its last byte arrived
+	}
+	// CallerEnd is a caller giving its set-up up, or releasing a call that stands.
+	CallerEnd struct {
+		ID   ID
+		From Link
+	}
+	// ServerUp says that a connection to a server is made; ServerDown that one has ended, or with
+	// a Link of 0 that none could be made.
+	ServerUp struct {
+		Server  string
+		Address string
+		Link    Link
+	}
+	ServerDown struct {
+		Server string
+		Link   Link
+	}
+	// ServerAnswer says that the call stands.
+	ServerAnswer struct {
+		Server string
+		ID     ID
+		Desc   []byte
+		Report elmseam.Report
+	}
+	// ServerEnd is a server's refusal of a set-up or its release of a call that stands.
+	ServerEnd struct {
+		Server  string
+		ID      ID
+		Reason  Reason
+		Refusal elmseam.Refusal
+		Report  elmseam.Report
+	}
+	// ServerReport is a load report that came by itself.
+	ServerReport struct {
+		Server string
+		Report elmseam.Report
+	}
+	// ServerPaused says that a server's own signalling takes no new work, or does again.
+	ServerPaused struct {
+		Server string
+		Paused bool
+	}
+	// Route says that the way to the servers at a host has gone or come.
+	Route struct {
+		Host string
+		Up   bool
+	}
+	// Written says that the end of an attempt has left, NotSent that an attempt was taken back
+	// before its first byte.
+	Written struct {
+		Server string
+		ID     ID
+	}
+	NotSent struct {
+		Server string
+		ID     ID
+	}
+	// List is news of the servers; Full: it replaces all that was known.
+	List struct {
+		Full, Cached bool
+		Servers      []Server
+	}
+	// Due is a timer that has come due.
+	Due struct{ Token Token }
+	// Stop asks for an orderly end.
+	Stop struct{}
+)
+
+func (CallerUp) event()     {}
+func (CallerDown) event()   {}
+func (SetUp) event()        {}
+func (CallerEnd) event()    {}
+func (ServerUp) event()     {}
+func (ServerDown) event()   {}
+func (ServerAnswer) event() {}
+func (ServerEnd) event()    {}
+func (ServerReport) event() {}
+func (ServerPaused) event() {}
+func (Route) event()        {}
+func (Written) event()      {}
+func (NotSent) event()      {}
+func (List) event()         {}
+func (Due) event()          {}
+func (Stop) event()         {}
+
+// Effect is something the loop shall carry out; see the types below.
+type Effect interface{ effect() }
+
+type (
+	// Answered, Rejected and Released are for a caller: the call stands, gets no answer, is over.
+	Answered struct {
+		To   Link
+		ID   ID
+		Desc []byte
+	}
+	Rejected struct {
+		To         Link
+		ID         ID
+		Reason     Reason
+		RetryAfter time.Duration
+	}
+	Released struct {
+		To     Link
+		ID     ID
+		Reason Reason
+	}
+	// Offer starts an attempt. It is not written after Until.
+	Offer struct {
+		To    Link
+		ID    ID
+		Class int
+		Key   string
+		Desc  []byte
+		Cell  int
+		Until Time // when the caller gives up
+	}
+	// End gives an attempt up or releases a call; a Written or a NotSent follows if Tell is set.
+	End struct {
+		To   Link
+		ID   ID
+		Tell bool
+	}
+	// Withdraw takes back the offers that have not been begun.
+	Withdraw struct{ To Link }
+	// Dial asks for a connection to a server, Hangup for its end.
+	Dial struct {
+		Server  string
+		Address string
+		Front   Front
+	}
+	Hangup struct{ To Link }
+	// Timer asks for a Due.
+	Timer struct {
+		At    Time
+		Token Token
+	}
+	// Serving says whether new calls are welcome.
+	Serving struct{ Yes bool }
+	// Stopped says that nothing is owed any more after a Stop.
+	Stopped struct{}
+	// Broken says that a guard held back what a rule forbids.
+	Broken struct {
+		ID   ID
+		Rule string
+	}
+)
+
+func (Answered) effect() {}
+func (Rejected) effect() {}
+func (Released) effect() {}
+func (Offer) effect()    {}
+func (End) effect()      {}
+func (Withdraw) effect() {}
+func (Dial) effect()     {}
+func (Hangup) effect()   {}
+func (Timer) effect()    {}
+func (Serving) effect()  {}
+func (Stopped) effect()  {}
+func (Broken) effect()   {}
+
+// Token says what a timer is for.
+type Token struct {
+	kind   tokenKind
+	call   ID
+	number uint32 // the controller's token, or the attempt
+	server string
+}
+
+type tokenKind uint8
+
+const (
+	tokenController tokenKind = iota
+	tokenDeadline
+	tokenRebind  // a caller's connection ended with the set-up open
+	tokenTimeout // of an attempt
+	tokenGap     // a send waits for the release gap
+	tokenRedial
+	tokenLost  // a server has been out of reach for long
+	tokenStop  // the grace of a stop is over
+	tokenFinal // and so is the longest time for what still stands
+)
+
+// Limits are the times the core keeps.
+type Limits struct {
+	AnswerMargin time.Duration // the final answer leaves this long before the caller's time is up
+	Rebind       time.Duration // a set-up may come again on a new connection for so long
+	RedialLeast  time.Duration // between attempts to reach a server again
+	RedialMost   time.Duration
+	ServerLost   time.Duration // out of reach for so long, a server's standing calls are taken for cut
+	StopGrace    time.Duration // callers may still come for this long after a Stop
+	StopMost     time.Duration // and standing calls are waited for this long
+	MaxOpen      int           // set-ups open at once
+	Remember     time.Duration // a call that is over is remembered for so long
+}
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,279 @@
+// Package feed follows the command channel: server-sent events over HTTP/1.1 that say how the list of
+// servers changes.
+package feed
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"elmseam"
+	"elmseam/internal/core"
+	"elmseam/internal/link"
+)
+
+// Limits are the channel's sizes and times.
+type Limits struct {
+	Connect time.Duration // to make a connection
+	Silence time.Duration // past the comment interval: the connection is dead
+	Retry   time.Duration // after a connection that brought nothing
+	Event   int           // the longest line
+	First   int           // the read buffer's first size
+}
+
+// states are the channel's words for the phases.
+var states = map[string]elmseam.Phase{
+	"in_service":  elmseam.Ready,
+	"terminating": elmseam.Draining,
+	"terminated":  elmseam.Gone,
+}
+
+// Command is one event of the channel.
+type Command struct {
+	Cursor int64 `json:"cursor"`
+	Nodes  struct {
+		Snapshot  bool       `json:"snapshot"`
+		Endpoints []Endpoint `json:"endpoints"`
+	} `json:"nodes"`
+}
+
+// Endpoint is what the channel says of one server.
+type Endpoint struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Status  string `json:"status"`
+	Front   string `json:"front"`
+	Group   int    `json:"group"`
+	Since   int64  `json:"since_ms"`
+}
+
+// List translates a command. Cached says that it was held from before the start.
+func (c Command) List(front core.Front, cached bool) (core.List, error) {
+	l := core.List{Full: c.Nodes.Snapshot, Cached: cached}
+	for _, e := range c.Nodes.Endpoints {
+		phase, known := states[e.Status]
+		if !known || e.Name == "" {
+			return l, fmt.Errorf("endpoint %q: unknown status %q", e.Name, e.Status)
+		}
+		f := front
+		if e.Front != "" {
+			f = core.Front(e.Front)
+		}
+		l.Servers = append(l.Servers, core.Server{
+			Name: e.Name, Address: e.Address, Front: f, Cell: e.Group, Phase: phase,
+			Started: time.Duration(e.Since) * time.Millisecond,
+		})
+	}
+	return l, nil
+}
+
+// Feed follows one channel.
+type Feed struct {
+	Address string
+	Cursor  int64 // the last event known
+	Front   core.Front
+	Limits  Limits
+	Post    func(core.Event)
+	Log     zerolog.Logger
+}
+
+// Run follows the channel until the context ends. A connection that ends is made again at once, from the
+// event after the last one.
+func (f *Feed) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		before := time.Now()
+		err := f.follow(ctx)
+		if ctx.Err() == nil {
+			f.Log.Info().Err(err).Int64("cursor", f.Cursor).Msg("command channel ended")
+		}
+		if wait := f.Limits.Retry - time.Since(before); wait > 0 { // it brought nothing: don't spin
+			select {
+			case <-ctx.Done():
+			case <-time.After(wait):
+			}
+		}
+	}
+}
+
+// follow reads one connection.
+func (f *Feed) follow(ctx context.Context) error {
+	d := net.Dialer{Timeout: f.Limits.Connect}
+	conn, err := d.DialContext(ctx, "tcp", f.Address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	conn.SetDeadline(time.Now().Add(f.Limits.Silence))
+	_, err = fmt.Fprintf(conn, "GET /cmd/next HTTP/1.1\r\nHost: %s\r\nAccept: text/event-stream\r\nLast-Event-ID: %d\r\n\r\n", f.Address, f.Cursor)
+	if err != nil {
+		return err
+	}
+	r := &reader{conn: conn, in: link.NewBuffer(f.Limits.First, f.Limits.Event), silence: f.Limits.Silence}
+	if err := r.head(); err != nil {
+		return err
+	}
+	var data []byte
+	for {
+		line, err := r.line()
+		if err != nil {
+			return err
+		}
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch {
+		case len(line) == 0 && data != nil:
+			if err := f.take(data); err != nil {
+				return err
+			}
+			data = nil
+		case string(name) == "data":
+			if len(data)+len(value) > f.Limits.Event {
+				return link.ErrTooLong
+			}
+			if data != nil {
+				data = append(data, '\n')
+			}
+			data = append(data, value...)
+		}
+	}
+}
+
+// take hands an event on, unless it is known.
+func (f *Feed) take(data []byte) error {
+	var c Command
+	if err := json.Unmarshal(data, &c); err != nil {
+		return fmt.Errorf("event: %w", err)
+	}
+	if c.Cursor <= f.Cursor {
+		return nil
+	}
+	f.Cursor = c.Cursor
+	list, err := c.List(f.Front, false)
+	if err != nil {
+		f.Log.Warn().Err(err).Int64("cursor", c.Cursor).Msg("event passed over")
+		return nil
+	}
+	f.Post(list)
+	return nil
+}
+
+// reader reads an HTTP answer line by line, chunked or not.
+type reader struct {
+	conn    net.Conn
+	in      *link.Buffer
+	silence time.Duration
+	chunked bool
+	left    int    // of the chunk
+	body    []byte // of the line so far
+}
+
+var errHTTP = errors.New("not an HTTP answer with events")
+
+// raw reads a line of the connection itself.
+func (r *reader) raw() (string, error) {
+	for {
+		if i := bytes.IndexByte(r.in.Bytes(), '\n'); i >= 0 {
+			line := string(bytes.TrimSuffix(r.in.Bytes()[:i], []byte("\r")))
+			r.in.Skip(i + 1)
+			return line, nil
+		}
+		if err := r.fill(); err != nil {
+			return "", err
+		}
+	}
+}
+
+func (r *reader) fill() error {
+	r.conn.SetReadDeadline(time.Now().Add(r.silence))
+	return r.in.Fill(r.conn)
+}
+
+// head reads the status and the header.
+func (r *reader) head() error {
+	status, err := r.raw()
+	if err != nil {
+		return err
+	}
+	if len(status) < 12 || status[:5] != "HTTP/" || status[8:12] != " 200" {
+		return fmt.Errorf("%w: %.40q", errHTTP, status)
+	}
+	for {
+		line, err := r.raw()
+		if err != nil {
+			return err
+		}
+		if line == "" {
+			return nil
+		}
+		name, value, _ := bytes.Cut(bytes.ToLower([]byte(line)), []byte(":"))
+		if string(name) == "transfer-encoding" && bytes.Contains(value, []byte("chunked")) {
+			r.chunked = true
+		}
+	}
+}
+
+// line reads a line of the body.
+func (r *reader) line() ([]byte, error) {
+	r.body = r.body[:0]
+	for {
+		if r.chunked && r.left == 0 {
+			if err := r.chunk(); err != nil {
+				return nil, err
+			}
+		}
+		part := r.in.Bytes()
+		if r.chunked && len(part) > r.left {
+			part = part[:r.left]
+		}
+		end := bytes.IndexByte(part, '\n')
+		n := end + 1
+		if end < 0 {
+			n = len(part)
+		}
+		if r.body = append(r.body, part[:n]...); len(r.body) > r.in.Most() {
+			return nil, link.ErrTooLong
+		}
+		r.in.Skip(n)
+		if r.left -= n; r.chunked && r.left == 0 {
+			if _, err := r.raw(); err != nil { // the line end behind a chunk
+				return nil, err
+			}
+		}
+		if end >= 0 {
+			return bytes.TrimRight(r.body, "\r\n"), nil
+		}
+		if len(r.in.Bytes()) == 0 {
+			if err := r.fill(); err != nil {
+				return nil, err
+			}
+		}
+	}
+}
+
+// chunk reads the size of the next chunk.
+func (r *reader) chunk() error {
+	text, err := r.raw()
+	if err != nil {
+		return err
+	}
+	for i := range text {
+		if text[i] == ';' {
+			text = text[:i]
+			break
+		}
+	}
+	n, err := strconv.ParseUint(text, 16, 31)
+	if err != nil || n == 0 {
+		return fmt.Errorf("%w: chunk %.20q", errHTTP, text)
+	}
+	r.left = int(n)
+	return nil
+}
--- /dev/null
+++ b/internal/link/outbox.go
@@ -0,0 +1,169 @@
+package link
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"time"
+)
+
+// Limits are the sizes and times of a connection.
+type Limits struct {
+	ReadFirst  int           // the read buffer's first size
+	Message    int           // the longest message
+	Outbox     int           // bytes that may wait to be written before the peer counts as stalled
+	WriteStall time.Duration // and the longest that one write may take
+	Stuck      time.Duration // a write that takes so long is broken off where new work has to stop
+}
+
+// Item is a message to be written.
+type Item struct {
+	Data  []byte
+	ID    uint64
+	Offer bool      // it starts a set-up: it can be taken back, and is not begun
+	Until time.Time // after this time
+	Done  func()    // called when it is written
+	Lapse func()    // called when it was not, as its time was over
+}
+
+// Outbox writes messages to a connection in order. Its user never waits for the peer: a goroutine
+// writes while there is something to write. A peer that takes nothing costs its own connection.
+type Outbox struct {
+	conn   net.Conn
+	limits Limits
+	w      *bufio.Writer
+
+	mu      sync.Mutex
+	queue   []Item
+	bytes   int
+	writing bool
+	began   time.Time // of the write under way; zero: none
+	closed  bool
+}
+
+// NewOutbox makes the outbox of a connection.
+func NewOutbox(conn net.Conn, limits Limits) *Outbox {
+	return &Outbox{conn: conn, limits: limits, w: bufio.NewWriterSize(conn, limits.ReadFirst)}
+}
+
+// Post queues a message.
+func (o *Outbox) Post(it Item) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.closed {
+		return
+	}
+	if o.bytes += len(it.Data); o.bytes > o.limits.Outbox {
+		o.shut()
+		return
+	}
+	o.queue = append(o.queue, it)
+	if !o.writing {
+		o.writing = true
+		go o.run()
+	}
+}
+
+// TakeBack removes an offer that has not been begun, and says whether it did.
+func (o *Outbox) TakeBack(id uint64) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for i, it := range o.queue {
+		if it.Offer && it.ID == id {
+			o.bytes -= len(it.Data)
+			o.queue = append(o.queue[:i], o.queue[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// Withdraw removes all offers that have not been begun and returns their ids. A write that is stuck may
+// hold some that the peer would get too late: the connection is closed.
+func (o *Outbox) Withdraw() (ids []uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	kept := o.queue[:0]
+	for _, it := range o.queue {
+		if it.Offer {
+			ids = append(ids, it.ID)
+			o.bytes -= len(it.Data)
+		} else {
+			kept = append(kept, it)
+		}
+	}
+	o.queue = kept
+	if !o.began.IsZero() && time.Since(o.began) > o.limits.Stuck {
+		o.shut()
+	}
+	return ids
+}
+
+// Close closes the connection at once.
+func (o *Outbox) Close() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.shut()
+}
+
+func (o *Outbox) shut() {
+	o.closed, o.queue = true, nil
+	o.conn.Close()
+}
+
+// run writes until nothing is left. What goes out in one write is limited, so that the rest can still
+// be taken back.
+func (o *Outbox) run() {
+	for {
+		batch := o.next()
+		if len(batch) == 0 {
+			return
+		}
+		now := time.Now()
+		o.conn.SetWriteDeadline(now.Add(o.limits.WriteStall))
+		var err error
+		kept := batch[:0]
+		for _, it := range batch {
+			if it.Offer && now.After(it.Until) {
+				it.Lapse()
+				continue
+			}
+			if _, err = o.w.Write(it.Data); err != nil {
+				break
+			}
+			kept = append(kept, it)
+		}
+		if err == nil {
+			err = o.w.Flush()
+		}
+		if err != nil {
+			o.Close()
+			return
+		}
+		for _, it := range kept {
+			if it.Done != nil {
+				it.Done()
+			}
+		}
+	}
+}
+
+// next takes what the next write holds.
+func (o *Outbox) next() []Item {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.began = (time.Time{}); o.closed || len(o.queue) == 0 {
+		o.writing = false
+		return nil
+	}
+	n, size := 0, 0
+	for n < len(o.queue) && (n == 0 || size+len(o.queue[n].Data) <= o.limits.ReadFirst) {
+		size += len(o.queue[n].Data)
+		n++
+	}
+	batch := append([]Item(nil), o.queue[:n]...)
+	o.queue = append(o.queue[:0], o.queue[n:]...)
+	o.bytes -= size
+	o.began = time.Now()
+	return batch
+}
--- /dev/null
+++ b/internal/loop/loop.go
@@ -0,0 +1,199 @@
+// Package loop runs the core: one goroutine owns it, takes events from a bounded inbox, keeps the
+// timers and carries out the effects.
+package loop
+
+import (
+	"container/heap"
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"elmseam/internal/core"
+)
+
+// Carrier carries effects out on one connection. It must not block; what it knows at once it returns.
+type Carrier interface {
+	Carry(core.Effect) []core.Event
+	Close()
+}
+
+// Dialer makes a connection to a server and posts ServerUp or ServerDown. It runs in a goroutine of
+// its own.
+type Dialer func(core.Dial)
+
+// Loop is the owner of a core.
+type Loop struct {
+	core     *core.Core
+	in       chan item
+	done     chan struct{}
+	links    atomic.Uint64
+	start    time.Time
+	epoch    time.Duration // of start, since the Unix epoch
+	carriers map[core.Link]Carrier
+	dialers  map[core.Front]Dialer
+	timers   timers
+	serving  func(bool)
+	log      zerolog.Logger
+}
+
+// item is an event with the time it happened at and, where it begins a connection, its carrier.
+type item struct {
+	at      core.Time
+	ev      core.Event
+	link    core.Link
+	carrier Carrier
+}
+
+// New makes a loop whose inbox holds so many events. serving is told when new calls begin or cease to be
+// welcome.
+func New(c *core.Core, inbox int, serving func(bool), log zerolog.Logger) *Loop {
+	start := time.Now()
+	return &Loop{
+		core: c, in: make(chan item, inbox), done: make(chan struct{}),
+		start: start, epoch: time.Duration(start.UnixNano()),
+		carriers: make(map[core.Link]Carrier), dialers: make(map[core.Front]Dialer),
+		serving: serving, log: log,
+	}
+}
+
+// Now is the time since the Unix epoch. It never runs backwards.
+func (l *Loop) Now() core.Time { return l.epoch + time.Since(l.start) }
+
+// When turns a time of the core into one of the clock.
+func (l *Loop) When(t core.Time) time.Time { return l.start.Add(t - l.epoch) }
+
+// NewLink names a connection.
+func (l *Loop) NewLink() core.Link { return core.Link(l.links.Add(1)) }
+
+// Dialer sets how servers of a front are reached. It must be called before Run.
+func (l *Loop) Dialer(f core.Front, d Dialer) { l.dialers[f] = d }
+
+// Post hands in an event; it waits while the inbox is full.
+func (l *Loop) Post(ev core.Event) { l.post(item{at: l.Now(), ev: ev}) }
+
+// Attach hands in the event that begins a connection, with what carries its effects out.
+func (l *Loop) Attach(link core.Link, c Carrier, ev core.Event) {
+	l.post(item{at: l.Now(), ev: ev, link: link, carrier: c})
+}
+
+func (l *Loop) post(it item) {
+	select {
+	case l.in <- it:
+	case <-l.done:
+		if it.carrier != nil {
+			it.carrier.Close()
+		}
+	}
+}
+
+// Run owns the core until all is answered after a Stop, or until the context ends.
+func (l *Loop) Run(ctx context.Context) {
+	defer close(l.done)
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		wait := time.Hour
+		if len(l.timers) > 0 {
+			wait = max(l.timers[0].At-l.Now(), 0)
+		}
+		timer.Reset(wait)
+		var it item
+		select {
+		case <-ctx.Done():
+			return
+		case it = <-l.in:
+		case <-timer.C:
+			if len(l.timers) == 0 || l.timers[0].At > l.Now() {
+				continue
+			}
+			due := heap.Pop(&l.timers).(core.Timer)
+			it = item{at: l.Now(), ev: core.Due{Token: due.Token}}
+		}
+		if l.take(it) {
+			return
+		}
+	}
+}
+
+// take steps the core through an event and what follows from it at once. It says whether all is over.
+func (l *Loop) take(it item) (stopped bool) {
+	if it.carrier != nil {
+		l.carriers[it.link] = it.carrier
+	}
+	events := []core.Event{it.ev}
+	for len(events) > 0 {
+		ev := events[0]
+		events = events[1:]
+		switch ev := ev.(type) {
+		case core.CallerDown:
+			delete(l.carriers, ev.Link)
+		case core.ServerDown:
+			delete(l.carriers, ev.Link)
+		}
+		for _, e := range l.core.Step(it.at, ev) {
+			switch e := e.(type) {
+			case core.Timer:
+				heap.Push(&l.timers, e)
+			case core.Dial:
+				if dial := l.dialers[e.Front]; dial != nil {
+					go dial(e)
+				} else {
+					l.log.Error().Str("server", e.Server).Str("front", string(e.Front)).Msg("no front reaches this server")
+					events = append(events, core.ServerDown{Server: e.Server})
+				}
+			case core.Hangup:
+				if c := l.carriers[e.To]; c != nil {
+					delete(l.carriers, e.To)
+					c.Close()
+				}
+			case core.Serving:
+				l.log.Info().Bool("serving", e.Yes).Msg("service")
+				l.serving(e.Yes)
+			case core.Stopped:
+				stopped = true
+			case core.Broken:
+				l.log.Error().Uint64("call", uint64(e.ID)).Str("rule", e.Rule).Msg("a guard held")
+			default:
+				if c := l.carriers[target(e)]; c != nil {
+					events = append(events, c.Carry(e)...)
+				}
+			}
+		}
+	}
+	return stopped
+}
+
+// target is the connection that an effect is for.
+func target(e core.Effect) core.Link {
+	switch e := e.(type) {
+	case core.Answered:
+		return e.To
+	case core.Rejected:
+		return e.To
+	case core.Released:
+		return e.To
+	case core.Offer:
+		return e.To
+	case core.End:
+		return e.To
+	case core.Withdraw:
+		return e.To
+	}
+	return 0
+}
+
+// timers is a heap, the earliest first.
+type timers []core.Timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].At < t[j].At }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(core.Timer)) }
+func (t *timers) Pop() any {
+	old := *t
+	last := old[len(old)-1]
+	*t = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/internal/platform/caller.go
@@ -0,0 +1,261 @@
+// Package platform is the front for the platform's own protocol: binary messages from callers, JSON
+// lines to servers. It translates, and leaves every decision to the core.
+package platform
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"net"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"elmseam/internal/core"
+	"elmseam/internal/link"
+	"elmseam/internal/loop"
+	"elmseam/internal/q850"
+)
+
+// Front is the name of this front.
+const Front core.Front = "platform"
+
+// Message types and parameter codes of the callers' protocol.
+const (
+	typeSetUp    = 1
+	typeProgress = 6
+	typeAnswer   = 9
+	typeRelease  = 12
+	typeHeard    = 16
+	typeGroup    = 43
+	typeTest     = 52
+	typeTested   = 53
+
+	paramClass   = 16
+	paramLeft    = 19
+	paramNumber  = 28
+	paramExtras  = 31
+	paramRetry   = 34
+	paramCause   = 58
+	paramDesc    = 61
+	frameHead    = 2
+	callHead     = 9 // type and call
+	paramHead    = 3
+	releasedSize = 32
+)
+
+// frame is one message of a caller.
+type frame struct {
+	kind  byte
+	id    core.ID
+	class string
+	left  string
+	key   string
+	extra string
+	cause int
+	desc  []byte
+}
+
+// errShort says that a frame is not whole yet.
+var errShort = errors.New("not whole")
+
+// parseFrame reads the first frame of b, which may hold most bytes, and says how long it is.
+func parseFrame(b []byte, most int) (f frame, n int, err error) {
+	if len(b) < frameHead {
+		return f, 0, errShort
+	}
+	n = frameHead + int(binary.BigEndian.Uint16(b))
+	switch {
+	case n < frameHead+callHead || n > most:
+		return f, 0, fmt.Errorf("a message of %d bytes", n)
+	case len(b) < n:
+		return f, 0, errShort
+	}
+	f.kind, f.id, f.cause = b[2], core.ID(binary.BigEndian.Uint64(b[3:])), -1
+	for p := b[frameHead+callHead : n]; len(p) > 0; {
+		if len(p) < paramHead || len(p) < paramHead+int(binary.BigEndian.Uint16(p[1:])) {
+			return f, 0, errors.New("a parameter is cut short")
+		}
+		code, value := p[0], p[paramHead:paramHead+int(binary.BigEndian.Uint16(p[1:]))]
+		p = p[paramHead+len(value):]
+		switch code {
+		case paramClass:
+			f.class = string(value)
+		case paramLeft:
+			f.left = string(value)
+		case paramNumber:
+			f.key = string(value)
+		case paramExtras:
+			f.extra = string(value)
+		case paramCause:
+			if len(value) != 1 {
+				return f, 0, errors.New("a cause is one byte")
+			}
+			f.cause = int(value[0])
+		case paramDesc:
+			f.desc = append([]byte(nil), value...)
+		}
+	}
+	return f, n, nil
+}
+
+// appendFrame writes a message; its parameters come as they are written by appendParam.
+func appendFrame(b []byte, kind byte, id core.ID, params []byte) []byte {
+	b = binary.BigEndian.AppendUint16(b, uint16(callHead+len(params)))
+	b = append(b, kind)
+	b = binary.BigEndian.AppendUint64(b, uint64(id))
+	return append(b, params...)
+}
+
+func appendParam(b []byte, code byte, value ...byte) []byte {
+	b = append(b, code)
+	b = binary.BigEndian.AppendUint16(b, uint16(len(value)))
+	return append(b, value...)
+}
+
+// Config is what the front is told.
+type Config struct {
+	Classes []string // in the order of the settings
+	Columns []string // of a load report
+	Link    link.Limits
+	Dial    time.Duration // longest time to make a connection to a server
+	Callers int           // connections of callers at once
+}
+
+// Platform is the front.
+type Platform struct {
+	Config
+	loop     *loop.Loop
+	log      zerolog.Logger
+	classes  map[string]int
+	stopping atomic.Bool
+}
+
+// New makes the front.
+func New(cfg Config, l *loop.Loop, log zerolog.Logger) *Platform {
+	p := &Platform{Config: cfg, loop: l, log: log, classes: make(map[string]int)}
+	for i, name := range cfg.Classes {
+		p.classes[name] = i
+	}
+	return p
+}
+
+// Stop makes the front fail tests, so that nobody new is sent here.
+func (p *Platform) Stop() { p.stopping.Store(true) }
+
+// Serve serves callers until the listener is closed.
+func (p *Platform) Serve(l net.Listener) { link.Serve(l, p.Callers, p.caller) }
+
+// caller is the sending side of a caller's connection.
+type caller struct{ out *link.Outbox }
+
+func (c *caller) Close() { c.out.Close() }
+
+// Carry writes an effect for a caller.
+func (c *caller) Carry(e core.Effect) []core.Event {
+	switch e := e.(type) {
+	case core.Answered:
+		c.out.Post(link.Item{Data: appendFrame(nil, typeAnswer, e.ID, appendParam(nil, paramDesc, e.Desc...))})
+	case core.Rejected:
+		params := appendParam(make([]byte, 0, releasedSize), paramCause, q850.ToCaller(e.Reason))
+		if e.RetryAfter > 0 {
+			params = appendParam(params, paramRetry, strconv.AppendInt(nil, e.RetryAfter.Milliseconds(), 10)...)
+		}
+		c.out.Post(link.Item{Data: appendFrame(nil, typeRelease, e.ID, params)})
+	case core.Released:
+		c.out.Post(link.Item{Data: appendFrame(nil, typeRelease, e.ID, appendParam(nil, paramCause, q850.ToCaller(e.Reason)))})
+	}
+	return nil
+}
+
+// caller reads a caller's connection to its end.
+func (p *Platform) caller(conn net.Conn) {
+	id := p.loop.NewLink()
+	out := link.NewOutbox(conn, p.Link)
+	p.loop.Attach(id, &caller{out}, core.CallerUp{Link: id, Front: Front})
+	defer p.loop.Post(core.CallerDown{Link: id})
+	in := link.NewBuffer(p.Link.ReadFirst, p.Link.Message)
+	for {
+		if in.Fill(conn) != nil {
+			return
+		}
+		at := p.loop.Now()
+		for {
+			f, n, err := parseFrame(in.Bytes(), p.Link.Message)
+			if err == errShort {
+				break
+			}
+			if err == nil {
+				err = p.take(id, out, f, at)
+			}
+			if err != nil {
+				p.log.Warn().Err(err).Stringer("caller", conn.RemoteAddr()).Msg("caller's connection closed")
+				return
+			}
+			in.Skip(n)
+		}
+	}
+}
+
+// take passes a caller's message on.
+func (p *Platform) take(from core.Link, out *link.Outbox, f frame, at core.Time) error {
+	switch f.kind {
+	case typeSetUp:
+		p.loop.Post(p.setUp(from, f, at))
+	case typeRelease:
+		p.loop.Post(core.CallerEnd{ID: f.id, From: from})
+		out.Post(link.Item{Data: appendFrame(nil, typeHeard, f.id, nil)})
+	case typeTest:
+		passed := byte(1)
+		if p.stopping.Load() {
+			passed = 0
+		}
+		out.Post(link.Item{Data: appendFrame(nil, typeTested, f.id, appendParam(nil, paramCause, passed))})
+	case typeProgress, typeHeard, typeGroup, typeTested:
+	default:
+		return fmt.Errorf("a message of the unknown type %d", f.kind)
+	}
+	return nil
+}
+
+// setUp translates a set-up. One that makes no sense gets a Class of -1, and the core refuses it.
+func (p *Platform) setUp(from core.Link, f frame, at core.Time) core.SetUp {
+	ev := core.SetUp{ID: f.id, From: from, Key: f.key, Number: number(f.key), Desc: f.desc, Cell: -1, At: at}
+	left, err := strconv.ParseFloat(f.left, 64)
+	class, known := p.classes[f.class]
+	if ev.Class = class; !known || err != nil || !(left >= 0 && left < 1e9) {
+		p.log.Warn().Str("class", f.class).Str("left", f.left).Msg("set-up refused")
+		ev.Class = -1
+		return ev
+	}
+	ev.Left = time.Duration(left * float64(time.Millisecond))
+	for pair := range strings.SplitSeq(f.extra, ";") {
+		name, text, _ := strings.Cut(pair, ":")
+		value, err := strconv.ParseFloat(text, 64)
+		switch {
+		case err != nil:
+		case name == "dest":
+			ev.Cell = int(value)
+		case name == "again":
+			ev.Cut = value == 1
+		}
+	}
+	return ev
+}
+
+// number is a called number as the module compares it: 0 is none.
+func number(key string) uint64 {
+	if key == "" {
+		return 0
+	}
+	if n, err := strconv.ParseUint(key, 16, 64); err == nil {
+		return n
+	}
+	h := fnv.New64a()
+	h.Write([]byte(key))
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/platform/server.go
@@ -0,0 +1,166 @@
+package platform
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"elmseam"
+	"elmseam/internal/core"
+	"elmseam/internal/link"
+	"elmseam/internal/q850"
+)
+
+// server is the sending side of a connection to a server.
+type server struct {
+	p    *Platform
+	name string
+	link core.Link
+	out  *link.Outbox
+}
+
+func (s *server) Close() { s.out.Close() }
+
+// Carry writes an effect for a server.
+func (s *server) Carry(e core.Effect) []core.Event {
+	switch e := e.(type) {
+	case core.Offer:
+		s.out.Post(link.Item{
+			Data: s.p.appendOffer(nil, e), ID: uint64(e.ID), Offer: true, Until: s.p.loop.When(e.Until),
+			Lapse: func() { s.p.loop.Post(core.NotSent{Server: s.name, ID: e.ID}) },
+		})
+	case core.End:
+		if s.out.TakeBack(uint64(e.ID)) {
+			return []core.Event{core.NotSent{Server: s.name, ID: e.ID}}
+		}
+		it := link.Item{Data: appendEnd(nil, e.ID, q850.NormalClearing)}
+		if e.Tell {
+			it.Done = func() { s.p.loop.Post(core.Written{Server: s.name, ID: e.ID}) }
+		}
+		s.out.Post(it)
+	case core.Withdraw:
+		var back []core.Event
+		for _, id := range s.out.Withdraw() {
+			back = append(back, core.NotSent{Server: s.name, ID: core.ID(id)})
+		}
+		return back
+	}
+	return nil
+}
+
+// appendOffer writes a set-up.
+func (p *Platform) appendOffer(b []byte, e core.Offer) []byte {
+	b = fmt.Appendf(b, `{"op":"offer","call":"%016x","with":{"class":`, uint64(e.ID))
+	b = appendText(b, p.Classes[e.Class])
+	if e.Key != "" {
+		b = appendText(append(b, `,"key":`...), e.Key)
+	}
+	left := max(e.Until-p.loop.Now(), time.Millisecond)
+	b = fmt.Appendf(b, `,"left":"%d"},"desc":`, left.Milliseconds())
+	return append(appendText(b, e.Desc), '}', '\n')
+}
+
+// appendEnd writes a give-up or a release.
+func appendEnd(b []byte, id core.ID, cause int) []byte {
+	return fmt.Appendf(b, `{"op":"end","call":"%016x","with":{},"why":%d}`+"\n", uint64(id), cause)
+}
+
+// Dial makes a connection to a server and reads it to its end. It is a loop.Dialer.
+func (p *Platform) Dial(e core.Dial) {
+	conn, err := net.DialTimeout("tcp", e.Address, p.Config.Dial)
+	if err != nil {
+		p.log.Debug().Err(err).Str("server", e.Server).Msg("server out of reach")
+		p.loop.Post(core.ServerDown{Server: e.Server})
+		return
+	}
+	defer conn.Close()
+	s := &server{p: p, name: e.Server, link: p.loop.NewLink(), out: link.NewOutbox(conn, p.Link)}
+	p.loop.Attach(s.link, s, core.ServerUp{Server: e.Server, Address: e.Address, Link: s.link})
+	err = s.read(conn)
+	p.log.Info().Err(err).Str("server", e.Server).Msg("connection to server ended")
+	p.loop.Post(core.ServerDown{Server: e.Server, Link: s.link})
+}
+
+// read takes in a server's lines.
+func (s *server) read(conn net.Conn) error {
+	in := link.NewBuffer(s.p.Link.ReadFirst, s.p.Link.Message)
+	for {
+		if err := in.Fill(conn); err != nil {
+			return err
+		}
+		for {
+			b := in.Bytes()
+			end := bytes.IndexByte(b, '\n')
+			if end < 0 {
+				break
+			}
+			l, err := parseLine(b[:end])
+			if err == nil {
+				err = s.take(l)
+			}
+			if err != nil {
+				return fmt.Errorf("line of %d bytes: %w", end, err)
+			}
+			in.Skip(end + 1)
+		}
+	}
+}
+
+// take passes a server's message on.
+func (s *server) take(l line) error {
+	var id core.ID
+	if l.op != "group" {
+		n, err := strconv.ParseUint(l.call, 16, 64)
+		if err != nil {
+			return fmt.Errorf("call %q: %w", l.call, errJSON)
+		}
+		id = core.ID(n)
+	}
+	report := s.p.report(l.load)
+	switch l.op {
+	case "accept":
+		s.p.loop.Post(core.ServerAnswer{Server: s.name, ID: id, Desc: []byte(l.desc), Report: report})
+	case "end":
+		s.p.loop.Post(core.ServerEnd{
+			Server: s.name, ID: id, Reason: q850.FromServer(l.why), Refusal: q850.Refusal(l.note), Report: report,
+		})
+	case "group":
+		if report != nil {
+			s.p.loop.Post(core.ServerReport{Server: s.name, Report: report})
+		}
+	case "test":
+		s.out.Post(link.Item{Data: fmt.Appendf(nil, `{"op":"tested","call":"%016x","with":{},"why":1}`+"\n", uint64(id))})
+	case "ringing", "ended", "tested":
+	default:
+		return fmt.Errorf("a message of the unknown type %q", l.op)
+	}
+	return nil
+}
+
+// report reads a load report, its values in the order of the settings; what isn't told is -1.
+func (p *Platform) report(text string) elmseam.Report {
+	if text == "" {
+		return nil
+	}
+	r := make(elmseam.Report, len(p.Columns))
+	for i := range r {
+		r[i] = -1
+	}
+	told := false
+	for pair := range strings.SplitSeq(text, ";") {
+		name, value, _ := strings.Cut(pair, ":")
+		n, err := strconv.ParseFloat(value, 64)
+		for i, column := range p.Columns {
+			if err == nil && column == name {
+				r[i], told = n, true
+			}
+		}
+	}
+	if !told {
+		return nil
+	}
+	return r
+}
--- /dev/null
+++ b/internal/q850/q850.go
@@ -0,0 +1,61 @@
+// Package q850 is the one table between the core's reasons and the cause values of ITU-T Q.850, which
+// both fronts carry.
+package q850
+
+import (
+	"elmseam"
+	"elmseam/internal/core"
+)
+
+// The cause values in use.
+const (
+	UserBusy        = 17
+	NormalClearing  = 16
+	NoCircuit       = 34
+	TemporaryFault  = 41
+	Congestion      = 42
+	NoResource      = 47
+	InvalidContents = 100
+	TimerExpiry     = 102
+)
+
+// ToCaller is the cause that a caller is told.
+func ToCaller(r core.Reason) byte {
+	switch r {
+	case core.Normal:
+		return NormalClearing
+	case core.Congested, core.Full, core.Unsent:
+		return Congestion
+	case core.Busy:
+		return UserBusy
+	case core.Unsupported:
+		return InvalidContents
+	}
+	return TemporaryFault
+}
+
+// FromServer is what a server's cause says.
+func FromServer(cause int) core.Reason {
+	switch cause {
+	case NormalClearing:
+		return core.Normal
+	case NoCircuit, Congestion:
+		return core.Full
+	case UserBusy, NoResource:
+		return core.Busy
+	case TimerExpiry:
+		return core.Unsent
+	}
+	return core.Reset
+}
+
+// Refusal is what a note beside a cause says: the last column of the table.
+func Refusal(note string) elmseam.Refusal {
+	switch note {
+	case "swamped":
+		return elmseam.RefusalProcessor
+	case "occupied":
+		return elmseam.RefusalNumber
+	}
+	return elmseam.RefusalOther
+}
--- a/internal/wire/settings.go
+++ b/internal/settings/settings.go
@@ -1,4 +1,6 @@
-package wire
+// Package settings reads what a deployment tells each softswitch of itself, in the form that the
+// simulator and the platform share.
+package settings
 
 import (
 	"encoding/json"
@@ -69,8 +71,8 @@
 	"single_shot": elmseam.RepeatNever,
 }
 
-// decodeSettings reads the settings that an instance starts with.
-func decodeSettings(text []byte) (elmseam.Settings, error) {
+// Decode reads the settings that the decision module starts with.
+func Decode(text []byte) (elmseam.Settings, error) {
 	var info bootInfo
 	info.FamilyInfo.OwnNumber = -1
 	if err := json.Unmarshal(text, &info); err != nil {
@@ -113,3 +115,48 @@
 	}
 	return s, nil
 }
+
+// Node is what a softswitch on sockets needs beside the decisions.
+type Node struct {
+	Classes        []string      // class names, in order
+	Columns        []string      // names of the values of a load report, in order
+	ConnectTimeout time.Duration // a connection not made by then counts as unreachable
+	KeepAlive      time.Duration // idle connections are closed by the far side after this
+	LongestWait    time.Duration // the longest deadline of a class
+	MaxOpen        int           // calls that may be open at once
+}
+
+// DecodeNode reads the part of the settings that concerns sockets. Keys it doesn't name are ignored.
+func DecodeNode(text []byte) (Node, error) {
+	var info struct {
+		Limits struct {
+			Connect   micros `json:"connect-timeout-us"`
+			KeepAlive micros `json:"keepalive-us"`
+			MaxOpen   int    `json:"max-open"`
+		} `json:"limits"`
+		LoadReport struct {
+			Columns []string `json:"columns"`
+		} `json:"load-report"`
+		Classes []struct {
+			Name      string `json:"name"`
+			HardLimit micros `json:"hard-limit-us"`
+		} `json:"request-classes"`
+	}
+	if err := json.Unmarshal(text, &info); err != nil {
+		return Node{}, fmt.Errorf("settings: %w", err)
+	}
+	n := Node{
+		Columns:        info.LoadReport.Columns,
+		ConnectTimeout: info.Limits.Connect.duration(),
+		KeepAlive:      info.Limits.KeepAlive.duration(),
+		MaxOpen:        info.Limits.MaxOpen,
+	}
+	for i, c := range info.Classes {
+		if c.Name == "" {
+			return n, fmt.Errorf("settings: request-classes[%d].name: missing", i)
+		}
+		n.Classes = append(n.Classes, c.Name)
+		n.LongestWait = max(n.LongestWait, c.HardLimit.duration())
+	}
+	return n, nil
+}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"elmseam"
+	"elmseam/internal/settings"
 )
 
 // Event codes.
@@ -161,10 +162,10 @@
 // start makes the current instance anew.
 func (h *Host) start(text []byte, seed uint64) {
 	delete(h.instances, h.current)
-	settings, err := decodeSettings(text)
+	set, err := settings.Decode(text)
 	if err == nil {
 		var c *elmseam.Controller
-		if c, err = elmseam.New(settings, seed); err == nil {
+		if c, err = elmseam.New(set, seed); err == nil {
 			h.instances[h.current] = c
 			return
 		}
