--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -52,9 +52,9 @@
 	link      Link
 	dialing   bool
 	backoff   time.Duration
-	lost      Time // out of reach since; 0: not
-	paused    bool // by its own signalling
-	cutOff    bool // the way there is withdrawn
+	lost      Time   // out of reach since; 0: not
+	paused    bool   // by its own signalling
+	source    string // of the list that names it
 	told      elmseam.Phase
 	standing  map[ID]*call
 	out       map[ID]*call // attempts out, those that are ending included
@@ -83,6 +83,7 @@
 	byID     map[elmseam.ServerID]*server
 	order    []*server
 	lastID   elmseam.ServerID
+	routes   map[string]Route // withdrawn
 	callers  map[Link]Front
 	links    []Link // the callers', oldest first
 	pending  []*pendingRelease
@@ -117,6 +118,7 @@
 		byCID:   make(map[elmseam.CallID]*call),
 		servers: make(map[string]*server),
 		byID:    make(map[elmseam.ServerID]*server),
+		routes:  make(map[string]Route),
 		callers: make(map[Link]Front),
 		ended:   make(map[ID]Time),
 	}, nil
@@ -260,7 +262,11 @@
 		c.do(Broken{ID: k.ID, Rule: "second final answer"})
 		return
 	}
-	if !k.gone {
+	switch {
+	case k.gone:
+	case k.orphan:
+		c.do(Dropped{Front: k.front, ID: k.ID})
+	default:
 		r.To, r.ID = k.From, k.ID
 		c.do(r)
 	}
@@ -461,7 +467,13 @@
 	}
 	c.ended[ev.ID] = c.now
 	c.endedAt = append(c.endedAt, over{ev.ID, c.now})
-	c.release("", 0, ev.ID, ev.Reason)
+	told := make(map[Front]bool)
+	for _, l := range c.links { // whose it was isn't known
+		if f := c.callers[l]; !told[f] {
+			told[f] = true
+			c.release(f, l, ev.ID, ev.Reason)
+		}
+	}
 }
 
 // released ends a call that stands, towards its caller and in the module.
@@ -483,7 +495,7 @@
 	if _, up := c.callers[to]; !up {
 		to = 0
 		for _, l := range c.links {
-			if front == "" || c.callers[l] == front {
+			if c.callers[l] == front {
 				to = l
 			}
 		}
@@ -502,6 +514,8 @@
 	for _, p := range waiting {
 		if p.at > c.now-c.limits.Remember {
 			c.release(p.front, 0, p.id, p.why)
+		} else {
+			c.do(Dropped{Front: p.front, ID: p.id})
 		}
 	}
 }
@@ -538,6 +552,9 @@
 	if k.answered {
 		return
 	}
+	if k.orphan {
+		c.do(Dropped{Front: k.front, ID: k.ID})
+	}
 	c.tell(elmseam.CallerGone{Call: k.cid})
 	c.close(k)
 }
@@ -584,7 +601,7 @@
 	case tokenRedial:
 		if s := c.servers[t.server]; s != nil {
 			s.redialing = false
-			if s.link == 0 && (s.told == elmseam.Ready || len(s.standing) > 0) {
+			if s.link == 0 && c.wanted(s) {
 				c.dial(s)
 			}
 		}
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"net/netip"
 	"slices"
 
 	"elmseam"
@@ -26,17 +25,19 @@
 			c.cutAll(s)
 			c.hangUp(s)
 		}
-		s.Server = e
+		s.Server, s.source = e, ev.Source
 		changed = append(changed, s)
 	}
 	if ev.Full {
 		for _, s := range c.order {
-			if !named[s.Name] {
+			if s.source == ev.Source && !named[s.Name] {
 				s.Phase = elmseam.Gone
-				changed = append(changed, s)
 			}
 		}
 	}
+	if ev.Full { // the module takes a full list for all there is
+		changed = slices.Clone(c.order)
+	}
 	c.phases(changed, ev.Full, ev.Cached)
 }
 
@@ -47,7 +48,7 @@
 	for _, s := range changed {
 		s.told = s.Phase
 		switch {
-		case s.told == elmseam.Ready && s.cutOff:
+		case s.told == elmseam.Ready && c.cutOff(s):
 			s.told = elmseam.Gone
 		case s.told == elmseam.Ready && s.paused:
 			s.told = elmseam.Draining
@@ -61,9 +62,7 @@
 	}
 	for _, s := range changed {
 		if s.told == elmseam.Ready {
-			if s.link == 0 {
-				c.dial(s)
-			}
+			c.dial(s)
 			continue
 		}
 		if s.link != 0 {
@@ -98,12 +97,14 @@
 	}
 }
 
-// route takes in that the way to a host has gone or come.
+// route takes in that the way to some servers has gone or come.
 func (c *Core) route(ev Route) {
+	if c.routes[ev.Name] = ev; ev.Up {
+		delete(c.routes, ev.Name)
+	}
 	var changed []*server
 	for _, s := range c.order {
-		if at, err := netip.ParseAddrPort(s.Address); err == nil && at.Addr().String() == ev.Host && s.cutOff == ev.Up {
-			s.cutOff = !ev.Up
+		if ev.Covers(s.Address) {
 			changed = append(changed, s)
 		}
 	}
@@ -112,6 +113,21 @@
 	}
 }
 
+// cutOff says whether the way to a server is withdrawn.
+func (c *Core) cutOff(s *server) bool {
+	for _, r := range c.routes {
+		if r.Covers(s.Address) {
+			return true
+		}
+	}
+	return false
+}
+
+// wanted says whether a connection to a server is of use.
+func (c *Core) wanted(s *server) bool {
+	return s.Phase == elmseam.Ready && !c.cutOff(s) || len(s.standing) > 0
+}
+
 // dial asks for a connection, once at a time.
 func (c *Core) dial(s *server) {
 	if s.dialing || s.link != 0 {
@@ -169,7 +185,7 @@
 		c.timer(c.now+c.limits.ServerLost, Token{kind: tokenLost, server: s.Name})
 	}
 	c.cutOut(s, cause)
-	if s.link == 0 && !s.dialing && !s.redialing && (s.told == elmseam.Ready || len(s.standing) > 0) {
+	if s.link == 0 && !s.dialing && !s.redialing && c.wanted(s) {
 		at := c.now
 		if cause == elmseam.CauseUnreachable {
 			s.backoff = min(max(2*s.backoff, c.limits.RedialLeast), c.limits.RedialMost)
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -107,10 +107,11 @@
 		Server string
 		Paused bool
 	}
-	// Route says that the way to the servers at a host has gone or come.
+	// Route says that the way to the servers whose addresses it covers has gone or come.
 	Route struct {
-		Host string
-		Up   bool
+		Name   string
+		Covers func(address string) bool
+		Up     bool
 	}
 	// Written says that the end of an attempt has left, NotSent that an attempt was taken back
 	// before its first byte.
@@ -122,8 +123,9 @@
 		Server string
 		ID     ID
 	}
-	// List is news of the servers; Full: it replaces all that was known.
+	// List is news of the servers; Full: it replaces all that was known from this source.
 	List struct {
+		Source       string
 		Full, Cached bool
 		Servers      []Server
 	}
@@ -203,6 +205,11 @@
 	}
 	// Serving says whether new calls are welcome.
 	Serving struct{ Yes bool }
+	// Dropped says that a caller's call is over and that it will not be told.
+	Dropped struct {
+		Front Front
+		ID    ID
+	}
 	// Stopped says that nothing is owed any more after a Stop.
 	Stopped struct{}
 	// Broken says that a guard held back what a rule forbids.
@@ -222,6 +229,7 @@
 func (Hangup) effect()   {}
 func (Timer) effect()    {}
 func (Serving) effect()  {}
+func (Dropped) effect()  {}
 func (Stopped) effect()  {}
 func (Broken) effect()   {}
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -28,6 +28,9 @@
 	First   int           // the read buffer's first size
 }
 
+// Source names this list to the core.
+const Source = "channel"
+
 // states are the channel's words for the phases.
 var states = map[string]elmseam.Phase{
 	"in_service":  elmseam.Ready,
@@ -49,25 +52,21 @@
 	Name    string `json:"name"`
 	Address string `json:"address"`
 	Status  string `json:"status"`
-	Front   string `json:"front"`
 	Group   int    `json:"group"`
 	Since   int64  `json:"since_ms"`
 }
 
-// List translates a command. Cached says that it was held from before the start.
-func (c Command) List(front core.Front, cached bool) (core.List, error) {
-	l := core.List{Full: c.Nodes.Snapshot, Cached: cached}
+// List translates a command. Cached says that it was held from before the start; front tells which front
+// reaches a server.
+func (c Command) List(front func(name string) core.Front, cached bool) (core.List, error) {
+	l := core.List{Source: Source, Full: c.Nodes.Snapshot, Cached: cached}
 	for _, e := range c.Nodes.Endpoints {
 		phase, known := states[e.Status]
 		if !known || e.Name == "" {
 			return l, fmt.Errorf("endpoint %q: unknown status %q", e.Name, e.Status)
 		}
-		f := front
-		if e.Front != "" {
-			f = core.Front(e.Front)
-		}
 		l.Servers = append(l.Servers, core.Server{
-			Name: e.Name, Address: e.Address, Front: f, Cell: e.Group, Phase: phase,
+			Name: e.Name, Address: e.Address, Front: front(e.Name), Cell: e.Group, Phase: phase,
 			Started: time.Duration(e.Since) * time.Millisecond,
 		})
 	}
@@ -77,8 +76,8 @@
 // Feed follows one channel.
 type Feed struct {
 	Address string
-	Cursor  int64 // the last event known
-	Front   core.Front
+	Cursor  int64                        // the last event known
+	Front   func(name string) core.Front // that reaches a server
 	Limits  Limits
 	Post    func(core.Event)
 	Log     zerolog.Logger
--- a/internal/link/outbox.go
+++ b/internal/link/outbox.go
@@ -167,3 +167,15 @@
 	o.began = time.Now()
 	return batch
 }
+
+// Flush waits until what is queued has been written, or the connection has failed.
+func (o *Outbox) Flush() {
+	for until := time.Now().Add(o.limits.Stuck); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		o.mu.Lock()
+		idle := !o.writing
+		o.mu.Unlock()
+		if idle {
+			return
+		}
+	}
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -17,6 +17,7 @@
 type Carrier interface {
 	Carry(core.Effect) []core.Event
 	Close()
+	Flush() // waits, not for long, until what was carried is written
 }
 
 // Dialer makes a connection to a server and posts ServerUp or ServerDown. It runs in a goroutine of
@@ -34,7 +35,7 @@
 	carriers map[core.Link]Carrier
 	dialers  map[core.Front]Dialer
 	timers   timers
-	serving  func(bool)
+	notify   func(core.Effect)
 	log      zerolog.Logger
 }
 
@@ -46,15 +47,15 @@
 	carrier Carrier
 }
 
-// New makes a loop whose inbox holds so many events. serving is told when new calls begin or cease to be
-// welcome.
-func New(c *core.Core, inbox int, serving func(bool), log zerolog.Logger) *Loop {
+// New makes a loop whose inbox holds so many events. notify is handed the effects that concern no
+// connection, Serving and Dropped. It must not block.
+func New(c *core.Core, inbox int, notify func(core.Effect), log zerolog.Logger) *Loop {
 	start := time.Now()
 	return &Loop{
 		core: c, in: make(chan item, inbox), done: make(chan struct{}),
 		start: start, epoch: time.Duration(start.UnixNano()),
 		carriers: make(map[core.Link]Carrier), dialers: make(map[core.Front]Dialer),
-		serving: serving, log: log,
+		notify: notify, log: log,
 	}
 }
 
@@ -112,6 +113,9 @@
 			it = item{at: l.Now(), ev: core.Due{Token: due.Token}}
 		}
 		if l.take(it) {
+			for _, c := range l.carriers {
+				c.Flush()
+			}
 			return
 		}
 	}
@@ -150,7 +154,9 @@
 				}
 			case core.Serving:
 				l.log.Info().Bool("serving", e.Yes).Msg("service")
-				l.serving(e.Yes)
+				l.notify(e)
+			case core.Dropped:
+				l.notify(e)
 			case core.Stopped:
 				stopped = true
 			case core.Broken:
--- /dev/null
+++ b/internal/m3ua/caller.go
@@ -0,0 +1,235 @@
+package m3ua
+
+import (
+	"net"
+	"strconv"
+
+	"elmseam/internal/core"
+	"elmseam/internal/link"
+	"elmseam/internal/q850"
+)
+
+// caller is the connection of an old client, an ASP of ours.
+type caller struct {
+	session
+	link   core.Link // while active
+	up     bool
+	active bool
+}
+
+// Serve serves callers until the listener is closed.
+func (m *M3UA) Serve(l net.Listener) {
+	link.Serve(l, m.Callers, func(conn net.Conn) {
+		c := &caller{session: session{m: m, conn: conn, out: link.NewOutbox(conn, m.Link)}}
+		c.handle = c.take
+		err := c.read()
+		m.log.Info().Err(err).Stringer("caller", conn.RemoteAddr()).Msg("association ended")
+		c.deactivate()
+	})
+}
+
+// Dropped frees the circuit of a call whose caller will not be told of its end.
+func (m *M3UA) Dropped(id core.ID) {
+	m.mu.Lock()
+	ci, there := m.circuits[id]
+	m.mu.Unlock()
+	if there {
+		m.free(ci)
+	}
+}
+
+// Serving tells callers whether this point takes new calls: DAVA or DUNA.
+func (m *M3UA) Serving(yes bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.serving = yes
+	for c := range m.active {
+		c.available(yes)
+	}
+}
+
+func (c *caller) available(yes bool) {
+	kind := uint16(msgDUNA)
+	if yes {
+		kind = msgDAVA
+	}
+	c.send(kind, number32(tagRoutingContext, c.m.RoutingContext), number32(tagAffectedPC, c.m.PointCode))
+}
+
+// take handles a caller's message.
+func (c *caller) take(msg message, at core.Time) error {
+	context := number32(tagRoutingContext, c.m.RoutingContext)
+	switch msg.kind {
+	case msgASPUP:
+		c.deactivate()
+		c.up = true
+		c.send(msgASPUPACK)
+		c.send(msgNTFY, number32(tagStatus, statusASInactive), context)
+	case msgASPDN:
+		c.deactivate()
+		c.up = false
+		c.send(msgASPDNACK)
+	case msgASPAC:
+		if !c.up {
+			return unknown(msg.kind)
+		}
+		if rc, there := msg.number(tagRoutingContext); there && rc != c.m.RoutingContext {
+			return &protocolError{errContext, "ASP active for another routing context", false}
+		}
+		c.send(msgASPACACK, context)
+		c.send(msgNTFY, number32(tagStatus, statusASActive), context)
+		c.activate()
+	case msgASPIA:
+		if !c.up {
+			return unknown(msg.kind)
+		}
+		c.deactivate()
+		c.send(msgASPIAACK, context)
+		c.send(msgNTFY, number32(tagStatus, statusASInactive), context)
+	case msgDATA:
+		if !c.active {
+			return unknown(msg.kind)
+		}
+		return c.data(msg, at)
+	default:
+		return unknown(msg.kind)
+	}
+	return nil
+}
+
+// activate lets calls in.
+func (c *caller) activate() {
+	if c.active {
+		return
+	}
+	c.active, c.link = true, c.m.loop.NewLink()
+	c.m.mu.Lock()
+	c.m.active[c] = true
+	if !c.m.serving {
+		c.available(false)
+	}
+	c.m.mu.Unlock()
+	c.m.loop.Attach(c.link, &callerSide{c}, core.CallerUp{Link: c.link, Front: Front})
+}
+
+// deactivate stops new calls at once. Set-ups open here may come again on another association; what stands
+// is released on any that is active.
+func (c *caller) deactivate() {
+	if !c.active {
+		return
+	}
+	c.active = false
+	c.m.mu.Lock()
+	delete(c.m.active, c)
+	c.m.mu.Unlock()
+	c.m.loop.Post(core.CallerDown{Link: c.link})
+}
+
+// data handles an ISUP message.
+func (c *caller) data(msg message, at core.Time) error {
+	ci, isup, err := parseData(msg, c.m.RoutingContext)
+	if err != nil {
+		return err
+	}
+	k, err := parseISUP(isup)
+	if err != nil {
+		return err
+	}
+	switch k.kind {
+	case isupIAM:
+		c.setUp(ci, k, at)
+	case isupREL:
+		c.reply(ci.back(), call{kind: isupRLC})
+		if id, there := c.m.free(ci); there {
+			c.m.loop.Post(core.CallerEnd{ID: id, From: c.link})
+		}
+	case isupRLC: // the circuit was freed when it was released
+	default:
+		return &protocolError{errUnexpected, "an ISUP message that callers don't send", false}
+	}
+	return nil
+}
+
+// setUp takes a circuit for a call. A set-up on a circuit in use is the same call come again after its
+// association broke.
+func (c *caller) setUp(ci circuit, k call, at core.Time) {
+	ev := core.SetUp{
+		From: c.link, Class: c.m.classOf(k.category), Number: number(k.digits), Key: k.digits, Desc: k.desc,
+		Cell: -1, At: at,
+	}
+	if cell, there := c.m.Cells[strconv.Itoa(int(ci.dpc))]; there {
+		ev.Cell = cell
+	}
+	if ev.Class >= 0 {
+		ev.Left = c.m.Waits[ev.Class]
+	}
+	c.m.mu.Lock()
+	id, there := c.m.inbound[ci]
+	if !there {
+		id = c.m.newID()
+		c.m.inbound[ci], c.m.circuits[id] = id, ci
+	}
+	c.m.mu.Unlock()
+	ev.ID = id
+	c.reply(ci.back(), call{kind: isupACM})
+	c.m.loop.Post(ev)
+}
+
+// free frees a caller's circuit.
+func (m *M3UA) free(ci circuit) (core.ID, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	id, there := m.inbound[ci]
+	if there {
+		delete(m.inbound, ci)
+		delete(m.circuits, id)
+	}
+	return id, there
+}
+
+// reply writes an ISUP message.
+func (c *caller) reply(ci circuit, k call) {
+	isup, err := appendISUP(ci.cic, k)
+	if err != nil {
+		c.m.log.Error().Err(err).Msg("message not sent")
+		return
+	}
+	c.out.Post(link.Item{Data: dataMessage(ci, c.m.Network, c.m.RoutingContext, isup)})
+}
+
+// callerSide carries effects out towards a caller.
+type callerSide struct{ c *caller }
+
+func (s *callerSide) Close() { s.c.out.Close() }
+
+func (s *callerSide) Flush() { s.c.out.Flush() }
+
+// Carry writes an effect for a caller. A call's circuit is free from its final answer or release on.
+func (s *callerSide) Carry(e core.Effect) []core.Event {
+	m := s.c.m
+	switch e := e.(type) {
+	case core.Answered:
+		m.mu.Lock()
+		ci, there := m.circuits[e.ID]
+		m.mu.Unlock()
+		if there {
+			s.c.reply(ci.back(), call{kind: isupANM, desc: e.Desc})
+		}
+	case core.Rejected:
+		s.release(e.ID, call{kind: isupREL, cause: int(q850.ToCaller(e.Reason)), retry: e.RetryAfter})
+	case core.Released:
+		s.release(e.ID, call{kind: isupREL, cause: int(q850.ToCaller(e.Reason))})
+	}
+	return nil
+}
+
+func (s *callerSide) release(id core.ID, k call) {
+	m := s.c.m
+	m.mu.Lock()
+	ci, there := m.circuits[id]
+	m.mu.Unlock()
+	if there {
+		m.free(ci)
+		s.c.reply(ci.back(), k)
+	}
+}
--- /dev/null
+++ b/internal/m3ua/front.go
@@ -0,0 +1,274 @@
+package m3ua
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"elmseam"
+	"elmseam/internal/core"
+	"elmseam/internal/link"
+	"elmseam/internal/loop"
+)
+
+// Front is the name of this front.
+const Front core.Front = "m3ua"
+
+// Source names the list of servers in the front's file to the core.
+const Source = "m3ua"
+
+// File is the front's part of the signalling file.
+type File struct {
+	Listen         string         `toml:"listen"`
+	PointCode      uint32         `toml:"point_code"` // this program's
+	Network        byte           `toml:"network_indicator"`
+	RoutingContext uint32         `toml:"routing_context"`
+	HeartbeatMS    int            `toml:"heartbeat_ms"`
+	Circuits       int            `toml:"circuits"`   // to each server
+	Categories     map[string]int `toml:"categories"` // class name to calling party's category
+	Cells          map[string]int `toml:"cells"`      // destination point code to first choice
+	Servers        []struct {
+		Name      string `toml:"name"`
+		Address   string `toml:"address"`
+		PointCode uint32 `toml:"point_code"`
+		Cell      int    `toml:"cell"`
+	} `toml:"server"`
+}
+
+// Check names the first field that makes no sense.
+func (f *File) Check() error {
+	if _, _, err := net.SplitHostPort(f.Listen); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	switch {
+	case f.PointCode == 0 || f.PointCode > 0xffffff:
+		return fmt.Errorf("point_code: %d is none", f.PointCode)
+	case f.HeartbeatMS <= 0:
+		return fmt.Errorf("heartbeat_ms: %d", f.HeartbeatMS)
+	case f.Circuits <= 0 || f.Circuits > 1<<16:
+		return fmt.Errorf("circuits: %d", f.Circuits)
+	}
+	for name, n := range f.Categories {
+		if n < 0 || n > 255 {
+			return fmt.Errorf("categories.%s: %d is none", name, n)
+		}
+	}
+	for pc := range f.Cells {
+		if _, err := strconv.ParseUint(pc, 10, 24); err != nil {
+			return fmt.Errorf("cells.%s: no point code", pc)
+		}
+	}
+	for i, s := range f.Servers {
+		if _, _, err := net.SplitHostPort(s.Address); err != nil {
+			return fmt.Errorf("server[%d].address: %w", i, err)
+		}
+		if s.Name == "" || s.PointCode == 0 {
+			return fmt.Errorf("server[%d]: name or point_code missing", i)
+		}
+	}
+	return nil
+}
+
+// Config is what the front is told beside its file.
+type Config struct {
+	File
+	Classes []string        // in the order of the settings
+	Waits   []time.Duration // how long a caller of each class waits: ISUP doesn't say
+	Report  []elmseam.Figure
+	Link    link.Limits
+	Dial    time.Duration // to connect to a server and be active there
+	Callers int           // connections of callers at once
+}
+
+// M3UA is the front.
+type M3UA struct {
+	Config
+	loop   *loop.Loop
+	log    zerolog.Logger
+	trunks map[string]*trunk // by server
+	serial atomic.Uint64
+	boot   uint64 // what the front's ids begin with
+
+	mu       sync.Mutex
+	inbound  map[circuit]core.ID // callers' circuits in use
+	circuits map[core.ID]circuit
+	active   map[*caller]bool
+	serving  bool
+}
+
+// New makes the front.
+func New(cfg Config, l *loop.Loop, log zerolog.Logger) (*M3UA, error) {
+	m := &M3UA{
+		Config: cfg, loop: l, log: log, trunks: make(map[string]*trunk),
+		inbound: make(map[circuit]core.ID), circuits: make(map[core.ID]circuit), active: make(map[*caller]bool),
+	}
+	for name := range cfg.Categories {
+		if m.class(name) < 0 {
+			return nil, fmt.Errorf("categories.%s: no such class", name)
+		}
+	}
+	for _, s := range cfg.Servers {
+		m.trunks[s.Name] = newTrunk(circuit{cfg.PointCode, s.PointCode, 0}, cfg.Circuits)
+	}
+	var seed [8]byte
+	rand.Read(seed[:])
+	m.boot = binary.BigEndian.Uint64(seed[:]) &^ 0xffffffff
+	return m, nil
+}
+
+// Servers is the front's list of servers.
+func (m *M3UA) Servers() core.List {
+	l := core.List{Source: Source}
+	for _, s := range m.File.Servers {
+		l.Servers = append(l.Servers, core.Server{
+			Name: s.Name, Address: s.Address, Front: Front, Cell: s.Cell, Phase: elmseam.Ready,
+		})
+	}
+	return l
+}
+
+// Reaches says whether a server is reached by this front.
+func (m *M3UA) Reaches(name string) bool { return m.trunks[name] != nil }
+
+func (m *M3UA) class(name string) int {
+	for i, have := range m.Classes {
+		if have == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// category is the calling party's category that stands for a class.
+func (m *M3UA) category(class int) (byte, bool) {
+	n, ok := m.Categories[m.Classes[class]]
+	return byte(n), ok
+}
+
+// classOf is the class that a category stands for, -1: none.
+func (m *M3UA) classOf(category byte) int {
+	for name, n := range m.Categories {
+		if n == int(category) {
+			return m.class(name)
+		}
+	}
+	return -1
+}
+
+// newID names a call of this front's callers.
+func (m *M3UA) newID() core.ID { return core.ID(m.boot | m.serial.Add(1)&0xffffffff) }
+
+// number is a called number as the module compares it: 0 is none.
+func number(digits string) uint64 {
+	if digits == "" {
+		return 0
+	}
+	h := fnv.New64a()
+	h.Write([]byte(digits))
+	return h.Sum64()
+}
+
+// session is what both kinds of connection share: reading, heartbeats and errors.
+type session struct {
+	m      *M3UA
+	conn   net.Conn
+	out    *link.Outbox
+	handle func(msg message, at core.Time) error
+}
+
+func (s *session) send(kind uint16, params ...param) {
+	s.out.Post(link.Item{Data: build(kind, params...)})
+}
+
+// read takes in messages until the connection ends. What is malformed is answered by an ERR; where nothing
+// behind it can be read, or the peer goes on and on, the connection ends. A silent peer is sent heartbeats,
+// and given up when it answers none.
+func (s *session) read() error {
+	in := link.NewBuffer(s.m.Link.ReadFirst, s.m.Link.Message)
+	beat := time.Duration(s.m.HeartbeatMS) * time.Millisecond
+	errs, silent := 0, 0
+	for {
+		s.conn.SetReadDeadline(time.Now().Add(beat))
+		err := in.Fill(s.conn)
+		if errors.Is(err, os.ErrDeadlineExceeded) && silent < maxSilent {
+			silent++
+			s.send(msgBEAT, param{tagHeartbeat, []byte("elmseam")})
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		silent = 0
+		at := s.m.loop.Now()
+		for {
+			msg, n, err := parse(in.Bytes(), s.m.Link.Message)
+			if err == errShort {
+				break
+			}
+			if err == nil {
+				err = s.take(msg, at)
+			}
+			if bad, ok := err.(*protocolError); ok {
+				if errs++; errs == 1 {
+					s.m.log.Warn().Err(err).Stringer("peer", s.conn.RemoteAddr()).Msg("malformed signalling")
+				}
+				s.send(msgERR, number32(tagErrorCode, bad.code))
+				if bad.end || errs >= maxErrors {
+					s.out.Flush()
+					return err
+				}
+			} else if err != nil {
+				return err
+			}
+			in.Skip(n)
+		}
+	}
+}
+
+// maxSilent is how many heartbeats in a row may stay unanswered.
+const maxSilent = 2
+
+// maxErrors is how many malformed messages a connection may bring.
+const maxErrors = 8
+
+// take handles what both sides may send and passes the rest on.
+func (s *session) take(msg message, at core.Time) error {
+	switch msg.kind {
+	case msgBEAT:
+		var back []param
+		if v, ok := msg.get(tagHeartbeat); ok {
+			back = append(back, param{tagHeartbeat, append([]byte(nil), v...)})
+		}
+		s.send(msgBEATACK, back...)
+		return nil
+	case msgBEATACK, msgDUPU, msgDRST, msgDAUD:
+		return nil
+	case msgERR:
+		code, _ := msg.number(tagErrorCode)
+		s.m.log.Warn().Uint32("code", code).Stringer("peer", s.conn.RemoteAddr()).Msg("peer reports an error")
+		return nil
+	}
+	return s.handle(msg, at)
+}
+
+// unknown is the error for a message that has no business here.
+func unknown(kind uint16) error {
+	switch {
+	case kind>>8 > 4:
+		return &protocolError{errClass, fmt.Sprintf("message class %d", kind>>8), false}
+	case kind == msgNTFY || kind == msgDATA || kind>>8 == 2 && kind&0xff <= 6 && kind&0xff > 0 ||
+		kind>>8 == 3 && kind&0xff <= 6 && kind&0xff > 0 || kind>>8 == 4 && kind&0xff <= 4 && kind&0xff > 0:
+		return &protocolError{errUnexpected, fmt.Sprintf("message %#04x is not expected here", kind), false}
+	}
+	return &protocolError{errType, fmt.Sprintf("message type %#04x", kind), false}
+}
--- /dev/null
+++ b/internal/m3ua/message.go
@@ -0,0 +1,213 @@
+// Package m3ua is the front for M3UA-style signalling over TCP: messages after RFC 4666, framed by the
+// length in their common header, with ISUP-style calls in their payload. Old clients come in as ASPs;
+// servers are reached by this program as an ASP of theirs. It translates, and leaves every decision to
+// the core.
+package m3ua
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+)
+
+// Message classes and types (RFC 4666, 3.1.3): class in the high byte.
+const (
+	msgERR      = 0x0000
+	msgNTFY     = 0x0001
+	msgDATA     = 0x0101
+	msgDUNA     = 0x0201
+	msgDAVA     = 0x0202
+	msgDAUD     = 0x0203
+	msgSCON     = 0x0204
+	msgDUPU     = 0x0205
+	msgDRST     = 0x0206
+	msgASPUP    = 0x0301
+	msgASPDN    = 0x0302
+	msgBEAT     = 0x0303
+	msgASPUPACK = 0x0304
+	msgASPDNACK = 0x0305
+	msgBEATACK  = 0x0306
+	msgASPAC    = 0x0401
+	msgASPIA    = 0x0402
+	msgASPACACK = 0x0403
+	msgASPIAACK = 0x0404
+)
+
+// Parameter tags (RFC 4666, 3.2).
+const (
+	tagRoutingContext = 0x0006
+	tagHeartbeat      = 0x0009
+	tagErrorCode      = 0x000c
+	tagStatus         = 0x000d
+	tagAffectedPC     = 0x0012
+	tagCongestion     = 0x0205
+	tagProtocolData   = 0x0210
+)
+
+// Error codes (RFC 4666, 3.8.1).
+const (
+	errVersion      = 0x01
+	errClass        = 0x03
+	errType         = 0x04
+	errUnexpected   = 0x06
+	errProtocol     = 0x07
+	errParamValue   = 0x11
+	errParamField   = 0x12
+	errMissingParam = 0x16
+	errContext      = 0x19
+)
+
+// States that an NTFY tells (RFC 4666, 3.8.2).
+const (
+	statusASInactive = 1<<16 | 2
+	statusASActive   = 1<<16 | 3
+	statusASPending  = 1<<16 | 4
+)
+
+const (
+	version    = 1
+	headSize   = 8
+	tlvHead    = 4
+	routingLen = 12 // of protocol data before its payload
+	siISUP     = 5
+)
+
+// protocolError is a malformed message, with the code for an ERR.
+type protocolError struct {
+	code uint32
+	what string
+	end  bool // nothing behind it can be read either
+}
+
+func (e *protocolError) Error() string { return e.what }
+
+// errShort says that a message is not whole yet.
+var errShort = errors.New("not whole")
+
+// message is a message taken apart. Its parameters point into the buffer it was read from.
+type message struct {
+	kind   uint16
+	params []param
+}
+
+type param struct {
+	tag   uint16
+	value []byte
+}
+
+// get is the first parameter with a tag.
+func (m message) get(tag uint16) ([]byte, bool) {
+	for _, p := range m.params {
+		if p.tag == tag {
+			return p.value, true
+		}
+	}
+	return nil, false
+}
+
+// number is a parameter of four bytes.
+func (m message) number(tag uint16) (uint32, bool) {
+	v, ok := m.get(tag)
+	if !ok || len(v) != 4 {
+		return 0, false
+	}
+	return binary.BigEndian.Uint32(v), true
+}
+
+// parse reads the first message of b, which may hold most bytes, and says how long it is.
+func parse(b []byte, most int) (m message, n int, err error) {
+	if len(b) < headSize {
+		return m, 0, errShort
+	}
+	length := binary.BigEndian.Uint32(b[4:])
+	switch {
+	case b[0] != version:
+		return m, 0, &protocolError{errVersion, fmt.Sprintf("version %d", b[0]), true}
+	case length < headSize || length > uint32(most):
+		return m, 0, &protocolError{errProtocol, fmt.Sprintf("a message of %d bytes", length), true}
+	case len(b) < int(length):
+		return m, 0, errShort
+	}
+	n = int(length)
+	m.kind = binary.BigEndian.Uint16(b[2:])
+	for p := b[headSize:n]; len(p) > 0; {
+		if len(p) < tlvHead {
+			return m, n, &protocolError{errParamField, "a parameter is cut short", false}
+		}
+		size := int(binary.BigEndian.Uint16(p[2:]))
+		if size < tlvHead || size > len(p) {
+			return m, n, &protocolError{errParamField, fmt.Sprintf("a parameter of %d bytes", size), false}
+		}
+		m.params = append(m.params, param{binary.BigEndian.Uint16(p), p[tlvHead:size]})
+		p = p[min((size+3)&^3, len(p)):]
+	}
+	return m, n, nil
+}
+
+// build writes a message.
+func build(kind uint16, params ...param) []byte {
+	b := []byte{version, 0, byte(kind >> 8), byte(kind), 0, 0, 0, 0}
+	for _, p := range params {
+		b = binary.BigEndian.AppendUint16(b, p.tag)
+		b = binary.BigEndian.AppendUint16(b, uint16(tlvHead+len(p.value)))
+		b = append(b, p.value...)
+		b = append(b, make([]byte, -len(p.value)&3)...)
+	}
+	binary.BigEndian.PutUint32(b[4:], uint32(len(b)))
+	return b
+}
+
+// number32 is a parameter of four bytes.
+func number32(tag uint16, n uint32) param { return param{tag, binary.BigEndian.AppendUint32(nil, n)} }
+
+// circuit names a circuit between two points: a call has one for as long as it lives.
+type circuit struct {
+	opc, dpc uint32 // as in the message that takes it
+	cic      uint16
+}
+
+// back is the circuit as the other side's messages name it.
+func (c circuit) back() circuit { return circuit{c.dpc, c.opc, c.cic} }
+
+// dataMessage wraps an ISUP message.
+func dataMessage(c circuit, network byte, context uint32, isup []byte) []byte {
+	v := binary.BigEndian.AppendUint32(nil, c.opc)
+	v = binary.BigEndian.AppendUint32(v, c.dpc)
+	v = append(v, siISUP, network, 0, byte(c.cic&15))
+	v = append(v, isup...)
+	return build(msgDATA, number32(tagRoutingContext, context), param{tagProtocolData, v})
+}
+
+// parseData unwraps an ISUP message.
+func parseData(m message, context uint32) (c circuit, isup []byte, err error) {
+	if rc, there := m.number(tagRoutingContext); there && rc != context {
+		return c, nil, &protocolError{errContext, fmt.Sprintf("routing context %d", rc), false}
+	}
+	v, ok := m.get(tagProtocolData)
+	switch {
+	case !ok:
+		return c, nil, &protocolError{errMissingParam, "DATA without protocol data", false}
+	case len(v) < routingLen+isupHead:
+		return c, nil, &protocolError{errParamField, "protocol data is cut short", false}
+	case v[8] != siISUP:
+		return c, nil, &protocolError{errParamValue, fmt.Sprintf("service indicator %d", v[8]), false}
+	}
+	c = circuit{binary.BigEndian.Uint32(v), binary.BigEndian.Uint32(v[4:]), binary.LittleEndian.Uint16(v[routingLen:])}
+	return c, v[routingLen:], nil
+}
+
+// affected are the point codes of a DUNA, DAVA or SCON.
+func affected(m message) ([]uint32, error) {
+	v, ok := m.get(tagAffectedPC)
+	if !ok {
+		return nil, &protocolError{errMissingParam, "no affected point code", false}
+	}
+	if len(v) == 0 || len(v)%4 != 0 {
+		return nil, &protocolError{errParamField, "affected point codes are cut short", false}
+	}
+	var pcs []uint32
+	for ; len(v) > 0; v = v[4:] {
+		pcs = append(pcs, binary.BigEndian.Uint32(v)&0xffffff) // the first byte is a mask
+	}
+	return pcs, nil
+}
--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -155,6 +155,8 @@
 
 func (c *caller) Close() { c.out.Close() }
 
+func (c *caller) Flush() { c.out.Flush() }
+
 // Carry writes an effect for a caller.
 func (c *caller) Carry(e core.Effect) []core.Event {
 	switch e := e.(type) {
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -24,6 +24,8 @@
 
 func (s *server) Close() { s.out.Close() }
 
+func (s *server) Flush() { s.out.Flush() }
+
 // Carry writes an effect for a server.
 func (s *server) Carry(e core.Effect) []core.Event {
 	switch e := e.(type) {
--- a/internal/q850/q850.go
+++ b/internal/q850/q850.go
@@ -49,7 +49,7 @@
 	return core.Reset
 }
 
-// Refusal is what a note beside a cause says: the last column of the table.
+// Refusal is what a cause says beside that on the platform, where a note goes with it.
 func Refusal(note string) elmseam.Refusal {
 	switch note {
 	case "swamped":
@@ -59,3 +59,14 @@
 	}
 	return elmseam.RefusalOther
 }
+
+// RefusalOf is the same in signalling that has causes only.
+func RefusalOf(cause int) elmseam.Refusal {
+	switch cause {
+	case Congestion:
+		return elmseam.RefusalProcessor
+	case UserBusy:
+		return elmseam.RefusalNumber
+	}
+	return elmseam.RefusalOther
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -118,12 +118,13 @@
 
 // Node is what a softswitch on sockets needs beside the decisions.
 type Node struct {
-	Classes        []string      // class names, in order
-	Columns        []string      // names of the values of a load report, in order
-	ConnectTimeout time.Duration // a connection not made by then counts as unreachable
-	KeepAlive      time.Duration // idle connections are closed by the far side after this
-	LongestWait    time.Duration // the longest deadline of a class
-	MaxOpen        int           // calls that may be open at once
+	Classes        []string        // class names, in order
+	Columns        []string        // names of the values of a load report, in order
+	ConnectTimeout time.Duration   // a connection not made by then counts as unreachable
+	KeepAlive      time.Duration   // idle connections are closed by the far side after this
+	Waits          []time.Duration // how long a caller of each class waits at most
+	LongestWait    time.Duration   // the longest of these
+	MaxOpen        int             // calls that may be open at once
 }
 
 // DecodeNode reads the part of the settings that concerns sockets. Keys it doesn't name are ignored.
@@ -156,6 +157,7 @@
 			return n, fmt.Errorf("settings: request-classes[%d].name: missing", i)
 		}
 		n.Classes = append(n.Classes, c.Name)
+		n.Waits = append(n.Waits, c.HardLimit.duration())
 		n.LongestWait = max(n.LongestWait, c.HardLimit.duration())
 	}
 	return n, nil
