Test the core's guards and the platform's front by stories over loopback

Each story is one failure: reset with a set-up open, give-up not yet written, deadline, drain while a connection is made, crossing close, malformed callers and servers, a peer that reads nothing.

--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,234 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"elmseam"
+)
+
+const ms = time.Millisecond
+
+// rig drives a core by hand: two servers, both with connections, and a caller on link 1.
+type rig struct {
+	t   *testing.T
+	c   *Core
+	now Time
+	due []Timer
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	c, err := New(elmseam.Settings{
+		Classes:     []elmseam.Class{{Aim: time.Second, Deadline: 9 * time.Second, Worth: 1}},
+		MaxAttempts: 4, MaxRetryAfter: 2 * time.Second, CanCancel: true, OwnCell: -1,
+		ResendGap: 500 * ms, ReleaseGuard: 200 * ms, ColdFrom: 0.3, ColdRamp: 14 * time.Second,
+		TipMultiple: 2.5, TipAfter: time.Second,
+	}, 1, Limits{
+		AnswerMargin: 15 * ms, Rebind: 100 * ms, RedialLeast: 100 * ms, RedialMost: 500 * ms,
+		ServerLost: 6 * time.Second, StopGrace: 700 * ms, StopMost: 9 * time.Second, MaxOpen: 100, Remember: time.Minute,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, c: c, now: time.Hour}
+	r.step(CallerUp{Link: 1, Front: "f"})
+	r.list(elmseam.Ready, elmseam.Ready)
+	r.step(ServerUp{Server: "a", Address: "a:1", Link: 10})
+	r.step(ServerUp{Server: "b", Address: "b:1", Link: 11})
+	return r
+}
+
+func (r *rig) list(a, b elmseam.Phase) string {
+	return r.step(List{Full: true, Servers: []Server{
+		{Name: "a", Address: "a:1", Cell: 0, Phase: a}, {Name: "b", Address: "b:1", Cell: 1, Phase: b},
+	}})
+}
+
+// step gives an event and writes down the effects that go out on links.
+func (r *rig) step(ev Event) string {
+	said := ""
+	for _, e := range r.c.Step(r.now, ev) {
+		switch e := e.(type) {
+		case Timer:
+			r.due = append(r.due, e)
+		case Offer:
+			said += fmt.Sprintf("offer%d@%d ", e.ID, e.To)
+		case End:
+			said += fmt.Sprintf("end%d@%d ", e.ID, e.To)
+		case Answered:
+			said += fmt.Sprintf("answered%d@%d ", e.ID, e.To)
+		case Rejected:
+			said += fmt.Sprintf("rejected%d@%d ", e.ID, e.To)
+		case Released:
+			said += fmt.Sprintf("released%d@%d ", e.ID, e.To)
+		case Withdraw:
+			said += fmt.Sprintf("withdraw@%d ", e.To)
+		case Hangup:
+			said += fmt.Sprintf("hangup@%d ", e.To)
+		case Dropped:
+			said += fmt.Sprintf("dropped%d ", e.ID)
+		case Stopped:
+			said += "stopped "
+		case Broken:
+			r.t.Errorf("a guard had to hold: call %d: %s", e.ID, e.Rule)
+		}
+	}
+	return said
+}
+
+// pass lets time go by, timers included.
+func (r *rig) pass(d time.Duration) (said string) {
+	for until := r.now + d; ; {
+		next := -1
+		for i, t := range r.due {
+			if t.At <= until && (next < 0 || t.At < r.due[next].At) {
+				next = i
+			}
+		}
+		if next < 0 {
+			r.now = until
+			return said
+		}
+		t := r.due[next]
+		r.due = append(r.due[:next], r.due[next+1:]...)
+		r.now = max(r.now, t.At)
+		said += r.step(Due{Token: t.Token})
+	}
+}
+
+func (r *rig) want(got, want string) {
+	r.t.Helper()
+	if got != want {
+		r.t.Errorf("effects %q, want %q", got, want)
+	}
+}
+
+func (r *rig) setUp(id ID, left time.Duration) string {
+	return r.step(SetUp{ID: id, From: 1, Cell: 0, Left: left, At: r.now})
+}
+
+// A reset server connection ends the attempt, and the call goes elsewhere only after the release gap;
+// the answer is passed on once, and what comes late from the first server is released there.
+func TestResetThenGapThenElsewhere(t *testing.T) {
+	r := newRig(t)
+	r.want(r.setUp(7, 5*time.Second), "offer7@10 ")
+	r.want(r.step(ServerDown{Server: "a", Link: 10}), "")
+	r.want(r.pass(199*ms), "")
+	r.want(r.pass(2*ms), "offer7@11 ")
+	r.step(ServerUp{Server: "a", Address: "a:1", Link: 12})
+	r.want(r.step(ServerAnswer{Server: "a", ID: 7}), "end7@12 ")
+	r.want(r.step(ServerAnswer{Server: "b", ID: 7}), "answered7@1 ")
+	r.want(r.step(ServerAnswer{Server: "b", ID: 7}), "")
+	r.want(r.step(ServerEnd{Server: "b", ID: 7, Reason: Normal}), "released7@1 ")
+}
+
+// An attempt is out until its end is written: the guard against two attempts out at once waits for that,
+// however long a stalled connection takes, and the release gap counts from then.
+func TestGivenUpAttemptIsOutUntilItsEndIsWritten(t *testing.T) {
+	r := newRig(t)
+	r.setUp(7, 5*time.Second)
+	k := r.c.calls[7]
+	r.c.out = nil
+	r.c.giveUp(k, elmseam.CauseCancelled) // as the module does with an overtaken set-up
+	r.want(r.pass(time.Second), "")
+	if k.out == nil {
+		t.Fatal("the attempt is over before its end was written")
+	}
+	r.want(r.step(ServerAnswer{Server: "a", ID: 7}), "")
+	r.want(r.step(Written{Server: "a", ID: 7}), "")
+	r.want(r.pass(201*ms), "offer7@11 ")
+}
+
+// The final answer is out before the caller's time is up, and only one: the answer that comes after it is
+// never passed on.
+func TestDeadline(t *testing.T) {
+	r := newRig(t)
+	r.setUp(7, 400*ms)
+	r.want(r.pass(384*ms), "")
+	r.want(r.pass(2*ms), "end7@10 rejected7@1 ")
+	r.want(r.step(ServerAnswer{Server: "a", ID: 7}), "end7@10 ")
+	r.want(r.pass(10*time.Second), "")
+}
+
+// A server that drains gets nothing new: what waits for its connection is not sent there, and offers that
+// are queued on it are withdrawn.
+func TestDrainStopsWhatWaits(t *testing.T) {
+	r := newRig(t)
+	r.step(ServerDown{Server: "a", Link: 10})
+	r.want(r.setUp(7, 5*time.Second), "") // dialling
+	r.want(r.list(elmseam.Draining, elmseam.Ready), "offer7@11 ")
+	r.want(r.step(ServerUp{Server: "a", Address: "a:1", Link: 12}), "")
+	r.want(r.list(elmseam.Ready, elmseam.Draining), "withdraw@11 ")
+	r.want(r.step(NotSent{Server: "b", ID: 7}), "rejected7@1 ")
+}
+
+// A call that stands outlives connections; its release goes out on another one, or on the next. That of a
+// server that is gone for good, or out of reach for long, is told by nobody else.
+func TestStandingCallsBelongToNoConnection(t *testing.T) {
+	r := newRig(t)
+	for id := ID(1); id <= 3; id++ {
+		r.setUp(id, 5*time.Second)
+		r.step(ServerAnswer{Server: "a", ID: id})
+	}
+	r.want(r.step(ServerDown{Server: "a", Link: 10}), "")
+	r.want(r.step(CallerDown{Link: 1}), "")
+	r.step(ServerUp{Server: "a", Address: "a:1", Link: 12})
+	r.want(r.step(ServerEnd{Server: "a", ID: 1, Reason: Normal}), "")
+	r.want(r.step(CallerUp{Link: 2, Front: "f"}), "released1@2 ")
+	r.want(r.step(CallerEnd{ID: 2, From: 2}), "end2@12 ")
+	r.want(r.list(elmseam.Gone, elmseam.Ready), "withdraw@12 released3@2 hangup@12 ")
+	r.step(SetUp{ID: 4, From: 2, Left: 5 * time.Second, At: r.now})
+	r.step(ServerAnswer{Server: "b", ID: 4})
+	r.step(ServerDown{Server: "b", Link: 11})
+	r.want(r.pass(5900*ms), "")
+	r.want(r.pass(200*ms), "released4@2 ")
+}
+
+// A set-up comes again after a crossing close: one call goes on, with one answer. One that does not come
+// again is given up.
+func TestSetUpComesAgain(t *testing.T) {
+	r := newRig(t)
+	r.want(r.setUp(7, 5*time.Second)+r.setUp(8, 5*time.Second), "offer7@10 offer8@10 ")
+	r.step(CallerDown{Link: 1})
+	r.step(CallerUp{Link: 2, Front: "f"})
+	r.want(r.step(SetUp{ID: 7, From: 2, Left: 5 * time.Second, At: r.now}), "")
+	r.want(r.pass(101*ms), "dropped8 end8@10 ")
+	r.want(r.step(Written{Server: "a", ID: 8}), "")
+	r.want(r.step(ServerAnswer{Server: "a", ID: 7}), "answered7@2 ")
+}
+
+// A way that is withdrawn counts as the server gone, one that comes back as ready; so with a pause.
+func TestRouteAndPause(t *testing.T) {
+	r := newRig(t)
+	covers := func(address string) bool { return address == "a:1" }
+	r.want(r.step(Route{Name: "a/32", Covers: covers}), "withdraw@10 ")
+	r.want(r.setUp(7, 5*time.Second), "offer7@11 ")
+	r.step(Route{Name: "a/32", Covers: covers, Up: true})
+	r.want(r.step(ServerPaused{Server: "b", Paused: true}), "withdraw@11 ")
+	r.want(r.setUp(8, 5*time.Second), "offer8@10 ")
+}
+
+// After a stop callers may still come for the grace; the end waits for what is owed, but not for ever.
+func TestStop(t *testing.T) {
+	r := newRig(t)
+	r.step(Stop{})
+	r.pass(600 * ms)
+	r.want(r.setUp(7, 5*time.Second), "offer7@10 ")
+	r.want(r.pass(200*ms), "")
+	r.step(ServerAnswer{Server: "a", ID: 7})
+	r.want(r.step(ServerEnd{Server: "a", ID: 7, Reason: Normal}), "released7@1 stopped ")
+}
+
+// A release of a call that stood before this start is passed on; one of a call that ended here is not, as
+// it would be a second answer.
+func TestStrayRelease(t *testing.T) {
+	r := newRig(t)
+	r.want(r.step(ServerEnd{Server: "a", ID: 99, Reason: Normal}), "released99@1 ")
+	r.want(r.step(ServerEnd{Server: "a", ID: 99, Reason: Normal}), "")
+	r.setUp(7, 5*time.Second)
+	r.step(CallerEnd{ID: 7, From: 1})
+	r.step(Written{Server: "a", ID: 7})
+	r.want(r.step(ServerEnd{Server: "a", ID: 7, Reason: Reset}), "")
+}
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,259 @@
+package platform
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"elmseam"
+	"elmseam/internal/core"
+	"elmseam/internal/link"
+	"elmseam/internal/loop"
+)
+
+const patience = 5 * time.Second // for what must come; tests don't wait it out
+
+// story is a softswitch with this front, a scripted server and a caller.
+type story struct {
+	*testing.T
+	loop   *loop.Loop
+	server net.Listener
+	caller net.Conn
+	lines  *bufio.Scanner // of the server's connection
+	srv    net.Conn
+}
+
+func newStory(t *testing.T) *story {
+	t.Helper()
+	c, err := core.New(elmseam.Settings{
+		Classes: []elmseam.Class{{Deadline: 9 * time.Second, Worth: 1}}, MaxAttempts: 4, OwnCell: -1,
+		ReleaseGuard: 50 * time.Millisecond, MaxRetryAfter: 2 * time.Second,
+	}, 1, core.Limits{Rebind: 100 * time.Millisecond, RedialLeast: time.Millisecond, RedialMost: time.Millisecond,
+		ServerLost: time.Minute, MaxOpen: 100, Remember: time.Minute})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := loop.New(c, 64, func(core.Effect) {}, zerolog.Nop())
+	p := New(Config{
+		Classes: []string{"voice"}, Columns: []string{"spare", "cut_by"}, Dial: time.Second, Callers: 8,
+		Link: link.Limits{ReadFirst: 64, Message: 16 << 10, Outbox: 1 << 20, WriteStall: time.Second, Stuck: 50 * time.Millisecond},
+	}, l, zerolog.Nop())
+	l.Dialer(Front, p.Dial)
+	s := &story{T: t, loop: l, server: listen(t)}
+	front := listen(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go l.Run(ctx)
+	go p.Serve(front)
+	l.Post(core.List{Full: true, Servers: []core.Server{
+		{Name: "s", Address: s.server.Addr().String(), Front: Front, Phase: elmseam.Ready},
+	}})
+	s.accept()
+	s.caller = s.dial(front)
+	return s
+}
+
+func listen(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+func (s *story) dial(l net.Listener) net.Conn {
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		s.Fatal(err)
+	}
+	s.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return c
+}
+
+func (s *story) accept() {
+	c, err := s.server.Accept()
+	if err != nil {
+		s.Fatal(err)
+	}
+	s.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	s.srv, s.lines = c, bufio.NewScanner(c)
+}
+
+// wantLine reads the server's next line, which must hold all parts.
+func (s *story) wantLine(parts ...string) {
+	s.Helper()
+	if !s.lines.Scan() {
+		s.Fatalf("no line where %q was due: %v", parts, s.lines.Err())
+	}
+	for _, p := range parts {
+		if !strings.Contains(s.lines.Text(), p) {
+			s.Fatalf("line %s, want %s in it", s.lines.Text(), p)
+		}
+	}
+}
+
+func (s *story) say(format string, args ...any) { fmt.Fprintf(s.srv, format+"\n", args...) }
+
+// wantFrame reads the caller's next message.
+func (s *story) wantFrame(kind byte, id core.ID, cause int) frame {
+	s.Helper()
+	head := make([]byte, frameHead)
+	_, err := io.ReadFull(s.caller, head)
+	body := make([]byte, binary.BigEndian.Uint16(head))
+	if err == nil {
+		_, err = io.ReadFull(s.caller, body)
+	}
+	f, _, perr := parseFrame(append(head, body...), 16<<10)
+	if err != nil || perr != nil || f.kind != kind || f.id != id || f.cause != cause {
+		s.Fatalf("message %+v (%v, %v), want type %d, call %x, cause %d", f, err, perr, kind, id, cause)
+	}
+	return f
+}
+
+func setUp(id core.ID, class, left, desc string) []byte {
+	p := appendParam(nil, paramClass, []byte(class)...)
+	p = appendParam(p, paramLeft, []byte(left)...)
+	p = appendParam(p, paramNumber, []byte("7f3a9c21e0b4d655")...)
+	p = appendParam(p, paramExtras, []byte("dest:0;width:1;via:-1")...)
+	return appendFrame(nil, typeSetUp, id, appendParam(p, paramDesc, []byte(desc)...))
+}
+
+func release(id core.ID, cause byte) []byte {
+	return appendFrame(nil, typeRelease, id, appendParam(nil, paramCause, cause))
+}
+
+// The life of a call, with everything that must pass unchanged, and bytes that arrive one by one.
+func TestCallFromRequestToRelease(t *testing.T) {
+	s := newStory(t)
+	for _, b := range setUp(0x9b1f, "voice", "1500", "line\r\n\"q\\\" é\x01") {
+		s.caller.Write([]byte{b})
+	}
+	s.wantLine(`"op":"offer"`, `"call":"0000000000009b1f"`, `"class":"voice"`, `"key":"7f3a9c21e0b4d655"`, `"left":"1`,
+		`"desc":"line\r\n\"q\\\" é\u0001"`)
+	s.say(`{"op":"ringing","call":"0000000000009b1f","with":{}}`)
+	s.say(`{"op":"accept","call":"0000000000009b1f","with":{"load":"spare:3;new:1"},"x":[1,{"y":null}],"desc":"\u00e9\ud83d\ude00\n"}`)
+	if f := s.wantFrame(typeAnswer, 0x9b1f, -1); string(f.desc) != "é😀\n" {
+		t.Errorf("description %q", f.desc)
+	}
+	s.say(`{"op":"end","call":"0000000000009b1f","with":{},"why":41}`)
+	s.wantFrame(typeRelease, 0x9b1f, 41)
+	s.caller.Write(appendFrame(nil, typeTest, 5, appendParam(nil, paramCause, 0)))
+	s.wantFrame(typeTested, 5, 1)
+}
+
+// A server's connection is reset with a set-up open and a call standing on it: the set-up gets one answer
+// here, refused as there is no other server, and the release of the standing call comes over the next.
+func TestServerConnectionReset(t *testing.T) {
+	s := newStory(t)
+	s.caller.Write(append(setUp(1, "voice", "5000", ""), setUp(2, "voice", "5000", "")...))
+	s.wantLine(`"offer"`, `0001"`)
+	s.wantLine(`"offer"`, `0002"`)
+	s.say(`{"op":"accept","call":"0000000000000001","with":{},"desc":""}`)
+	s.wantFrame(typeAnswer, 1, -1)
+	s.srv.(*net.TCPConn).SetLinger(0)
+	s.srv.Close()
+	s.accept()
+	s.wantFrame(typeRelease, 2, 42)
+	s.say(`{"op":"end","call":"0000000000000001","with":{},"why":16}`)
+	s.wantFrame(typeRelease, 1, 16)
+}
+
+// A caller gives up: the server is told, and its crossing answer is not passed on.
+func TestCallerGivesUp(t *testing.T) {
+	s := newStory(t)
+	s.caller.Write(setUp(1, "voice", "5000", ""))
+	s.wantLine(`"offer"`)
+	s.caller.Write(release(1, 16))
+	s.wantFrame(typeHeard, 1, -1)
+	s.wantLine(`"end"`, `"why":16`)
+	s.say(`{"op":"accept","call":"0000000000000001","with":{},"desc":""}`)
+	s.wantLine(`"end"`, `"why":16`)
+	s.caller.Write(setUp(2, "video", "5000", "")) // a class nobody knows: that call alone is refused
+	s.wantFrame(typeRelease, 2, 100)
+}
+
+// What is malformed costs its own connection and nothing else.
+func TestMalformedCallers(t *testing.T) {
+	s := newStory(t)
+	front := s.caller.RemoteAddr().String()
+	for name, bad := range map[string][]byte{
+		"too short":    {0, 3, 1, 2, 3},
+		"too long":     {0xff, 0xff, 1},
+		"unknown type": appendFrame(nil, 99, 1, nil),
+		"cut short":    appendFrame(nil, typeSetUp, 1, []byte{paramClass, 0, 9, 'v'}),
+		"long cause":   appendFrame(nil, typeRelease, 1, appendParam(nil, paramCause, 1, 2)),
+	} {
+		c, err := net.Dial("tcp", front)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(patience))
+		c.Write(bad)
+		if _, err := c.Read(make([]byte, 1)); err == nil || isTimeout(err) {
+			t.Errorf("%s: the connection stays open: %v", name, err)
+		}
+		c.Close()
+	}
+	s.say(`{"op":"group","with":{"load":`) // a server that speaks nonsense is left, and sought again
+	s.accept()
+	s.caller.Write(setUp(1, "voice", "5000", ""))
+	s.wantLine(`"offer"`)
+}
+
+func isTimeout(err error) bool {
+	ne, ok := err.(net.Error)
+	return ok && ne.Timeout()
+}
+
+// A caller that reads nothing costs its own connection: others are served meanwhile.
+func TestStalledCaller(t *testing.T) {
+	s := newStory(t)
+	stalled, err := net.Dial("tcp", s.caller.RemoteAddr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stalled.Close()
+	test := appendFrame(nil, typeTest, 5, appendParam(nil, paramCause, 0))
+	stalled.SetDeadline(time.Now().Add(patience))
+	many := bytes.Repeat(test, 1000)
+	for {
+		if _, err := stalled.Write(many); err != nil {
+			if isTimeout(err) {
+				t.Error("a peer that takes nothing is not given up")
+			}
+			break
+		}
+	}
+	s.caller.Write(test)
+	s.wantFrame(typeTested, 5, 1)
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(setUp(1, "voice", "5", "x"))
+	f.Add([]byte(`{"op":"end","call":"9b","with":{"load":"x0:1","note":"swamped"},"why":34,"d":[1,{}]}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if _, n, err := parseFrame(b, 1<<10); err == nil && (n < frameHead+callHead || n > min(len(b), 1<<10)) {
+			t.Errorf("a message of %d bytes out of %d", n, len(b))
+		}
+		l, err := parseLine(b)
+		if err != nil {
+			return
+		}
+		again, err := parseLine([]byte(`{"desc":` + string(appendText(nil, l.desc)) + "}"))
+		if err != nil || again.desc != l.desc {
+			t.Errorf("%q came back as %q: %v", l.desc, again.desc, err)
+		}
+	})
+}
