--- a/internal/m3ua/m3ua_test.go
+++ b/internal/m3ua/m3ua_test.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	patience = 20 * time.Second // for what must come; tests don't wait it out
+	patience = 20 * time.Second      // for what must come; tests don't wait it out
 	guard    = 20 * time.Millisecond // the release gap
 	ownPC    = 100
 	clientPC = 300
