Integration tests that start the program and speak to it over sockets

The program serves, follows the command channel over a broken connection, ends in order on SIGTERM, names a bad field in one line, and serves an old client over the second front while a BGP peer hears the service address come and go. Ports are the system's choice; nothing waits for a fixed time.

Callers may hold half the descriptors on the first front and a quarter on the second, so that both together leave a quarter for servers, channel and peers.

--- a/cmd/elmseam/main.go
+++ b/cmd/elmseam/main.go
@@ -108,6 +108,7 @@
 			return fmt.Errorf("m3ua.listen: %w", err)
 		}
 		defer ml.Close()
+		log.Info().Str("m3ua", ml.Addr().String()).Msg("second front")
 		serve = append(serve, func() { second.Serve(ml) })
 	}
 	if sig.Enabled && len(sig.BGP.Peers) > 0 {
@@ -142,7 +143,7 @@
 		first.Stop()
 		l.Post(core.Stop{})
 	}()
-	log.Info().Str("listen", listener.Addr().String()).Bool("m3ua", sig.Enabled).Msg("started")
+	log.Info().Str("listen", listener.Addr().String()).Msg("started")
 	l.Run(ctx)
 	log.Info().Msg("stopped")
 	return nil
--- /dev/null
+++ b/cmd/elmseam/main_test.go
@@ -0,0 +1,349 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const patience = 20 * time.Second // for what must come; tests don't wait it out
+
+// TestMain runs the program itself where a test starts this binary again.
+func TestMain(m *testing.M) {
+	if os.Getenv("ELMSEAM_TEST_RUN") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+const settingsText = `{"request-classes":[{"name":"voice","effect":"free","gain":1,"objective-us":1000000,"hard-limit-us":3000000}],
+ "family-info":{"own-number":-1,"release-guard-us":200000,"retransmit-us":500000},
+ "limits":{"max-attempts":4,"max-open":100,"connect-timeout-us":500000,"retry-after":true,"max-retry-after-us":2000000,"cancel":true},
+ "load-report":{"columns":["spare","total","cut_by"],"via":"inline"},"obligations":{"cold-from":0.3,"ramp-time-us":14000000,
+ "tip-multiple":2.5,"tip-after-us":1000000}}`
+
+// program is one run of the program.
+type program struct {
+	*testing.T
+	cmd     *exec.Cmd
+	listen  string
+	m3ua    string
+	channel net.Listener
+}
+
+// start runs the program with the given servers known, and waits until it listens.
+func start(t *testing.T, signalling string, servers ...string) *program {
+	t.Helper()
+	p := &program{T: t, channel: listen(t)}
+	path := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"memory_mb":192,"sockets":1024},
+		"channel":%q,"known":{"cursor":1,"cmds":[{"cursor":1,"nodes":{"snapshot":true,"endpoints":[%s]}}]},"settings":%s}`,
+		p.channel.Addr(), strings.Join(servers, ","), settingsText)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.cmd = command(path, signalling)
+	out, err := p.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.cmd.Process.Kill(); p.cmd.Wait() })
+	lines := bufio.NewScanner(out)
+	for p.listen == "" && lines.Scan() {
+		var l struct{ Listen, M3UA string }
+		json.Unmarshal(lines.Bytes(), &l)
+		p.listen, p.m3ua = l.Listen, p.m3ua+l.M3UA
+	}
+	if p.listen == "" {
+		t.Fatal("the program doesn't start")
+	}
+	go io.Copy(io.Discard, out)
+	return p
+}
+
+func command(config, signalling string) *exec.Cmd {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "ELMSEAM_TEST_RUN=1", "ROUTER_CONFIG="+config, "ROUTER_NAME=", "ROUTER_LISTEN=")
+	if signalling != "" {
+		cmd.Env = append(cmd.Env, "ELMSEAM_SIGNALLING="+signalling)
+	}
+	return cmd
+}
+
+func endpoint(name, status string, l net.Listener) string {
+	return fmt.Sprintf(`{"name":%q,"address":%q,"group":0,"status":%q,"since_ms":0}`, name, l.Addr(), status)
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// conn is a scripted peer's connection.
+type conn struct {
+	*testing.T
+	net.Conn
+	r *bufio.Reader
+}
+
+func wrap(t *testing.T, c net.Conn, err error) *conn {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return &conn{t, c, bufio.NewReader(c)}
+}
+
+func accept(t *testing.T, l net.Listener) *conn {
+	t.Helper()
+	l.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
+	c, err := l.Accept()
+	return wrap(t, c, err)
+}
+
+func dial(t *testing.T, address string) *conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	return wrap(t, c, err)
+}
+
+// line reads a line, which must hold want, and returns the call it names.
+func (c *conn) line(want string) string {
+	c.Helper()
+	l, err := c.r.ReadString('\n')
+	if err != nil || !strings.Contains(l, want) {
+		c.Fatalf("line %q, %v, want %s", l, err, want)
+	}
+	if m := regexp.MustCompile(`"call":"([0-9a-f]{16})"`).FindStringSubmatch(l); m != nil {
+		return m[1]
+	}
+	return ""
+}
+
+func (c *conn) bytes(n int) []byte {
+	c.Helper()
+	b := make([]byte, n)
+	if _, err := io.ReadFull(c.r, b); err != nil {
+		c.Fatalf("%d bytes: %v", n, err)
+	}
+	return b
+}
+
+// frame reads a message of the callers' protocol and says its type, call and parameters.
+func (c *conn) frame(kind byte, call uint64) []byte {
+	c.Helper()
+	b := c.bytes(int(binary.BigEndian.Uint16(c.bytes(2))))
+	if b[0] != kind || binary.BigEndian.Uint64(b[1:]) != call {
+		c.Fatalf("message %x, want type %d for call %x", b, kind, call)
+	}
+	return b[9:]
+}
+
+func (c *conn) setUp(call uint64) {
+	b := binary.BigEndian.AppendUint64([]byte{0, 0, 1}, call)
+	for code, v := range map[byte]string{16: "voice", 19: "60000", 28: "0a", 31: "dest:0;width:1;via:-1", 61: "d"} {
+		b = append(append(b, code, 0, byte(len(v))), v...)
+	}
+	b[1] = byte(len(b) - 2)
+	c.Write(b)
+}
+
+// events answers the program's request on the command channel and returns the Last-Event-ID.
+func (c *conn) events() (last string) {
+	c.Helper()
+	for {
+		l, err := c.r.ReadString('\n')
+		if err != nil {
+			c.Fatal(err)
+		}
+		if v, ok := strings.CutPrefix(l, "Last-Event-ID: "); ok {
+			last = strings.TrimSpace(v)
+		}
+		if l == "\r\n" {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+			return last
+		}
+	}
+}
+
+// event sends a change, in chunks that end anywhere.
+func (c *conn) event(cursor int, endpoints ...string) {
+	text := fmt.Sprintf(": comment\n\nid: %d\ndata: {\"cursor\":%d,\"nodes\":{\"snapshot\":false,\"endpoints\":[%s]}}\n\n",
+		cursor, cursor, strings.Join(endpoints, ","))
+	for len(text) > 0 {
+		n := min(7, len(text))
+		fmt.Fprintf(c, "%x\r\n%s\r\n", n, text[:n])
+		text = text[n:]
+	}
+}
+
+// The program serves, follows the command channel over a broken connection, and on SIGTERM goes on to take and
+// answer calls for the grace before it ends.
+func TestServeFollowStop(t *testing.T) {
+	old, fresh := listen(t), listen(t)
+	p := start(t, "", endpoint("old", "in_service", old))
+	first := accept(t, old)
+	caller := dial(t, p.listen)
+	caller.setUp(1)
+	id := first.line(`"offer"`)
+	fmt.Fprintf(first, `{"op":"accept","call":%q,"with":{},"desc":"x"}`+"\n", id)
+	if b := caller.frame(9, 1); !bytes.Equal(b, []byte{61, 0, 1, 'x'}) {
+		t.Errorf("answer %x", b)
+	}
+
+	ch := accept(t, p.channel)
+	if last := ch.events(); last != "1" {
+		t.Errorf("Last-Event-ID %s, want 1", last)
+	}
+	ch.event(2, endpoint("new", "in_service", fresh))
+	second := accept(t, fresh)
+	ch.Close()
+	ch = accept(t, p.channel)
+	if last := ch.events(); last != "2" {
+		t.Errorf("Last-Event-ID %s, want 2", last)
+	}
+	ch.event(3, endpoint("old", "terminated", old))
+	if _, err := first.r.ReadByte(); err != io.EOF { // its connection ends when it has been told
+		t.Errorf("the old server hears %v", err)
+	}
+	caller.frame(12, 1) // what stood there is over
+	caller.setUp(2)
+	id = second.line(`"offer"`)
+
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	caller.Write([]byte{0, 13, 52, 0, 0, 0, 0, 0, 0, 0, 9, 58, 0, 1, 0}) // a test fails from now on: asked until it does
+	for caller.frame(53, 9)[3] != 0 {
+		caller.Write([]byte{0, 13, 52, 0, 0, 0, 0, 0, 0, 0, 9, 58, 0, 1, 0})
+	}
+	late := dial(t, p.listen)
+	late.setUp(3)
+	for _, id := range []string{id, second.line(`"offer"`)} {
+		fmt.Fprintf(second, `{"op":"accept","call":%q,"with":{},"desc":""}`+"\n", id)
+		fmt.Fprintf(second, `{"op":"end","call":%q,"with":{},"why":16}`+"\n", id)
+	}
+	for _, kind := range []byte{9, 12} {
+		caller.frame(kind, 2)
+		late.frame(kind, 3)
+	}
+	if err := p.cmd.Wait(); err != nil {
+		t.Errorf("the program ends with %v", err)
+	}
+}
+
+// A configuration that makes no sense ends the program with one line that names the field.
+func TestBadConfiguration(t *testing.T) {
+	good := `{"name":"n","listen":"127.0.0.1:0","seed":"1","limits":{"memory_mb":1,"sockets":99},"channel":"127.0.0.1:1","settings":` + settingsText + "}"
+	for field, text := range map[string]string{
+		"ROUTER_CONFIG":      `{"name":`,
+		"name":               strings.Replace(good, `"n"`, `""`, 1),
+		"listen":             strings.Replace(good, "127.0.0.1:0", "here", 1),
+		"seed":               strings.Replace(good, `"1"`, `"x"`, 1),
+		"limits.memory_mb":   strings.Replace(good, `"memory_mb":1`, `"memory_mb":0`, 1),
+		"limits.sockets":     strings.Replace(good, "99", "9", 1),
+		"channel":            strings.Replace(good, "127.0.0.1:1", "", 1),
+		"request-classes[0]": strings.Replace(good, `"voice"`, `""`, 1),
+		"known.cmds[0]":      strings.Replace(good, `"channel"`, `"known":{"cmds":[{"nodes":{"endpoints":[{"name":"s"}]}}]},"channel"`, 1),
+	} {
+		path := filepath.Join(t.TempDir(), "c.json")
+		os.WriteFile(path, []byte(text), 0o600)
+		out, err := command(path, "").CombinedOutput()
+		if err == nil || bytes.Count(out, []byte("\n")) != 1 || !bytes.Contains(out, []byte(field+":")) && !bytes.Contains(out, []byte(field+".")) {
+			t.Errorf("%s: %v, %s", field, err, out)
+		}
+	}
+	for field, text := range map[string]string{
+		"m3ua.listen":       "enabled = true",
+		"m3ua.points":       "[m3ua]\npoints = 1",
+		"m3ua.categories.x": "enabled = true\n[m3ua]\nlisten = \"127.0.0.1:0\"\npoint_code = 1\nheartbeat_ms = 1\ncircuits = 1\n[m3ua.categories]\nx = 1",
+	} {
+		dir := t.TempDir()
+		os.WriteFile(filepath.Join(dir, "c.json"), []byte(good), 0o600)
+		os.WriteFile(filepath.Join(dir, "m.toml"), []byte(text), 0o600)
+		out, err := command(filepath.Join(dir, "c.json"), filepath.Join(dir, "m.toml")).CombinedOutput()
+		if err == nil || !bytes.Contains(out, []byte(field+":")) {
+			t.Errorf("%s: %v, %s", field, err, out)
+		}
+	}
+}
+
+// The second front listens where its file says, serves an old client by a server of the platform, and the
+// service address is announced until the program is told to stop.
+func TestSecondFront(t *testing.T) {
+	srv, neighbour := listen(t), listen(t)
+	path := filepath.Join(t.TempDir(), "m3ua.toml")
+	text, err := os.ReadFile("../../deploy/m3ua.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := strings.NewReplacer("enabled = false", "enabled = true", "127.0.0.1:2905", "127.0.0.1:0", "activate", "voice",
+		"status-check = 10\n", "", "profile-read = 12\n", "").Replace(string(text))
+	file += fmt.Sprintf("[[bgp.peer]]\naddress = %q\nas = 64513\n", neighbour.Addr())
+	os.WriteFile(path, []byte(file), 0o600)
+	p := start(t, path, endpoint("new", "in_service", srv))
+	server := accept(t, srv)
+
+	peer := accept(t, neighbour)
+	marker := bytes.Repeat([]byte{0xff}, 16)
+	message := func() (byte, []byte) {
+		b := peer.bytes(19)
+		return b[18], peer.bytes(int(binary.BigEndian.Uint16(b[16:])) - 19)
+	}
+	message()
+	peer.Write(append(marker, 0, 29, 1, 4, 0xfc, 1, 0, 90, 127, 0, 0, 2, 0))
+	peer.Write(append(marker, 0, 19, 4))
+	kind, body := message()
+	for kind == 4 {
+		kind, body = message()
+	}
+	if kind != 2 || !bytes.HasSuffix(body, []byte{32, 127, 0, 0, 1}) {
+		t.Errorf("message type %d %x, want an announcement", kind, body)
+	}
+
+	client := dial(t, p.m3ua)
+	client.Write([]byte{1, 0, 3, 1, 0, 0, 0, 8})
+	client.Write([]byte{1, 0, 4, 1, 0, 0, 0, 16, 0, 6, 0, 8, 0, 0, 0, 1})
+	// Protocol data from point 300 to 100, national: IAM on circuit 7, category 11, number 12.
+	client.Write([]byte{1, 0, 1, 1, 0, 0, 0, 44, 2, 0x10, 0, 33, 0, 0, 1, 44, 0, 0, 0, 100, 5, 2, 0, 7,
+		7, 0, 1, 0, 0x60, 1, 11, 0, 2, 0, 3, 3, 0x10, 0x21, 0, 0, 0, 0, 0, 0})
+	id := server.line(`"key":"12"`)
+	fmt.Fprintf(server, `{"op":"accept","call":%q,"with":{},"desc":"x"}`+"\n", id)
+	for {
+		b := client.bytes(8)
+		rest := client.bytes(int(binary.BigEndian.Uint32(b[4:])) - 8)
+		if b[2] == 1 && rest[26] == 9 { // DATA with an ANM
+			if !bytes.Equal(rest[27:32], []byte{1, 0x20, 1, 'x', 0}) {
+				t.Errorf("ANM %x", rest)
+			}
+			break
+		}
+	}
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	for kind, body = message(); kind == 4; kind, body = message() {
+	}
+	if kind != 2 || !bytes.Equal(body, []byte{0, 5, 32, 127, 0, 0, 1, 0, 0}) {
+		t.Errorf("message type %d %x, want a withdrawal", kind, body)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -137,7 +137,7 @@
 			Retry: 100 * time.Millisecond, Event: 1 << 20, First: 4 << 10,
 		},
 		Dial:    n.ConnectTimeout,
-		Callers: f.Limits.Sockets * 2 / 3, // callers hold a third; the rest is for servers and the channel
+		Callers: f.Limits.Sockets / 2, // callers hold a third; a quarter may come to the second front
 		Inbox:   4096,
 		Memory:  int64(f.Limits.MemoryMB) << 20 * 6 / 10,
 	}
