Reuse the lines that own calls freed where a server is short of lines

Checked: a probe that counted notes shows every one as 'blocked' (no line), none as 'swamped'; servers have 143 to 163 lines, 0 to 5 free. All senders hear of the same few and race for them. Lines at fault: freeLines spares a server below 2% of its lines only, and the next report with one free line lifts that at once.

--- a/controller.go
+++ b/controller.go
@@ -19,6 +19,9 @@
 	waitLow       = 0.1                    // part of the gap up to which a wait asks for no cut
 	waitSpan      = 0.8                    // each further such part leaves 1/e: steady at reports delays
 	scarceLines   = 0.02                   // part of its lines free below which a server is spared
+	fewLines      = 0.08                   // part of its lines free below which each sender reuses its own
+	shortHold     = time.Second            // a server that had no line counts as short of them for so long
+	keptLines     = 1.0                    // freed lines kept for calls of great worth
 	rateNeeded    = 0.5                    // part of its best told rate that a server needs
 	silence       = 0.3                    // part of the gap that a set-up may be unanswered before the next
 	doubtful      = 0.6                    // gaps without an answer, reports of ease meanwhile: a loss
@@ -69,6 +72,10 @@
 	fullAt Time    // when it began
 	trial  bool    // the trial is out
 	lines  float64 // hold-back share that its free lines ask for
+	free   float64 // its free lines when last told, less what was sent since
+	short  Time    // until then it is held for short of lines: it has turned a call away for want of one
+	freed  float64 // lines that calls from here have freed and none has taken again
+	spare  bucket  // budget of tries beside those
 	credit float64 // thinning remainder: one passes a set-up
 
 	floor time.Duration // shortest set-up time seen: the way there and back
@@ -326,7 +333,7 @@
 		}
 	}
 	if free >= 0 && all > 0 {
-		s.size = all
+		s.size, s.free = all, free
 		s.lines = max(0, 1-free/(scarceLines*all))
 	}
 }
@@ -487,7 +494,7 @@
 	var primary, best *server
 	for _, s := range c.servers {
 		switch {
-		case !c.usable(s, k) || !c.coldPasses(s):
+		case !c.usable(s, k) || !c.coldPasses(s) || !c.linePasses(s, k):
 		case s.cell == k.cell && primary == nil && !(c.great(k) && c.reported(s) > windowed):
 			primary = s
 		case c.divertPasses(s, k) && (best == nil || c.less(s, best)):
@@ -564,6 +571,21 @@
 	return s.cold.spread(c.now, coldSafety*c.set.TipMultiple*warm*part, coldBurst, c.gaps(coldGaps))
 }
 
+// linePasses says whether a server has a line for one more call. Where few are free, all senders hear of the
+// same ones and race for them, and each that loses costs the processor a look. So a sender then uses the
+// lines again that its own calls have freed, the last of them for calls of great worth, and tries for others
+// the less the fewer they are: one just back has none of its own.
+func (c *Controller) linePasses(s *server, k *call) bool {
+	few := s.free / (fewLines * s.size)
+	if c.now >= s.short || few >= 1 {
+		return true
+	}
+	if s.freed >= 1 && c.great(k) || s.freed >= 1+keptLines {
+		return true
+	}
+	return s.spare.refill(c.now, few*few*c.partOf(s), 1) && s.free >= 1
+}
+
 // divertPasses says whether a server has room for one more diverted call. Reports tell of a flood only when
 // it has come: where a great server leaves, all that it had would fall on small ones and jam them for
 // long. So a server gets diverted no more than what is its part by its lines.
@@ -664,6 +686,11 @@
 	if c.isCold(s) {
 		s.cold.tokens--
 	}
+	if s.free--; s.freed >= 1 {
+		s.freed--
+	} else {
+		s.spare.tokens--
+	}
 	k.out, k.sends = a, k.sends+1
 	k.tried = append(k.tried, s)
 	s.out = append(s.out, a)
@@ -844,10 +871,13 @@
 		case ev.Cause == CauseFull && ev.Refusal == RefusalProcessor, ev.Cause == CauseUnreachable:
 			c.cut(s, ev.Wait)
 		case ev.Cause == CauseFull:
-			s.lines = 1
+			s.lines, s.short = 1, c.now+shortHold
 		}
 	}
 	if k == nil {
+		if s := c.byID[ev.Server]; s != nil && ev.Cause != CauseFull { // a call that stood is over
+			s.freed = min(s.freed+1, max(fewLines*s.size, 1+keptLines))
+		}
 		return
 	}
 	a := c.answered(k)
