--- a/cmd/elmseam/main.go
+++ b/cmd/elmseam/main.go
@@ -44,6 +44,7 @@
 		return err
 	}
 	debug.SetMemoryLimit(cfg.Limits.Memory)
+	debug.SetGCPercent(cfg.Limits.GC)
 	log := zerolog.New(os.Stderr).Level(zerolog.InfoLevel).With().Timestamp().Str("node", cfg.Name).Logger()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -71,7 +72,7 @@
 	}, log)
 
 	first := platform.New(platform.Config{
-		Classes: cfg.Node.Classes, Columns: cfg.Node.Columns, Link: cfg.Limits.Link,
+		Classes: cfg.Node.Classes, Columns: cfg.Node.Columns, Link: cfg.Limits.Link, ServerLink: cfg.Limits.ServerLink,
 		Dial: cfg.Limits.Dial, Callers: cfg.Limits.Callers,
 	}, l, log)
 	l.Dialer(platform.Front, first.Dial)
@@ -90,7 +91,8 @@
 	if sig.Enabled {
 		second, err = m3ua.New(m3ua.Config{
 			File: sig.M3UA, Classes: cfg.Node.Classes, Waits: cfg.Node.Waits, Report: cfg.Settings.Report,
-			Link: cfg.Limits.Link, Dial: cfg.Limits.Dial, Callers: cfg.Limits.Callers / 2,
+			Link: cfg.Limits.Link, ServerLink: cfg.Limits.ServerLink, Dial: cfg.Limits.Dial,
+			Callers: cfg.Limits.Callers / 2,
 		}, l, log)
 		if err != nil {
 			return fmt.Errorf("m3ua.%w", err)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -18,13 +18,17 @@
 
 // Limits are all sizes, counts and times. They are filled once, by Load, and handed down.
 type Limits struct {
-	Core    core.Limits
-	Link    link.Limits
+	Core core.Limits
+	Link link.Limits // of a caller's connection
+
+	ServerLink link.Limits
+
 	Feed    feed.Limits
 	Dial    time.Duration // to connect to a server
 	Callers int           // connections of callers at once
 	Inbox   int           // events that wait for the core
 	Memory  int64         // bytes the garbage collector aims to stay under
+	GC      int           // per cent that the heap may grow by before that
 }
 
 // Config is all that a softswitch is told.
@@ -116,6 +120,8 @@
 // limits fills the one set of limits, from what the platform tells where it does.
 func limits(f file, n settings.Node) Limits {
 	message := 16 << 10
+	memory := int64(f.Limits.MemoryMB) << 20
+	callers := f.Limits.Sockets / 2 // callers hold a third; a quarter may come to the second front
 	l := Limits{
 		Core: core.Limits{
 			AnswerMargin: 15 * time.Millisecond,
@@ -126,6 +132,7 @@
 			StopGrace:    700 * time.Millisecond,
 			StopMost:     max(n.LongestWait, 3*time.Second) + 600*time.Millisecond,
 			MaxOpen:      n.MaxOpen,
+			RetryHint:    300 * time.Millisecond,
 			Remember:     max(n.LongestWait, 10*time.Second) * 6,
 		},
 		Link: link.Limits{
@@ -137,10 +144,15 @@
 			Retry: 100 * time.Millisecond, Event: 1 << 20, First: 4 << 10,
 		},
 		Dial:    n.ConnectTimeout,
-		Callers: f.Limits.Sockets / 2, // callers hold a third; a quarter may come to the second front
+		Callers: callers,
 		Inbox:   4096,
-		Memory:  int64(f.Limits.MemoryMB) << 20 * 6 / 10,
+		Memory:  memory * 6 / 10,
+		GC:      200,
 	}
+	// Callers that read nothing and set-ups that stay open hold no more than a quarter of the memory each.
+	l.ServerLink = l.Link
+	l.Link.Outbox = min(l.Link.Outbox, max(int(memory/4)/callers, 2*message))
+	l.Core.OpenBytes = int(memory / 4)
 	if l.Dial <= 0 {
 		l.Dial = 500 * time.Millisecond
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -33,6 +33,7 @@
 type call struct {
 	SetUp
 	cid      elmseam.CallID
+	size     int // bytes it keeps
 	front    Front
 	deadline Time
 	orphan   bool // its caller's connection has ended
@@ -78,6 +79,7 @@
 	calls    map[ID]*call
 	byCID    map[elmseam.CallID]*call
 	open     int // set-ups with no final answer
+	bytes    int // that calls keep
 	lastCID  elmseam.CallID
 	servers  map[string]*server
 	byID     map[elmseam.ServerID]*server
@@ -237,18 +239,20 @@
 		return
 	}
 	left := ev.Left - (c.now - ev.At) - c.limits.AnswerMargin
-	if ev.Class < 0 || left <= 0 || c.open >= c.limits.MaxOpen {
-		why := Congested
-		if ev.Class < 0 {
-			why = Unsupported
-		}
-		c.do(Rejected{To: ev.From, ID: ev.ID, Reason: why})
+	size := len(ev.Desc) + len(ev.Key)
+	switch {
+	case ev.Class < 0:
+		c.do(Rejected{To: ev.From, ID: ev.ID, Reason: Unsupported})
+		return
+	case left <= 0 || c.open >= c.limits.MaxOpen || c.bytes+size > c.limits.OpenBytes:
+		c.do(Rejected{To: ev.From, ID: ev.ID, Reason: Congested, RetryAfter: c.limits.RetryHint})
 		return
 	}
 	c.lastCID++
-	k := &call{SetUp: ev, cid: c.lastCID, front: c.callers[ev.From], deadline: c.now + left}
+	k := &call{SetUp: ev, size: size, cid: c.lastCID, front: c.callers[ev.From], deadline: c.now + left}
 	c.calls[k.ID], c.byCID[k.cid] = k, k
 	c.open++
+	c.bytes += size
 	c.timer(k.deadline, Token{kind: tokenDeadline, call: k.ID, number: uint32(k.cid)})
 	c.tell(elmseam.Arrival{
 		Call: k.cid, Class: ev.Class, Number: ev.Number, Cell: ev.Cell, Cut: ev.Cut,
@@ -292,6 +296,7 @@
 	if c.calls[k.ID] != k {
 		return
 	}
+	c.bytes -= k.size
 	delete(c.calls, k.ID)
 	delete(c.byCID, k.cid)
 	c.ended[k.ID] = c.now
@@ -413,6 +418,9 @@
 	k.out = nil
 	delete(s.out, k.ID)
 	k.stands, k.desc, k.answered = s, ev.Desc, true
+	c.bytes += len(ev.Desc) - len(k.SetUp.Desc)
+	k.size += len(ev.Desc) - len(k.SetUp.Desc)
+	k.SetUp.Desc = nil
 	s.standing[k.ID] = k
 	c.open--
 	c.do(Answered{To: k.From, ID: k.ID, Desc: ev.Desc})
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -27,7 +27,7 @@
 		TipMultiple: 2.5, TipAfter: time.Second,
 	}, 1, Limits{
 		AnswerMargin: 15 * ms, Rebind: 100 * ms, RedialLeast: 100 * ms, RedialMost: 500 * ms,
-		ServerLost: 6 * time.Second, StopGrace: 700 * ms, StopMost: 9 * time.Second, MaxOpen: 100, Remember: time.Minute,
+		ServerLost: 6 * time.Second, StopGrace: 700 * ms, StopMost: 9 * time.Second, MaxOpen: 100, OpenBytes: 100, Remember: time.Minute,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -232,3 +232,20 @@
 	r.step(Written{Server: "a", ID: 7})
 	r.want(r.step(ServerEnd{Server: "a", ID: 7, Reason: Reset}), "")
 }
+
+// Large descriptions of many open calls cost no more memory than there is: the next call is refused.
+func TestOpenCallsKeepWithinMemory(t *testing.T) {
+	r := newRig(t)
+	big := SetUp{ID: 1, From: 1, Left: 5 * time.Second, At: r.now, Desc: make([]byte, 80)}
+	r.want(r.step(big), "offer1@10 ")
+	big.ID = 2
+	r.want(r.step(big), "rejected2@1 ")
+	r.step(ServerAnswer{Server: "a", ID: 1, Desc: make([]byte, 10)}) // what has been passed on is not kept
+	big.ID = 3
+	r.want(r.step(big), "offer3@10 ")
+	r.step(ServerEnd{Server: "a", ID: 1})
+	r.step(ServerEnd{Server: "a", ID: 3, Reason: Reset})
+	if r.pass(10 * time.Second); r.c.bytes != 0 {
+		t.Errorf("%d bytes kept for no call", r.c.bytes)
+	}
+}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -265,5 +265,7 @@
 	StopGrace    time.Duration // callers may still come for this long after a Stop
 	StopMost     time.Duration // and standing calls are waited for this long
 	MaxOpen      int           // set-ups open at once
+	OpenBytes    int           // that calls in hand may keep
+	RetryHint    time.Duration // told with a refusal for want of room
 	Remember     time.Duration // a call that is over is remembered for so long
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -57,20 +57,21 @@
 }
 
 // List translates a command. Cached says that it was held from before the start; front tells which front
-// reaches a server.
-func (c Command) List(front func(name string) core.Front, cached bool) (core.List, error) {
-	l := core.List{Source: Source, Full: c.Nodes.Snapshot, Cached: cached}
+// reaches a server. An entry that makes no sense is left out, and an error names it.
+func (c Command) List(front func(name string) core.Front, cached bool) (l core.List, err error) {
+	l = core.List{Source: Source, Full: c.Nodes.Snapshot, Cached: cached}
 	for _, e := range c.Nodes.Endpoints {
 		phase, known := states[e.Status]
 		if !known || e.Name == "" {
-			return l, fmt.Errorf("endpoint %q: unknown status %q", e.Name, e.Status)
+			err = fmt.Errorf("endpoint %q: unknown status %q", e.Name, e.Status)
+			continue
 		}
 		l.Servers = append(l.Servers, core.Server{
 			Name: e.Name, Address: e.Address, Front: front(e.Name), Cell: e.Group, Phase: phase,
 			Started: time.Duration(e.Since) * time.Millisecond,
 		})
 	}
-	return l, nil
+	return l, err
 }
 
 // Feed follows one channel.
@@ -157,8 +158,7 @@
 	f.Cursor = c.Cursor
 	list, err := c.List(f.Front, false)
 	if err != nil {
-		f.Log.Warn().Err(err).Int64("cursor", c.Cursor).Msg("event passed over")
-		return nil
+		f.Log.Warn().Err(err).Int64("cursor", c.Cursor).Msg("entry passed over")
 	}
 	f.Post(list)
 	return nil
--- a/internal/m3ua/front.go
+++ b/internal/m3ua/front.go
@@ -85,9 +85,11 @@
 	Classes []string        // in the order of the settings
 	Waits   []time.Duration // how long a caller of each class waits: ISUP doesn't say
 	Report  []elmseam.Figure
-	Link    link.Limits
+	Link    link.Limits   // of a caller's connection
 	Dial    time.Duration // to connect to a server and be active there
-	Callers int           // connections of callers at once
+
+	ServerLink link.Limits
+	Callers    int // connections of callers at once
 }
 
 // M3UA is the front.
--- a/internal/m3ua/m3ua_test.go
+++ b/internal/m3ua/m3ua_test.go
@@ -124,7 +124,7 @@
 		Report: []elmseam.Figure{elmseam.FigureShare},
 	}
 	c, err := core.New(set, 1, core.Limits{AnswerMargin: 15 * time.Millisecond, Rebind: 100 * time.Millisecond,
-		RedialLeast: time.Millisecond, RedialMost: time.Millisecond, ServerLost: time.Minute, MaxOpen: 10000, Remember: time.Minute})
+		RedialLeast: time.Millisecond, RedialMost: time.Millisecond, ServerLost: time.Minute, MaxOpen: 10000, OpenBytes: 1 << 20, Remember: time.Minute})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -140,12 +140,12 @@
 	file.PointCode, file.Network, file.RoutingContext, file.HeartbeatMS = ownPC, 2, 1, 1000
 	file.Circuits, file.Categories, file.Cells = 512, map[string]int{"voice": 10}, map[string]int{"100": 0}
 	m, err = New(Config{File: file, Classes: []string{"voice"}, Waits: []time.Duration{5 * time.Second}, Report: set.Report,
-		Link: testLink, Dial: time.Second, Callers: 8}, l, zerolog.Nop())
+		Link: testLink, ServerLink: testLink, Dial: time.Second, Callers: 8}, l, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
 	l.Dialer(Front, m.Dial)
-	p := platform.New(platform.Config{Classes: []string{"voice"}, Link: testLink, Dial: time.Second, Callers: 8}, l, zerolog.Nop())
+	p := platform.New(platform.Config{Classes: []string{"voice"}, Link: testLink, ServerLink: testLink, Dial: time.Second, Callers: 8}, l, zerolog.Nop())
 	l.Dialer(platform.Front, p.Dial)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
--- a/internal/m3ua/server.go
+++ b/internal/m3ua/server.go
@@ -130,14 +130,18 @@
 
 // Dial makes a connection to a server, becomes active there and reads it to its end. It is a loop.Dialer.
 func (m *M3UA) Dial(e core.Dial) {
-	conn, err := net.DialTimeout("tcp", e.Address, m.Config.Dial)
 	t := m.trunks[e.Server]
-	if err != nil || t == nil {
+	if t == nil {
+		m.loop.Post(core.ServerDown{Server: e.Server})
+		return
+	}
+	conn, err := net.DialTimeout("tcp", e.Address, m.Config.Dial)
+	if err != nil {
 		m.loop.Post(core.ServerDown{Server: e.Server})
 		return
 	}
 	defer conn.Close()
-	s := &server{session: session{m: m, conn: conn, out: link.NewOutbox(conn, m.Link)}, name: e.Server, trunk: t, up: make(chan struct{})}
+	s := &server{session: session{m: m, conn: conn, out: link.NewOutbox(conn, m.ServerLink)}, name: e.Server, trunk: t, up: make(chan struct{})}
 	s.handle = func(msg message, at core.Time) error { return s.take(msg, e.Address) }
 	s.send(msgASPUP)
 	late := time.AfterFunc(m.Config.Dial, func() {
--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -119,11 +119,13 @@
 
 // Config is what the front is told.
 type Config struct {
-	Classes []string // in the order of the settings
-	Columns []string // of a load report
-	Link    link.Limits
+	Classes []string      // in the order of the settings
+	Columns []string      // of a load report
+	Link    link.Limits   // of a caller's connection
 	Dial    time.Duration // longest time to make a connection to a server
-	Callers int           // connections of callers at once
+
+	ServerLink link.Limits
+	Callers    int // connections of callers at once
 }
 
 // Platform is the front.
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -38,14 +38,15 @@
 		Classes: []elmseam.Class{{Deadline: 9 * time.Second, Worth: 1}}, MaxAttempts: 4, OwnCell: -1,
 		ReleaseGuard: 50 * time.Millisecond, MaxRetryAfter: 2 * time.Second,
 	}, 1, core.Limits{Rebind: 100 * time.Millisecond, RedialLeast: time.Millisecond, RedialMost: time.Millisecond,
-		ServerLost: time.Minute, MaxOpen: 100, Remember: time.Minute})
+		ServerLost: time.Minute, MaxOpen: 100, OpenBytes: 1 << 20, Remember: time.Minute})
 	if err != nil {
 		t.Fatal(err)
 	}
 	l := loop.New(c, 64, func(core.Effect) {}, zerolog.Nop())
+	limits := link.Limits{ReadFirst: 64, Message: 16 << 10, Outbox: 1 << 20, WriteStall: time.Second, Stuck: 50 * time.Millisecond}
 	p := New(Config{
 		Classes: []string{"voice"}, Columns: []string{"spare", "cut_by"}, Dial: time.Second, Callers: 8,
-		Link: link.Limits{ReadFirst: 64, Message: 16 << 10, Outbox: 1 << 20, WriteStall: time.Second, Stuck: 50 * time.Millisecond},
+		Link: limits, ServerLink: limits,
 	}, l, zerolog.Nop())
 	l.Dialer(Front, p.Dial)
 	s := &story{T: t, loop: l, server: listen(t)}
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -79,7 +79,7 @@
 		return
 	}
 	defer conn.Close()
-	s := &server{p: p, name: e.Server, link: p.loop.NewLink(), out: link.NewOutbox(conn, p.Link)}
+	s := &server{p: p, name: e.Server, link: p.loop.NewLink(), out: link.NewOutbox(conn, p.ServerLink)}
 	p.loop.Attach(s.link, s, core.ServerUp{Server: e.Server, Address: e.Address, Link: s.link})
 	err = s.read(conn)
 	p.log.Info().Err(err).Str("server", e.Server).Msg("connection to server ended")
@@ -88,7 +88,7 @@
 
 // read takes in a server's lines.
 func (s *server) read(conn net.Conn) error {
-	in := link.NewBuffer(s.p.Link.ReadFirst, s.p.Link.Message)
+	in := link.NewBuffer(s.p.ServerLink.ReadFirst, s.p.ServerLink.Message)
 	for {
 		if err := in.Fill(conn); err != nil {
 			return err
