Try a server again that tells no lines; answer DAUD, reset circuits on RSC

Seen: a test of circuit resets over M3UA, put behind a refusal with cause 34, got no IAM at all any more. Checked: the core offered nothing; the module's share for the server was 1. Line at fault: outcome's 'case CauseFull: s.lines = 1', which only a report of free lines lifts, and M3UA servers send none: one 'no circuit' barred a server for good. Ruled out: a full cut with trials (its budget is too small at a low rate: a try took more than 6 s to come). Now such a server is held back for the second that 'short of lines' lasts, and lines are set only where they are told. DAUD is answered with DAVA or DUNA; RSC frees a circuit from either side, as after a restart.

--- a/controller.go
+++ b/controller.go
@@ -576,7 +576,7 @@
 // lines again that its own calls have freed, the last of them for calls of great worth, and tries for others
 // the less the fewer they are: one just back has none of its own.
 func (c *Controller) linePasses(s *server, k *call) bool {
-	few := s.free / (fewLines * s.size)
+	few := s.free / max(fewLines*s.size, 1)
 	if c.now >= s.short || few >= 1 {
 		return true
 	}
@@ -871,7 +871,9 @@
 		case ev.Cause == CauseFull && ev.Refusal == RefusalProcessor, ev.Cause == CauseUnreachable:
 			c.cut(s, ev.Wait)
 		case ev.Cause == CauseFull:
-			s.lines, s.short = 1, c.now+shortHold
+			if s.short = c.now + shortHold; s.size > 0 { // else no report will tell of a free line
+				s.lines = 1
+			}
 		}
 	}
 	if k == nil {
--- a/controller_test.go
+++ b/controller_test.go
@@ -1125,3 +1125,17 @@
 		t.Errorf("%d of 20 calls go to a server that is short no more", n)
 	}
 }
+
+// A server that tells no lines and turns a call away for want of one is tried again after a moment: on M3UA, where
+// no report tells of a free line, one such refusal kept it out for good.
+func TestServerWithoutLinesToldIsTriedAgain(t *testing.T) {
+	b := newBench(t, settings(), 1)
+	id, _ := b.call(1)
+	b.on(Outcome{Call: id, Server: 1, Cause: CauseFull})
+	if _, acts := b.call(1); !refused(acts) {
+		t.Errorf("right after the refusal: %v", acts)
+	}
+	b.pass(shortHold)
+	b.want("after a moment", b.answered(1, 20*ms), 1)
+	b.want("when that stood", b.answered(1, 20*ms), 1)
+}
--- a/internal/m3ua/caller.go
+++ b/internal/m3ua/caller.go
@@ -86,6 +86,13 @@
 		c.deactivate()
 		c.send(msgASPIAACK, context)
 		c.send(msgNTFY, number32(tagStatus, statusASInactive), context)
+	case msgDAUD:
+		if !c.active {
+			return unknown(msg.kind)
+		}
+		c.m.mu.Lock()
+		c.available(c.m.serving)
+		c.m.mu.Unlock()
 	case msgDATA:
 		if !c.active {
 			return unknown(msg.kind)
@@ -138,7 +145,7 @@
 	switch k.kind {
 	case isupIAM:
 		c.setUp(ci, k, at)
-	case isupREL:
+	case isupREL, isupRSC: // after a restart, a client resets its circuits
 		c.reply(ci.back(), call{kind: isupRLC})
 		if id, there := c.m.free(ci); there {
 			c.m.loop.Post(core.CallerEnd{ID: id, From: c.link})
--- a/internal/m3ua/front.go
+++ b/internal/m3ua/front.go
@@ -253,7 +253,7 @@
 		}
 		s.send(msgBEATACK, back...)
 		return nil
-	case msgBEATACK, msgDUPU, msgDRST, msgDAUD:
+	case msgBEATACK, msgDUPU, msgDRST:
 		return nil
 	case msgERR:
 		code, _ := msg.number(tagErrorCode)
--- a/internal/m3ua/isup.go
+++ b/internal/m3ua/isup.go
@@ -15,6 +15,7 @@
 	isupANM = 0x09
 	isupREL = 0x0c
 	isupRLC = 0x10
+	isupRSC = 0x12
 )
 
 // Optional parameters.
@@ -65,6 +66,8 @@
 		p = p[2:]
 	case isupREL:
 		variable = true
+	case isupRSC:
+		return c, nil
 	case isupANM, isupRLC:
 	default:
 		return broken("unknown type")
@@ -176,7 +179,7 @@
 	if part != nil {
 		b = append(b, 2, opt, byte(len(part)))
 		b = append(b, part...)
-	} else {
+	} else if c.kind != isupRSC {
 		b = append(b, opt)
 	}
 	for desc := c.desc; len(desc) > 0; {
--- a/internal/m3ua/m3ua_test.go
+++ b/internal/m3ua/m3ua_test.go
@@ -255,6 +255,21 @@
 		t.Errorf("released with cause %d, want 41", k.cause)
 	}
 	c.isup(ci, call{kind: isupRLC})
+	c.isup(ci, call{kind: isupIAM, category: 10, digits: "38593"}) // both sides reset circuits after a restart
+	out, _ = s.untilISUP(t, isupIAM)
+	s.isup(out.back(), call{kind: isupANM})
+	c.untilISUP(t, isupANM)
+	s.isup(out.back(), call{kind: isupRSC})
+	if _, k := c.untilISUP(t, isupREL); k.cause != 41 {
+		t.Errorf("cut by a circuit reset with cause %d, want 41", k.cause)
+	}
+	c.isup(ci, call{kind: isupIAM, category: 10, digits: "38594"})
+	s.untilISUP(t, isupIAM)
+	c.isup(ci, call{kind: isupRSC})
+	c.untilISUP(t, isupRLC)
+	if _, k := s.untilISUP(t, isupREL); k.cause != 16 {
+		t.Errorf("set-up given up with cause %d, want 16", k.cause)
+	}
 	c.isup(ci, call{kind: isupIAM, category: 10, digits: "38592"}) // the server is full, and there is no other
 	out, _ = s.untilISUP(t, isupIAM)
 	s.isup(out.back(), call{kind: isupREL, cause: 34})
@@ -321,6 +336,8 @@
 		s.isup(out.back(), call{kind: isupANM})
 		c.untilISUP(t, isupANM)
 	}
+	c.put(build(msgDAUD, number32(tagAffectedPC, ownPC)))
+	c.until(t, msgDAVA)
 	c.put(build(msgASPIA))
 	c.until(t, msgASPIAACK)
 	c.isup(circuit{clientPC, ownPC, 9}, iam)
--- a/internal/m3ua/server.go
+++ b/internal/m3ua/server.go
@@ -270,7 +270,7 @@
 			s.trunk.move(id, standing, calling)
 			s.m.loop.Post(core.ServerAnswer{Server: s.name, ID: id, Desc: k.desc})
 		}
-	case isupREL:
+	case isupREL, isupRSC: // a circuit reset has no cause: the call on it is cut
 		id, there := s.trunk.call(ci.cic, calling, standing)
 		s.trunk.cleared(ci.cic)
 		s.write(ci.cic, call{kind: isupRLC}, nil)
