--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -249,3 +249,52 @@
 		t.Errorf("%d bytes kept for no call", r.c.bytes)
 	}
 }
+
+// The core's guards hold whatever the module decides: here the sends are not its own, and break the rules.
+func TestGuardsHoldAgainstTheModule(t *testing.T) {
+	r := newRig(t)
+	newCall := func(id ID) *call {
+		k := &call{SetUp: SetUp{ID: id, From: 1}, cid: elmseam.CallID(1000 + id), deadline: r.now + 5*time.Second}
+		r.c.calls[id], r.c.byCID[k.cid] = k, k
+		return k
+	}
+	send := func(k *call, server string) (said string) {
+		r.c.out = nil
+		r.c.send(k, elmseam.Send{Server: r.c.servers[server].id})
+		for _, e := range r.c.out {
+			switch e := e.(type) {
+			case Offer:
+				said += "offer "
+			case Broken:
+				said += "held "
+			case Timer:
+				r.due = append(r.due, e)
+			}
+		}
+		return said
+	}
+	k := newCall(1)
+	r.want(send(k, "a"), "offer ")
+	r.want(send(k, "b"), "held ") // one is out
+	r.step(ServerDown{Server: "a", Link: 10})
+	r.want(send(k, "b"), "") // within the gap: it waits
+	r.want(r.pass(199*ms), "")
+	r.want(r.pass(2*ms), "offer1@11 ")
+	r.step(ServerUp{Server: "a", Address: "a:1", Link: 12})
+	r.c.servers["a"].told = elmseam.Draining
+	k = newCall(2)
+	if r.want(send(k, "a"), ""); k.out != nil {
+		t.Error("a send to a server that drains waits for something")
+	}
+	k = newCall(3)
+	k.sends = r.c.most
+	if r.want(send(k, "b"), ""); k.out != nil {
+		t.Error("an attempt too many waits for something")
+	}
+	k = newCall(4)
+	k.answered = true
+	r.want(send(k, "b"), "held ")
+	k = newCall(5)
+	r.now = k.deadline
+	r.want(send(k, "b"), "")
+}
--- /dev/null
+++ b/internal/core/random_test.go
@@ -0,0 +1,216 @@
+package core
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"elmseam"
+)
+
+// The rules hold whatever happens in whatever order: thousands of calls under random answers, resets, drains,
+// restarts, give-ups, closed callers and ends that are written late. What goes out is held against a model that
+// knows the rules only.
+func TestRulesUnderRandomEvents(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(7, 7))
+	r := newRig(t)
+	r.c.limits.OpenBytes = 1 << 20
+	type model struct {
+		out      string // server that has an attempt
+		ending   bool   // its end is not written
+		attempts int
+		finals   int
+		gone     bool
+		badEnd   Time // of the last attempt that was reset, cancelled or timed out
+		stands   string
+		over     bool
+	}
+	calls := make(map[ID]*model)
+	live := []ID{}
+	links := map[Link]string{10: "a", 11: "b"}
+	up := map[string]Link{"a": 10, "b": 11}
+	ready := map[string]elmseam.Phase{"a": elmseam.Ready, "b": elmseam.Ready}
+	var dialed []string
+	type key struct {
+		server string
+		id     ID
+	}
+	var unwritten []key
+	next, nextLink := ID(0), Link(100)
+	var caller Link = 1
+	fail := func(id ID, what string) { t.Fatalf("call %d: %s: %+v", id, what, calls[id]) }
+	lose := func(name string) { // a connection is no more: what is out on it is over
+		delete(links, up[name])
+		delete(up, name)
+		for _, m := range calls {
+			if m.out == name {
+				m.out, m.ending, m.badEnd = "", false, r.now
+			}
+		}
+	}
+	step := func(ev Event) {
+		for _, e := range r.c.Step(r.now, ev) {
+			switch e := e.(type) {
+			case Timer:
+				r.due = append(r.due, e)
+			case Dial:
+				dialed = append(dialed, e.Server)
+			case Hangup:
+				if name, there := links[e.To]; there {
+					lose(name)
+				}
+			case Offer:
+				m, name := calls[e.ID], links[e.To]
+				switch {
+				case name == "":
+					fail(e.ID, "offered on a connection that is no more")
+				case m.out != "":
+					fail(e.ID, "second attempt out")
+				case ready[name] != elmseam.Ready:
+					fail(e.ID, "sent to a server that drains or is gone")
+				case m.badEnd != 0 && r.now < m.badEnd+r.c.guard:
+					fail(e.ID, "sent within the release gap")
+				case m.finals > 0 || m.gone:
+					fail(e.ID, "sent after its end")
+				}
+				if m.out = name; m.attempts == 4 {
+					fail(e.ID, "a fifth attempt")
+				}
+				m.attempts++
+			case End:
+				if m, name := calls[e.ID], links[e.To]; m != nil && name != "" && m.out == name {
+					if m.ending = true; e.Tell {
+						unwritten = append(unwritten, key{name, e.ID})
+					} else {
+						m.out, m.ending = "", false
+					}
+				}
+			case Answered:
+				m := calls[e.ID]
+				if m.finals++; m.stands == "" || m.finals > 1 {
+					fail(e.ID, "answered, and never or twice")
+				}
+			case Rejected:
+				m := calls[e.ID]
+				if m.finals++; m.finals > 1 || m.gone {
+					fail(e.ID, "refused after its end")
+				}
+			case Dropped:
+				calls[e.ID].gone = true
+			case Released:
+				if m := calls[e.ID]; m != nil && (m.stands == "" || m.over) {
+					fail(e.ID, "released, but never stood or twice")
+				} else if m != nil {
+					m.over = true
+				}
+			case Broken:
+				fail(e.ID, e.Rule)
+			}
+		}
+	}
+	stood := 0
+	for range 60000 {
+		r.now += time.Duration(rnd.IntN(8)) * ms
+		for i := 0; i < len(r.due); {
+			if d := r.due[i]; d.At <= r.now {
+				r.due = append(r.due[:i], r.due[i+1:]...)
+				step(Due{Token: d.Token})
+				i = 0
+			} else {
+				i++
+			}
+		}
+		name := []string{"a", "b"}[rnd.IntN(2)]
+		var id ID
+		if len(live) > 0 {
+			id = live[max(0, len(live)-1-rnd.IntN(30))]
+		}
+		m := calls[id]
+		switch rnd.IntN(24) {
+		case 0, 1, 2, 3, 4:
+			next++
+			calls[next] = &model{}
+			live = append(live, next)
+			step(SetUp{ID: next, From: caller, Cell: rnd.IntN(2), Left: time.Duration(50+rnd.IntN(4000)) * ms, At: r.now})
+		case 5, 6, 7, 8, 9, 10, 11, 12: // the server answers what is out
+			if m != nil && m.out != "" {
+				server := m.out
+				if !m.ending {
+					m.out, m.stands = "", server
+					stood++
+				}
+				step(ServerAnswer{Server: server, ID: id})
+			}
+		case 13:
+			if m != nil && m.out != "" && !m.ending {
+				server := m.out
+				m.out = ""
+				step(ServerEnd{Server: server, ID: id, Reason: []Reason{Full, Busy, Unsent}[rnd.IntN(3)]})
+			}
+		case 14, 15:
+			if m != nil && m.stands != "" && !m.over && up[m.stands] != 0 {
+				step(ServerEnd{Server: m.stands, ID: id, Reason: Normal})
+			}
+		case 16:
+			if m != nil && !m.gone && !m.over {
+				m.gone, m.over = m.stands == "", m.stands != ""
+				step(CallerEnd{ID: id, From: caller})
+			}
+		case 17:
+			if l := up[name]; l != 0 && rnd.IntN(20) == 0 {
+				lose(name)
+				step(ServerDown{Server: name, Link: l})
+			}
+		case 18, 19: // a dial ends
+			if len(dialed) > 0 {
+				server := dialed[0]
+				dialed = dialed[1:]
+				if rnd.IntN(10) == 0 {
+					step(ServerDown{Server: server})
+				} else {
+					nextLink++
+					links[nextLink], up[server] = server, nextLink
+					step(ServerUp{Server: server, Address: server + ":1", Link: nextLink})
+				}
+			}
+		case 20:
+			if rnd.IntN(4) == 0 {
+				ready[name] = []elmseam.Phase{elmseam.Ready, elmseam.Ready, elmseam.Ready, elmseam.Ready, elmseam.Draining, elmseam.Gone}[rnd.IntN(6)]
+				step(List{Servers: []Server{{Name: name, Address: name + ":1", Cell: int(name[0] - 'a'), Phase: ready[name]}}})
+			}
+		case 21, 22: // an end is written at last
+			if len(unwritten) > 0 {
+				k := unwritten[0]
+				unwritten = unwritten[1:]
+				if m := calls[k.id]; m.out == k.server && m.ending {
+					m.out, m.ending, m.badEnd = "", false, r.now
+				}
+				step(Written{Server: k.server, ID: k.id})
+			}
+		case 23:
+			if rnd.IntN(20) == 0 {
+				old := caller
+				nextLink++
+				caller = nextLink
+				step(CallerDown{Link: old})
+				step(CallerUp{Link: caller, Front: "f"})
+			}
+		}
+	}
+	for range 100 { // all that is owed comes out in the end
+		r.now += time.Second
+		for _, d := range r.due {
+			step(Due{Token: d.Token})
+		}
+		r.due = nil
+	}
+	for id, m := range calls {
+		if m.finals == 0 && !m.gone && m.stands == "" {
+			fail(id, "no final answer")
+		}
+	}
+	t.Logf("%d calls, %d stood", next, stood)
+	if next < 5000 || stood < 500 {
+		t.Error("the test has not met its case")
+	}
+}
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,86 @@
+package link
+
+import (
+	"bytes"
+	"errors"
+	"net"
+	"testing"
+	"time"
+)
+
+// A peer reads nothing: whoever posts never waits. Offers that have not been begun can be taken back, one by one or
+// all where new work has to stop; and since some may be in the write that is stuck, the connection is closed then, so
+// that the peer doesn't get them late.
+func TestStalledPeer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	o := NewOutbox(conn, Limits{ReadFirst: 1 << 10, Outbox: 64 << 20, WriteStall: time.Minute, Stuck: time.Millisecond})
+	stalled := func() bool {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		return !o.began.IsZero() && time.Since(o.began) > 100*time.Millisecond
+	}
+	for !stalled() { // fill what the machine buffers
+		if o.waiting() < 32<<20 {
+			o.Post(Item{Data: make([]byte, 64<<10)})
+		}
+		time.Sleep(time.Millisecond)
+	}
+	for id := uint64(1); id <= 3; id++ {
+		o.Post(Item{Data: []byte("offer"), ID: id, Offer: true, Until: time.Now().Add(time.Minute)})
+	}
+	if !o.TakeBack(2) || o.TakeBack(2) {
+		t.Error("an offer that has not begun is taken back once")
+	}
+	if ids := o.Withdraw(); len(ids) != 2 || ids[0] != 1 || ids[1] != 3 {
+		t.Errorf("withdrawn %v, want 1 and 3", ids)
+	}
+	if err := conn.SetDeadline(time.Time{}); !errors.Is(err, net.ErrClosed) {
+		t.Error("the connection with a stuck write is still open")
+	}
+}
+
+// An offer whose time is over when its turn comes is not written.
+func TestLapsedOffer(t *testing.T) {
+	a, b := net.Pipe()
+	defer b.Close()
+	o := NewOutbox(a, Limits{ReadFirst: 1 << 10, Outbox: 1 << 10, WriteStall: time.Minute})
+	lapsed := make(chan bool, 1)
+	o.Post(Item{Data: []byte("late"), Offer: true, Until: time.Now().Add(-time.Second), Lapse: func() { lapsed <- true }})
+	o.Post(Item{Data: []byte("next")})
+	in := NewBuffer(1, 8) // grows from one byte, is compacted in place
+	for !bytes.Equal(in.Bytes(), []byte("next")) {
+		if err := in.Fill(b); err != nil {
+			t.Fatalf("%q: %v", in.Bytes(), err)
+		}
+	}
+	<-lapsed
+	in.Skip(3)
+	o.Post(Item{Data: []byte("1234567")})
+	for len(in.Bytes()) < 8 {
+		if err := in.Fill(b); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := in.Fill(b); err != ErrTooLong {
+		t.Errorf("past the limit: %v", err)
+	}
+}
+
+func (o *Outbox) waiting() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.bytes
+}
