--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -295,6 +295,6 @@
 	k.answered = true
 	r.want(send(k, "b"), "held ")
 	k = newCall(5)
-	r.now = k.deadline
+	r.c.now = k.deadline
 	r.want(send(k, "b"), "")
 }
