BGP: an End-of-RIB withdraws what a returning peer no longer announces

Reckoned: a server whose address was withdrawn while the session was down stayed in use for good, as routes of an ended session are kept. An empty UPDATE now counts as the peer's whole word (RFC 4724); what it announced before and not in this session is withdrawn. Tested against the stand-in peer.

--- a/internal/bgp/bgp_test.go
+++ b/internal/bgp/bgp_test.go
@@ -132,6 +132,16 @@
 	if ev := (<-events).(core.Route); ev.Up {
 		t.Errorf("second event %+v, want the withdrawal", ev)
 	}
+	n.Write(announcement(p, next, 64513, true, true))
+	if ev := (<-events).(core.Route); !ev.Up {
+		t.Errorf("third event %+v, want the route back", ev)
+	}
+	n.Close() // a peer that comes back without it, and says that this is all, has withdrawn it
+	n = accept(t, l, 90)
+	n.Write(build(msgUpdate, []byte{0, 0, 0, 0}))
+	if ev := (<-events).(core.Route); ev.Up {
+		t.Errorf("fourth event %+v, want the withdrawal", ev)
+	}
 }
 
 // A silent peer is left when the hold timer expires, with a NOTIFICATION; KEEPALIVEs go out meanwhile. What is
--- a/internal/bgp/message.go
+++ b/internal/bgp/message.go
@@ -164,11 +164,15 @@
 }
 
 // update is an UPDATE, as far as it concerns this speaker.
-type update struct{ withdrawn, announced []netip.Prefix }
+type update struct {
+	withdrawn, announced []netip.Prefix
+	whole                bool // an End-of-RIB (RFC 4724): the peer has told all that it has
+}
 
 // parseUpdate reads an UPDATE.
 func parseUpdate(b []byte) (u update, err error) {
 	short := &fault{errAttributes, "an UPDATE is cut short"}
+	u.whole = len(b) == 4
 	n := int(binary.BigEndian.Uint16(b))
 	if len(b) < 2+n+2 {
 		return u, short
--- a/internal/bgp/speaker.go
+++ b/internal/bgp/speaker.go
@@ -139,6 +139,7 @@
 	out      *link.Outbox
 	external bool
 	wide     bool
+	heard    map[netip.Prefix]bool // announced in this session
 }
 
 // announce must be called with the speaker's lock held.
@@ -160,7 +161,8 @@
 	}
 	defer conn.Close()
 	ses := &session{
-		s: s, peer: p, conn: conn, out: link.NewOutbox(conn, s.limits.Link), external: p.AS != s.as}
+		s: s, peer: p, conn: conn, out: link.NewOutbox(conn, s.limits.Link), external: p.AS != s.as,
+		heard: make(map[netip.Prefix]bool)}
 	defer context.AfterFunc(ctx, func() { ses.notify(errCease) })()
 	ses.out.Post(link.Item{Data: open{s.as, s.hold, s.id}.build()})
 	up, err = ses.read()
@@ -270,17 +272,26 @@
 
 // update takes in what a peer says of addresses. One is gone when the last peer that announced it has
 // withdrawn it; one that no peer ever spoke of is none of BGP's business. What a peer told is kept when its
-// session ends: only its word counts as a withdrawal.
+// session ends: only its word counts as a withdrawal, or that it has told all and this was not among it.
 func (ses *session) update(u update) error {
 	s := ses.s
 	s.telling.Lock()
 	defer s.telling.Unlock()
+	if u.whole {
+		for p := range s.routes {
+			if !ses.heard[p] {
+				u.withdrawn = append(u.withdrawn, p)
+			}
+		}
+	}
 	for _, p := range u.withdrawn {
+		delete(ses.heard, p)
 		if s.change(p, ses.peer.Address, false) {
 			s.tell(p, false)
 		}
 	}
 	for _, p := range u.announced {
+		ses.heard[p] = true
 		if s.change(p, ses.peer.Address, true) {
 			s.tell(p, true)
 		}
