M3UA: an old call's answer no longer reaches the next call on its circuit

Checked: the first odd line of the log is a call behind one that was given up; the rest follows from it, as the client doesn't release a call it doesn't know. Ruled out: ids (fresh for each call), the trunk. Lines at fault: callerSide.Carry looked the circuit up and wrote the ANM in two steps; a REL between them was answered by RLC first, so the ANM came behind it, on a circuit that had a new call. release() had the same gap. Now look-up and queueing are one step under the front's lock, on both sides. Found by reading on: a server's RLC freed its circuit whatever its state, and a server's release that crossed ours freed it too early, so a late RLC could free a new call's circuit. Only a circuit that waits for RLC is freed by it now (TestReleasesCross).

--- a/internal/m3ua/caller.go
+++ b/internal/m3ua/caller.go
@@ -31,9 +31,8 @@
 // Dropped frees the circuit of a call whose caller will not be told of its end.
 func (m *M3UA) Dropped(id core.ID) {
 	m.mu.Lock()
-	ci, there := m.circuits[id]
-	m.mu.Unlock()
-	if there {
+	defer m.mu.Unlock()
+	if ci, there := m.circuits[id]; there {
 		m.free(ci)
 	}
 }
@@ -146,8 +145,11 @@
 	case isupIAM:
 		c.setUp(ci, k, at)
 	case isupREL, isupRSC: // after a restart, a client resets its circuits
+		c.m.mu.Lock()
+		id, there := c.m.free(ci)
 		c.reply(ci.back(), call{kind: isupRLC})
-		if id, there := c.m.free(ci); there {
+		c.m.mu.Unlock()
+		if there {
 			c.m.loop.Post(core.CallerEnd{ID: id, From: c.link})
 		}
 	case isupRLC: // the circuit was freed when it was released
@@ -182,10 +184,9 @@
 	c.m.loop.Post(ev)
 }
 
-// free frees a caller's circuit.
+// free frees a caller's circuit. The lock is held from here until what follows on the circuit is queued:
+// else the answer of a call given up could come behind the RLC, and pass for that of the next call.
 func (m *M3UA) free(ci circuit) (core.ID, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	id, there := m.inbound[ci]
 	if there {
 		delete(m.inbound, ci)
@@ -217,9 +218,8 @@
 	switch e := e.(type) {
 	case core.Answered:
 		m.mu.Lock()
-		ci, there := m.circuits[e.ID]
-		m.mu.Unlock()
-		if there {
+		defer m.mu.Unlock()
+		if ci, there := m.circuits[e.ID]; there {
 			s.c.reply(ci.back(), call{kind: isupANM, desc: e.Desc})
 		}
 	case core.Rejected:
@@ -233,9 +233,8 @@
 func (s *callerSide) release(id core.ID, k call) {
 	m := s.c.m
 	m.mu.Lock()
-	ci, there := m.circuits[id]
-	m.mu.Unlock()
-	if there {
+	defer m.mu.Unlock()
+	if ci, there := m.circuits[id]; there {
 		m.free(ci)
 		s.c.reply(ci.back(), k)
 	}
--- a/internal/m3ua/m3ua_test.go
+++ b/internal/m3ua/m3ua_test.go
@@ -544,7 +544,8 @@
 			for n := range each {
 				tag := fmt.Sprintf("%d-%d", i, n)
 				c.isup(ci, call{kind: isupIAM, category: 10, digits: "1", desc: []byte(tag)})
-				if rnd.IntN(50) == 0 { // the caller gives up; an answer may cross
+				if rnd.IntN(8) == 0 { // the caller gives up; an answer may cross
+					time.Sleep(time.Duration(rnd.IntN(2000)) * time.Microsecond)
 					c.isup(ci, call{kind: isupREL, cause: 16})
 					for finals := 0; ; {
 						k, ok := wait()
@@ -629,3 +630,24 @@
 		parseISUP(b)
 	})
 }
+
+// A server's release crosses ours: the circuit is free when both are confirmed, not before, and a late RLC
+// frees no circuit that a new call has taken.
+func TestReleasesCross(t *testing.T) {
+	tr := newTrunk(circuit{ownPC, 201, 0}, 1)
+	tr.take(1)
+	tr.move(1, releasing, calling)
+	if _, there := tr.cleared(0, calling, standing); there {
+		t.Error("the server's release frees a circuit whose release by us is on its way")
+	}
+	if _, ok := tr.take(2); ok {
+		t.Error("the circuit is taken before the server has confirmed")
+	}
+	tr.cleared(0, releasing)
+	if _, ok := tr.take(2); !ok {
+		t.Error("the circuit is not free after the confirmation")
+	}
+	if tr.cleared(0, releasing); len(tr.circuits) != 1 {
+		t.Error("a late confirmation frees the circuit of a new call")
+	}
+}
--- a/internal/m3ua/server.go
+++ b/internal/m3ua/server.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -91,13 +92,17 @@
 	return 0, false
 }
 
-// cleared frees a circuit that the server has released, or whose release it has heard.
-func (t *trunk) cleared(cic uint16) {
+// cleared frees a circuit if it is in one of the states, and says which call was on it. A release that crosses
+// ours leaves the circuit in use until the server has heard of ours too.
+func (t *trunk) cleared(cic uint16, from ...use) (core.ID, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if int(cic) < len(t.state) {
-		t.set(cic, free)
+	if int(cic) >= len(t.state) || !slices.Contains(from, t.state[cic]) {
+		return 0, false
 	}
+	id := t.ids[cic]
+	t.set(cic, free)
+	return id, true
 }
 
 // broken gives the set-ups up that were open on a connection, and returns all circuits whose release the
@@ -271,8 +276,7 @@
 			s.m.loop.Post(core.ServerAnswer{Server: s.name, ID: id, Desc: k.desc})
 		}
 	case isupREL, isupRSC: // a circuit reset has no cause: the call on it is cut
-		id, there := s.trunk.call(ci.cic, calling, standing)
-		s.trunk.cleared(ci.cic)
+		id, there := s.trunk.cleared(ci.cic, calling, standing)
 		s.write(ci.cic, call{kind: isupRLC}, nil)
 		if there {
 			s.m.loop.Post(core.ServerEnd{
@@ -280,7 +284,7 @@
 			})
 		}
 	case isupRLC:
-		s.trunk.cleared(ci.cic)
+		s.trunk.cleared(ci.cic, releasing)
 	default:
 		return &protocolError{errUnexpected, "an ISUP message that servers don't send", false}
 	}
