--- a/cmd/elmseam/main.go
+++ b/cmd/elmseam/main.go
@@ -35,6 +35,9 @@
 }
 
 func run() error {
+	// From the first instant on: a signal that nobody asked for ends a program.
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -43,11 +46,10 @@
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(cfg.Limits.Memory)
-	debug.SetGCPercent(cfg.Limits.GC)
 	log := zerolog.New(os.Stderr).Level(zerolog.InfoLevel).With().Timestamp().Str("node", cfg.Name).Logger()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	collect(cfg.Limits)
 
 	c, err := core.New(cfg.Settings, cfg.Seed, cfg.Limits.Core)
 	if err != nil {
@@ -71,10 +73,7 @@
 		}
 	}, log)
 
-	first := platform.New(platform.Config{
-		Classes: cfg.Node.Classes, Columns: cfg.Node.Columns, Link: cfg.Limits.Link, ServerLink: cfg.Limits.ServerLink,
-		Dial: cfg.Limits.Dial, Callers: cfg.Limits.Callers,
-	}, l, log)
+	first := platform.New(cfg.Platform(), l, log)
 	l.Dialer(platform.Front, first.Dial)
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
@@ -89,11 +88,7 @@
 	fronts := func(string) core.Front { return platform.Front }
 	var known []core.Event
 	if sig.Enabled {
-		second, err = m3ua.New(m3ua.Config{
-			File: sig.M3UA, Classes: cfg.Node.Classes, Waits: cfg.Node.Waits, Report: cfg.Settings.Report,
-			Link: cfg.Limits.Link, ServerLink: cfg.Limits.ServerLink, Dial: cfg.Limits.Dial,
-			Callers: cfg.Limits.Callers / 2,
-		}, l, log)
+		second, err = m3ua.New(cfg.M3UA(sig.M3UA), l, log)
 		if err != nil {
 			return fmt.Errorf("m3ua.%w", err)
 		}
@@ -119,20 +114,34 @@
 		}
 		speaking.Go(func() { speaker.Run(ctx) })
 	}
-	for i, cmd := range cfg.Known {
+	for _, cmd := range cfg.Known {
 		list, err := cmd.List(fronts, true)
 		if err != nil {
-			return fmt.Errorf("known.cmds[%d]: %w", i, err)
+			return err
 		}
 		known = append(known, list)
 	}
-	follow := &feed.Feed{
-		Address: cfg.Channel, Cursor: cfg.Cursor, Front: fronts, Limits: cfg.Limits.Feed, Post: l.Post, Log: log,
-	}
+	follow := &feed.Feed{Cursor: cfg.Cursor, Front: fronts, Limits: cfg.Limits.Feed, Post: l.Post, Log: log}
+	follow.Follow(cfg.Channel, nil)
 	serve = append(serve, func() { follow.Run(ctx) })
 
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	// reload takes in the configuration as it stands in its file now. With one that makes no sense nothing changes.
+	reload := func() {
+		next, err := config.Reload(os.Getenv, cfg)
+		if err != nil {
+			log.Error().Err(err).Msg("configuration not taken over")
+			return
+		}
+		if next.Listen != cfg.Listen || next.Name != cfg.Name {
+			log.Warn().Str("name", next.Name).Str("listen", next.Listen).Msg("name and listen change at a restart only")
+		}
+		cfg = next
+		collect(cfg.Limits)
+		first.Configure(cfg.Platform())
+		l.Post(core.Configured{Settings: cfg.Settings, Limits: cfg.Limits.Core})
+		follow.Follow(cfg.Channel, cfg.Known)
+		log.Info().Str("channel", cfg.Channel).Msg("configuration taken over")
+	}
 	go func() {
 		for _, ev := range known {
 			l.Post(ev)
@@ -140,10 +149,15 @@
 		for _, s := range serve {
 			go s()
 		}
-		<-signals
-		log.Info().Msg("stopping")
-		first.Stop()
-		l.Post(core.Stop{})
+		for s := range signals {
+			if s == syscall.SIGHUP {
+				reload()
+				continue
+			}
+			log.Info().Msg("stopping")
+			first.Stop()
+			l.Post(core.Stop{})
+		}
 	}()
 	log.Info().Str("listen", listener.Addr().String()).Msg("started")
 	l.Run(ctx)
@@ -151,6 +165,12 @@
 	return nil
 }
 
+// collect sets the garbage collector to the memory there is.
+func collect(l config.Limits) {
+	debug.SetMemoryLimit(l.Memory)
+	debug.SetGCPercent(l.GC)
+}
+
 // signalling reads the file of the second front. Without one there is only the first.
 func signalling() (config.Signalling, error) {
 	path, named := os.LookupEnv("ELMSEAM_SIGNALLING")
--- a/cmd/elmseam/main_test.go
+++ b/cmd/elmseam/main_test.go
@@ -39,6 +39,8 @@
 type program struct {
 	*testing.T
 	cmd     *exec.Cmd
+	config  string // its file
+	logged  chan string
 	listen  string
 	m3ua    string
 	channel net.Listener
@@ -47,15 +49,9 @@
 // start runs the program with the given servers known, and waits until it listens.
 func start(t *testing.T, signalling string, servers ...string) *program {
 	t.Helper()
-	p := &program{T: t, channel: listen(t)}
-	path := filepath.Join(t.TempDir(), "config.json")
-	text := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"memory_mb":192,"sockets":1024},
-		"channel":%q,"known":{"cursor":1,"cmds":[{"cursor":1,"nodes":{"snapshot":true,"endpoints":[%s]}}]},"settings":%s}`,
-		p.channel.Addr(), strings.Join(servers, ","), settingsText)
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	p.cmd = command(path, signalling)
+	p := &program{T: t, channel: listen(t), config: filepath.Join(t.TempDir(), "config.json"), logged: make(chan string, 100)}
+	p.write(p.channel, settingsText, servers...)
+	p.cmd = command(p.config, signalling)
 	out, err := p.cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -73,10 +69,42 @@
 	if p.listen == "" {
 		t.Fatal("the program doesn't start")
 	}
-	go io.Copy(io.Discard, out)
+	go func() {
+		for lines.Scan() {
+			select {
+			case p.logged <- lines.Text():
+			default:
+			}
+		}
+	}()
 	return p
 }
 
+// write fills the configuration file.
+func (p *program) write(channel net.Listener, settings string, servers ...string) {
+	text := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"memory_mb":192,"sockets":1024},
+		"channel":%q,"known":{"cursor":1,"cmds":[{"cursor":1,"nodes":{"snapshot":true,"endpoints":[%s]}}]},"settings":%s}`,
+		channel.Addr(), strings.Join(servers, ","), settings)
+	if err := os.WriteFile(p.config, []byte(text), 0o600); err != nil {
+		p.Fatal(err)
+	}
+}
+
+// wantLog waits for a line of the log.
+func (p *program) wantLog(part string) {
+	p.Helper()
+	for late := time.After(patience); ; {
+		select {
+		case l := <-p.logged:
+			if strings.Contains(l, part) {
+				return
+			}
+		case <-late:
+			p.Fatalf("nothing logged of %q", part)
+		}
+	}
+}
+
 func command(config, signalling string) *exec.Cmd {
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), "ELMSEAM_TEST_RUN=1", "ROUTER_CONFIG="+config, "ROUTER_NAME=", "ROUTER_LISTEN=")
@@ -162,9 +190,11 @@
 	return b[9:]
 }
 
-func (c *conn) setUp(call uint64) {
+func (c *conn) setUp(call uint64) { c.setUpOf("voice", call) }
+
+func (c *conn) setUpOf(class string, call uint64) {
 	b := binary.BigEndian.AppendUint64([]byte{0, 0, 1}, call)
-	for code, v := range map[byte]string{16: "voice", 19: "60000", 28: "0a", 31: "dest:0;width:1;via:-1", 61: "d"} {
+	for code, v := range map[byte]string{16: class, 19: "60000", 28: "0a", 31: "dest:0;width:1;via:-1", 61: "d"} {
 		b = append(append(b, code, 0, byte(len(v))), v...)
 	}
 	b[1] = byte(len(b) - 2)
@@ -253,6 +283,49 @@
 	}
 }
 
+// SIGHUP ended the program. Now it reads the file again: a file that makes no sense changes nothing, a new channel is
+// followed from the number reached, a class that is new can be asked for, and an open call stays open, also when the
+// signal comes again and while the program stops.
+func TestReload(t *testing.T) {
+	srv, channel := listen(t), listen(t)
+	p := start(t, "", endpoint("s", "in_service", srv))
+	server := accept(t, srv)
+	caller := dial(t, p.listen)
+	caller.setUp(1)
+	id := server.line(`"offer"`)
+	old := accept(t, p.channel)
+	old.events()
+	old.event(2, endpoint("s", "in_service", srv))
+
+	os.WriteFile(p.config, []byte(`{"name":"n1"}`), 0o600)
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.wantLog("configuration not taken over")
+	p.write(channel, strings.Replace(settingsText, `[{"name":"voice"`, `[{"name":"video","hard-limit-us":3000000},{"name":"voice"`, 1))
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	ch := accept(t, channel)
+	if last := ch.events(); last != "2" {
+		t.Errorf("Last-Event-ID %s, want 2", last)
+	}
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.wantLog("configuration taken over")
+	caller.setUpOf("video", 2)
+	second := server.line(`"video"`)
+	fmt.Fprintf(server, `{"op":"accept","call":%q,"with":{},"desc":""}`+"\n", id)
+	caller.frame(9, 1)
+
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.wantLog("stopping")
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.wantLog("configuration taken over")
+	fmt.Fprintf(server, `{"op":"end","call":%q,"with":{},"why":16}`+"\n", id)
+	caller.frame(12, 1)
+	fmt.Fprintf(server, `{"op":"end","call":%q,"with":{},"why":47}`+"\n", second)
+	caller.frame(12, 2)
+	if err := p.cmd.Wait(); err != nil {
+		t.Errorf("the program ends with %v", err)
+	}
+}
+
 // A configuration that makes no sense ends the program with one line that names the field.
 func TestBadConfiguration(t *testing.T) {
 	good := `{"name":"n","listen":"127.0.0.1:0","seed":"1","limits":{"memory_mb":1,"sockets":99},"channel":"127.0.0.1:1","settings":` + settingsText + "}"
--- a/controller.go
+++ b/controller.go
@@ -168,22 +168,31 @@
 
 // New makes a controller. The seed sets the phases of its budgets: those of many senders are not in step.
 func New(set Settings, seed uint64) (*Controller, error) {
-	if err := check(&set); err != nil {
-		return nil, fmt.Errorf("elmseam: settings: %w", err)
-	}
 	c := &Controller{
-		set:        set,
-		rng:        rand.New(rand.NewPCG(seed, 0)),
-		byID:       make(map[ServerID]*server),
-		calls:      make(map[CallID]*call),
-		tenants:    make([]tenantMix, len(set.Tenants)),
-		usual:      make([]usualTry, len(set.Classes)),
-		leastWorth: set.Classes[0].Worth,
+		rng:   rand.New(rand.NewPCG(seed, 0)),
+		byID:  make(map[ServerID]*server),
+		calls: make(map[CallID]*call),
+	}
+	if err := c.Configure(set); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// Configure replaces the settings; what is known of servers and calls stays. Settings that make no sense
+// change nothing. The classes there were keep their places.
+func (c *Controller) Configure(set Settings) error {
+	if err := check(&set); err != nil {
+		return fmt.Errorf("elmseam: settings: %w", err)
 	}
+	c.set = set
+	c.tenants = make([]tenantMix, len(set.Tenants))
+	c.usual = make([]usualTry, len(set.Classes))
+	c.leastWorth = set.Classes[0].Worth
 	for _, class := range set.Classes {
 		c.leastWorth = min(c.leastWorth, class.Worth)
 	}
-	return c, nil
+	return nil
 }
 
 // check names the first setting that makes no sense.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -105,23 +105,41 @@
 	if f.Limits.Sockets < leastSockets {
 		return nil, fmt.Errorf("limits.sockets: %d, %d are needed", f.Limits.Sockets, leastSockets)
 	}
+	for i, cmd := range c.Known {
+		if _, err := cmd.List(func(string) core.Front { return "" }, true); err != nil {
+			return nil, fmt.Errorf("known.cmds[%d]: %w", i, err)
+		}
+	}
 	if c.Settings, err = settings.Decode(f.Settings); err != nil {
 		return nil, err
 	}
 	if c.Node, err = settings.DecodeNode(f.Settings); err != nil {
 		return nil, err
 	}
+	if _, err = elmseam.New(c.Settings, c.Seed); err != nil {
+		return nil, err
+	}
 	c.Limits = limits(f, c.Node)
 	return c, nil
 }
 
+// Reload reads the configuration again. The classes of the earlier one keep their places.
+func Reload(getenv func(string) string, old *Config) (*Config, error) {
+	c, err := Load(getenv)
+	if err != nil {
+		return nil, err
+	}
+	settings.Follow(old.Node, &c.Node, &c.Settings, old.Settings)
+	return c, nil
+}
+
 const leastSockets = 32
 
 // limits fills the one set of limits, from what the platform tells where it does.
 func limits(f file, n settings.Node) Limits {
 	message := 16 << 10
 	memory := int64(f.Limits.MemoryMB) << 20
-	callers := f.Limits.Sockets / 2 // callers hold a third; a quarter may come to the second front
+	callers := f.Limits.Sockets / 2 // callers that behave hold a third; a quarter may come to the second front
 	l := Limits{
 		Core: core.Limits{
 			AnswerMargin: 15 * time.Millisecond,
@@ -131,6 +149,7 @@
 			ServerLost:   6 * time.Second, // releases are owed 8 s after the end at the latest
 			StopGrace:    700 * time.Millisecond,
 			StopMost:     max(n.LongestWait, 3*time.Second) + 600*time.Millisecond,
+			Callers:      callers - callers/8, // the rest are on their way in or out
 			MaxOpen:      n.MaxOpen,
 			RetryHint:    300 * time.Millisecond,
 			Remember:     max(n.LongestWait, 10*time.Second) * 6,
@@ -138,6 +157,8 @@
 		Link: link.Limits{
 			ReadFirst: 4 << 10, Message: message, Outbox: 1 << 20,
 			WriteStall: 5 * time.Second, Stuck: 50 * time.Millisecond,
+			First: 2500 * time.Millisecond, Idle: max(n.LongestWait, 10*time.Second) + 2*time.Second,
+			Linger: 500 * time.Millisecond, Drain: 256 << 10,
 		},
 		Feed: feed.Limits{
 			Connect: time.Second, Silence: 2500 * time.Millisecond, // a comment comes each second
--- a/internal/config/signalling.go
+++ b/internal/config/signalling.go
@@ -8,6 +8,7 @@
 
 	"elmseam/internal/bgp"
 	"elmseam/internal/m3ua"
+	"elmseam/internal/platform"
 )
 
 // Signalling is the file that tells of the second front. The platform knows nothing of it.
@@ -34,6 +35,21 @@
 	return s, nil
 }
 
+// Platform is what the platform's front is told.
+func (c *Config) Platform() platform.Config {
+	return platform.Config{
+		Node: c.Node, Link: c.Limits.Link, ServerLink: c.Limits.ServerLink, Dial: c.Limits.Dial, Callers: c.Limits.Callers,
+	}
+}
+
+// M3UA is what the second front is told beside its file.
+func (c *Config) M3UA(file m3ua.File) m3ua.Config {
+	return m3ua.Config{
+		File: file, Node: c.Node, Report: c.Settings.Report, Link: c.Limits.Link, ServerLink: c.Limits.ServerLink,
+		Dial: c.Limits.Dial, Callers: c.Limits.Callers / 4,
+	}
+}
+
 // BGP are the limits of the BGP speaker.
 func (l Limits) BGP() bgp.Limits {
 	return bgp.Limits{
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,6 +6,8 @@
 package core
 
 import (
+	"hash/fnv"
+	"slices"
 	"time"
 
 	"elmseam"
@@ -33,7 +35,8 @@
 type call struct {
 	SetUp
 	cid      elmseam.CallID
-	size     int // bytes it keeps
+	print    uint64 // of the set-up's text: one that comes again is the same
+	size     int    // bytes it keeps
 	front    Front
 	deadline Time
 	orphan   bool // its caller's connection has ended
@@ -62,6 +65,15 @@
 	redialing bool         // a timer runs
 }
 
+// caller is the connection of a caller.
+type caller struct {
+	link  Link
+	front Front
+	asked bool // it has brought a set-up
+	stood bool // one of them stood
+	heard Time // of last
+}
+
 // over remembers a call that has ended.
 type over struct {
 	id ID
@@ -86,8 +98,8 @@
 	order    []*server
 	lastID   elmseam.ServerID
 	routes   map[string]Route // withdrawn
-	callers  map[Link]Front
-	links    []Link // the callers', oldest first
+	callers  map[Link]*caller
+	links    []*caller // oldest first
 	pending  []*pendingRelease
 	ended    map[ID]Time
 	endedAt  []over
@@ -121,7 +133,7 @@
 		servers: make(map[string]*server),
 		byID:    make(map[elmseam.ServerID]*server),
 		routes:  make(map[string]Route),
-		callers: make(map[Link]Front),
+		callers: make(map[Link]*caller),
 		ended:   make(map[ID]Time),
 	}, nil
 }
@@ -132,9 +144,7 @@
 	c.now, c.out = max(now, c.now), c.out[:0]
 	switch ev := ev.(type) {
 	case CallerUp:
-		c.callers[ev.Link] = ev.Front
-		c.links = append(c.links, ev.Link)
-		c.flush()
+		c.callerUp(ev)
 	case CallerDown:
 		c.callerDown(ev.Link)
 	case SetUp:
@@ -166,6 +176,12 @@
 		c.notSent(ev.Server, ev.ID)
 	case List:
 		c.list(ev)
+	case Configured:
+		if err := c.ctl.Configure(ev.Settings); err != nil {
+			c.do(Broken{Rule: err.Error()})
+			break
+		}
+		c.limits, c.guard, c.most = ev.Limits, ev.Settings.ReleaseGuard, ev.Settings.MaxAttempts
 	case Due:
 		c.due(ev.Token)
 	case Stop:
@@ -225,17 +241,20 @@
 	}
 }
 
-// setUp takes in a call. One that is known already came again after its connection closed: it goes on
-// with the new connection, and is told what its caller may have missed.
+// setUp takes in a call. One that is over already may have come again because its answer was lost with a
+// closing connection; as ids are never used twice, it is refused.
 func (c *Core) setUp(ev SetUp) {
+	from := c.callers[ev.From]
+	if from == nil {
+		return // its connection has been closed: it comes again on another
+	}
+	from.asked, from.heard = true, c.now
 	if k := c.calls[ev.ID]; k != nil {
-		k.From, k.orphan = ev.From, false
-		switch {
-		case k.stands != nil:
-			c.do(Answered{To: k.From, ID: k.ID, Desc: k.desc})
-		case k.answered:
-			c.do(Rejected{To: ev.From, ID: ev.ID, Reason: Congested})
-		}
+		c.repeated(k, ev)
+		return
+	}
+	if _, known := c.ended[ev.ID]; known {
+		c.do(Rejected{To: ev.From, ID: ev.ID, Reason: Congested, RetryAfter: c.limits.RetryHint})
 		return
 	}
 	left := ev.Left - (c.now - ev.At) - c.limits.AnswerMargin
@@ -249,7 +268,7 @@
 		return
 	}
 	c.lastCID++
-	k := &call{SetUp: ev, size: size, cid: c.lastCID, front: c.callers[ev.From], deadline: c.now + left}
+	k := &call{SetUp: ev, size: size, cid: c.lastCID, print: printOf(ev), front: from.front, deadline: c.now + left}
 	c.calls[k.ID], c.byCID[k.cid] = k, k
 	c.open++
 	c.bytes += size
@@ -260,6 +279,33 @@
 	})
 }
 
+// repeated takes in a set-up under the id of a call in hand. The same one on another connection came again after
+// its own had closed: it goes on there, and is told what its caller may have missed. Any other is refused, as the
+// answer to the call in hand is none for it; where both came on one connection, nobody could tell whose it is.
+func (c *Core) repeated(k *call, ev SetUp) {
+	again := ev.From != k.From && printOf(ev) == k.print
+	switch {
+	case again && k.stands != nil:
+		k.From = ev.From
+		c.do(Answered{To: k.From, ID: k.ID, Desc: k.desc})
+	case again && !k.answered && !k.gone:
+		k.From, k.orphan = ev.From, false
+	default:
+		if ev.From == k.From && !k.answered {
+			c.final(k, Rejected{Reason: Unsupported})
+		}
+		c.do(Rejected{To: ev.From, ID: ev.ID, Reason: Unsupported})
+	}
+}
+
+// printOf tells set-ups apart by what they ask for.
+func printOf(ev SetUp) uint64 {
+	h := fnv.New64a()
+	h.Write(append([]byte(ev.Key), 0, byte(ev.Class)))
+	h.Write(ev.Desc)
+	return h.Sum64()
+}
+
 // final gives a call its one final answer other than standing.
 func (c *Core) final(k *call, r Rejected) {
 	if k.answered {
@@ -423,6 +469,9 @@
 	k.SetUp.Desc = nil
 	s.standing[k.ID] = k
 	c.open--
+	if l := c.callers[k.From]; l != nil {
+		l.stood, l.heard = true, c.now
+	}
 	c.do(Answered{To: k.From, ID: k.ID, Desc: ev.Desc})
 	c.tell(elmseam.Standing{Call: k.cid, Server: s.id, Took: took})
 	if ev.Report != nil {
@@ -477,9 +526,9 @@
 	c.endedAt = append(c.endedAt, over{ev.ID, c.now})
 	told := make(map[Front]bool)
 	for _, l := range c.links { // whose it was isn't known
-		if f := c.callers[l]; !told[f] {
-			told[f] = true
-			c.release(f, l, ev.ID, ev.Reason)
+		if !told[l.front] {
+			told[l.front] = true
+			c.release(l.front, 0, ev.ID, ev.Reason)
 		}
 	}
 }
@@ -497,20 +546,21 @@
 	c.tidy(k.stands)
 }
 
-// release sends a caller the end of a call that stood, on its connection or any other of its front; if
-// there is none, on the next.
+// release sends a caller the end of a call that stood, on its connection or another of its front, best one
+// that has had calls and is in use; if there is none, on the next.
 func (c *Core) release(front Front, to Link, id ID, why Reason) {
-	if _, up := c.callers[to]; !up {
-		to = 0
+	if c.callers[to] == nil {
+		var best *caller
 		for _, l := range c.links {
-			if c.callers[l] == front {
-				to = l
+			if l.front == front && (best == nil || l.stood && !best.stood || l.stood == best.stood && l.heard >= best.heard) {
+				best = l
 			}
 		}
-	}
-	if to == 0 {
-		c.pending = append(c.pending, &pendingRelease{front, id, why, c.now})
-		return
+		if best == nil {
+			c.pending = append(c.pending, &pendingRelease{front, id, why, c.now})
+			return
+		}
+		to = best.link
 	}
 	c.do(Released{To: to, ID: id, Reason: why})
 }
@@ -546,9 +596,9 @@
 			c.do(End{To: l, ID: k.ID})
 		}
 		c.released(k, Normal, elmseam.Outcome{Cause: elmseam.CauseCancelled})
-	default:
+	case ev.From == k.From || k.orphan:
 		c.callerGone(k)
-	}
+	} // else somebody who guessed the id of a set-up that is open on another connection
 }
 
 // callerGone ends a set-up that nobody waits for any more. No answer is owed.
@@ -567,15 +617,54 @@
 	c.close(k)
 }
 
-// callerDown ends a caller's connection. Its set-ups may come again on another one shortly.
-func (c *Core) callerDown(l Link) {
-	delete(c.callers, l)
-	for i, have := range c.links {
-		if have == l {
-			c.links = append(c.links[:i], c.links[i+1:]...)
-			break
+// callerUp takes in a connection of a caller. Where there are too many, one without an open set-up has to go.
+func (c *Core) callerUp(ev CallerUp) {
+	l := &caller{link: ev.Link, front: ev.Front, heard: c.now}
+	if len(c.links) >= c.limits.Callers {
+		victim := c.spare()
+		if victim == nil {
+			victim = l
+		} else {
+			c.forgetCaller(victim.link)
+		}
+		c.do(Hangup{To: victim.link})
+		if victim == l {
+			return
+		}
+	}
+	c.callers[ev.Link] = l
+	c.links = append(c.links, l)
+	c.flush()
+}
+
+// spare is the connection that can be missed first: one that has never asked for anything, the oldest of them,
+// or else the one that has been idle longest.
+func (c *Core) spare() (victim *caller) {
+	busy := make(map[Link]bool)
+	for _, k := range c.calls {
+		if !k.answered {
+			busy[k.From] = true
+		}
+	}
+	for _, l := range c.links {
+		switch {
+		case busy[l.link]:
+		case victim == nil, victim.asked && !l.asked, victim.asked == l.asked && l.heard < victim.heard:
+			victim = l
 		}
 	}
+	return victim
+}
+
+// forgetCaller takes a connection off the list.
+func (c *Core) forgetCaller(l Link) {
+	delete(c.callers, l)
+	c.links = slices.DeleteFunc(c.links, func(have *caller) bool { return have.link == l })
+}
+
+// callerDown ends a caller's connection. Its set-ups may come again on another one shortly.
+func (c *Core) callerDown(l Link) {
+	c.forgetCaller(l)
 	for _, k := range inOrder(c.calls) {
 		if k.From == l && k.stands == nil && !k.answered {
 			k.orphan = true
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -27,7 +27,7 @@
 		TipMultiple: 2.5, TipAfter: time.Second,
 	}, 1, Limits{
 		AnswerMargin: 15 * ms, Rebind: 100 * ms, RedialLeast: 100 * ms, RedialMost: 500 * ms,
-		ServerLost: 6 * time.Second, StopGrace: 700 * ms, StopMost: 9 * time.Second, MaxOpen: 100, OpenBytes: 100, Remember: time.Minute,
+		ServerLost: 6 * time.Second, StopGrace: 700 * ms, StopMost: 9 * time.Second, Callers: 100, MaxOpen: 100, OpenBytes: 100, Remember: time.Minute,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -298,3 +298,65 @@
 	r.c.now = k.deadline
 	r.want(send(k, "b"), "")
 }
+
+// Somebody else's set-up under the id of an open call is refused and does that call no harm: it took over the call
+// and was given its answer. Two under one id on one connection are both refused, and an id that is over stays over.
+func TestRepeatedIDs(t *testing.T) {
+	r := newRig(t)
+	r.step(CallerUp{Link: 2, Front: "f"})
+	r.want(r.setUp(7, 5*time.Second), "offer7@10 ")
+	r.want(r.step(SetUp{ID: 7, From: 2, Cell: 0, Left: 5 * time.Second, At: r.now, Desc: []byte("another")}), "rejected7@2 ")
+	r.want(r.step(CallerEnd{ID: 7, From: 2}), "")
+	r.want(r.step(ServerAnswer{Server: "a", ID: 7}), "answered7@1 ")
+	r.want(r.step(SetUp{ID: 7, From: 2, Cell: 0, Left: 5 * time.Second, At: r.now, Desc: []byte("another")}), "rejected7@2 ")
+	r.want(r.step(CallerDown{Link: 1}), "")
+	r.want(r.setUp(7, 5*time.Second), "") // what a connection sent before it was closed: it can't be told anything
+	r.want(r.step(SetUp{ID: 7, From: 2, Cell: 0, Left: 5 * time.Second, At: r.now}), "answered7@2 ")
+	r.want(r.step(ServerEnd{Server: "a", ID: 7}), "released7@2 ")
+
+	r.want(r.step(SetUp{ID: 8, From: 2, Cell: 0, Left: 5 * time.Second, At: r.now}), "offer8@10 ")
+	r.want(r.step(SetUp{ID: 8, From: 2, Cell: 0, Left: 5 * time.Second, At: r.now}), "rejected8@2 end8@10 rejected8@2 ")
+	r.want(r.step(SetUp{ID: 8, From: 2, Cell: 0, Left: 5 * time.Second, At: r.now}), "rejected8@2 ")
+	r.step(Written{Server: "a", ID: 8})
+	r.want(r.step(SetUp{ID: 8, From: 2, Cell: 0, Left: 5 * time.Second, At: r.now}), "rejected8@2 ")
+}
+
+// Connections that ask for nothing fill up what callers may hold: they go first, then the ones idle longest. One
+// with an open set-up stays, and so a new one finds no room where all have one.
+func TestCallersMakeRoom(t *testing.T) {
+	r := newRig(t)
+	r.c.limits.Callers = 4
+	for l := Link(2); l <= 4; l++ {
+		r.now += ms
+		r.want(r.step(CallerUp{Link: l, Front: "f"}), "")
+	}
+	ask := func(l Link) {
+		r.now += ms
+		r.step(SetUp{ID: ID(l), From: l, Cell: 0, Left: time.Minute, At: r.now})
+	}
+	ask(1)
+	ask(2)
+	ask(3)
+	r.step(ServerAnswer{Server: "a", ID: 1})
+	r.step(ServerAnswer{Server: "a", ID: 2})
+	r.want(r.step(CallerUp{Link: 5, Front: "f"}), "hangup@4 ") // never asked
+	ask(5)
+	r.want(r.step(CallerUp{Link: 6, Front: "f"}), "hangup@1 ") // idle longest, as both calls stand
+	ask(6)
+	r.want(r.step(CallerUp{Link: 7, Front: "f"}), "hangup@2 ")
+	ask(7)
+	r.want(r.step(CallerUp{Link: 8, Front: "f"}), "hangup@8 ")
+	r.want(r.step(SetUp{ID: 8, From: 8, Cell: 0, Left: time.Minute, At: r.now}), "")
+}
+
+// New settings and limits hold from now on for the calls in hand too, and drop none.
+func TestConfiguredAnew(t *testing.T) {
+	r := newRig(t)
+	r.want(r.setUp(7, 5*time.Second), "offer7@10 ")
+	set := elmseam.Settings{Classes: []elmseam.Class{{Deadline: 9 * time.Second, Worth: 1}}, MaxAttempts: 1, OwnCell: -1}
+	limits := r.c.limits
+	limits.MaxOpen = 1
+	r.want(r.step(Configured{Settings: set, Limits: limits}), "")
+	r.want(r.setUp(8, 5*time.Second), "rejected8@1 ")
+	r.want(r.step(ServerEnd{Server: "a", ID: 7, Reason: Full}), "rejected7@1 ")
+}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -129,6 +129,11 @@
 		Full, Cached bool
 		Servers      []Server
 	}
+	// Configured says that settings and limits have changed. The classes of old keep their places.
+	Configured struct {
+		Settings elmseam.Settings
+		Limits   Limits
+	}
 	// Due is a timer that has come due.
 	Due struct{ Token Token }
 	// Stop asks for an orderly end.
@@ -149,6 +154,7 @@
 func (Written) event()      {}
 func (NotSent) event()      {}
 func (List) event()         {}
+func (Configured) event()   {}
 func (Due) event()          {}
 func (Stop) event()         {}
 
@@ -264,6 +270,7 @@
 	ServerLost   time.Duration // out of reach for so long, a server's standing calls are taken for cut
 	StopGrace    time.Duration // callers may still come for this long after a Stop
 	StopMost     time.Duration // and standing calls are waited for this long
+	Callers      int           // connections of callers
 	MaxOpen      int           // set-ups open at once
 	OpenBytes    int           // that calls in hand may keep
 	RetryHint    time.Duration // told with a refusal for want of room
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -74,14 +75,41 @@
 	return l, err
 }
 
-// Feed follows one channel.
+// Feed follows one channel at a time.
 type Feed struct {
-	Address string
-	Cursor  int64                        // the last event known
-	Front   func(name string) core.Front // that reaches a server
-	Limits  Limits
-	Post    func(core.Event)
-	Log     zerolog.Logger
+	Cursor int64                        // the last event known
+	Front  func(name string) core.Front // that reaches a server
+	Limits Limits
+	Post   func(core.Event)
+	Log    zerolog.Logger
+
+	mu      sync.Mutex
+	address string
+	known   []Command // that came with the address
+	leave   func()    // ends the connection there is
+}
+
+// Follow names the channel, with events that are known already. What the feed has heard elsewhere stays: the
+// numbers go on. It may be called at any time, and the connection there is ends at once.
+func (f *Feed) Follow(address string, known []Command) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.address, f.known = address, known
+	if f.leave != nil {
+		f.leave()
+	}
+}
+
+// next is where to go, and a context that ends when that changes.
+func (f *Feed) next(ctx context.Context) (here context.Context, leave func(), address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.known {
+		f.take(c)
+	}
+	f.known = nil
+	here, f.leave = context.WithCancel(ctx)
+	return here, f.leave, f.address
 }
 
 // Run follows the channel until the context ends. A connection that ends is made again at once, from the
@@ -89,30 +117,32 @@
 func (f *Feed) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		before := time.Now()
-		err := f.follow(ctx)
+		here, leave, address := f.next(ctx)
+		err := f.follow(here, address)
 		if ctx.Err() == nil {
-			f.Log.Info().Err(err).Int64("cursor", f.Cursor).Msg("command channel ended")
+			f.Log.Info().Err(err).Str("channel", address).Int64("cursor", f.Cursor).Msg("command channel ended")
 		}
 		if wait := f.Limits.Retry - time.Since(before); wait > 0 { // it brought nothing: don't spin
 			select {
-			case <-ctx.Done():
+			case <-here.Done():
 			case <-time.After(wait):
 			}
 		}
+		leave()
 	}
 }
 
 // follow reads one connection.
-func (f *Feed) follow(ctx context.Context) error {
+func (f *Feed) follow(ctx context.Context, address string) error {
 	d := net.Dialer{Timeout: f.Limits.Connect}
-	conn, err := d.DialContext(ctx, "tcp", f.Address)
+	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	conn.SetDeadline(time.Now().Add(f.Limits.Silence))
-	_, err = fmt.Fprintf(conn, "GET /cmd/next HTTP/1.1\r\nHost: %s\r\nAccept: text/event-stream\r\nLast-Event-ID: %d\r\n\r\n", f.Address, f.Cursor)
+	_, err = fmt.Fprintf(conn, "GET /cmd/next HTTP/1.1\r\nHost: %s\r\nAccept: text/event-stream\r\nLast-Event-ID: %d\r\n\r\n", address, f.Cursor)
 	if err != nil {
 		return err
 	}
@@ -130,9 +160,11 @@
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch {
 		case len(line) == 0 && data != nil:
-			if err := f.take(data); err != nil {
-				return err
+			var c Command
+			if err := json.Unmarshal(data, &c); err != nil {
+				return fmt.Errorf("event: %w", err)
 			}
+			f.take(c)
 			data = nil
 		case string(name) == "data":
 			if len(data)+len(value) > f.Limits.Event {
@@ -147,13 +179,9 @@
 }
 
 // take hands an event on, unless it is known.
-func (f *Feed) take(data []byte) error {
-	var c Command
-	if err := json.Unmarshal(data, &c); err != nil {
-		return fmt.Errorf("event: %w", err)
-	}
+func (f *Feed) take(c Command) {
 	if c.Cursor <= f.Cursor {
-		return nil
+		return
 	}
 	f.Cursor = c.Cursor
 	list, err := c.List(f.Front, false)
@@ -161,7 +189,6 @@
 		f.Log.Warn().Err(err).Int64("cursor", c.Cursor).Msg("entry passed over")
 	}
 	f.Post(list)
-	return nil
 }
 
 // reader reads an HTTP answer line by line, chunked or not.
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -63,8 +63,9 @@
 	}
 	defer l.Close()
 	lists := make(chan core.List, 16)
-	f := &Feed{Address: l.Addr().String(), Cursor: 4, Front: front, Limits: testLimits, Log: zerolog.Nop(),
+	f := &Feed{Cursor: 4, Front: front, Limits: testLimits, Log: zerolog.Nop(),
 		Post: func(ev core.Event) { lists <- ev.(core.List) }}
+	f.Follow(l.Addr().String(), nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go f.Run(ctx)
@@ -95,6 +96,44 @@
 	}
 }
 
+// A new channel is followed at once though the old one is still open, its numbers go on, and what came with the
+// new address is taken in if it is news.
+func TestFollowElsewhere(t *testing.T) {
+	var ls [2]net.Listener
+	for i := range ls {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		ls[i] = l
+	}
+	lists := make(chan core.List, 16)
+	f := &Feed{Cursor: 4, Front: front, Limits: testLimits, Log: zerolog.Nop(), Post: func(ev core.Event) { lists <- ev.(core.List) }}
+	f.Limits.Silence = time.Minute
+	f.Follow(ls[0].Addr().String(), nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.Run(ctx)
+	const ok = "HTTP/1.1 200 OK\r\n\r\n"
+	_, end := script(t, ls[0], ok+event(5, "a", "in_service"))
+	defer end()
+	<-lists
+	known := []Command{{Cursor: 5}, {Cursor: 6}}
+	known[1].Nodes.Endpoints = []Endpoint{{Name: "b", Address: "x:1", Status: "in_service"}}
+	f.Follow(ls[1].Addr().String(), known)
+	last, end := script(t, ls[1], ok+event(6, "twice", "in_service")+event(7, "c", "terminating"))
+	defer end()
+	if last != "6" {
+		t.Errorf("asks from %s on, want 6", last)
+	}
+	for _, want := range []string{"b", "c"} {
+		if got := <-lists; len(got.Servers) != 1 || got.Servers[0].Name != want {
+			t.Errorf("%+v, want %s", got, want)
+		}
+	}
+}
+
 // once is a connection that brings some bytes and ends.
 type once struct {
 	net.Conn
--- a/internal/link/outbox.go
+++ b/internal/link/outbox.go
@@ -13,6 +13,10 @@
 	Message    int           // the longest message
 	Outbox     int           // bytes that may wait to be written before the peer counts as stalled
 	WriteStall time.Duration // and the longest that one write may take
+	First      time.Duration // to the end of the first message, or of one that has begun
+	Idle       time.Duration // without a message
+	Linger     time.Duration // that a connection's end may take, for the peer to read what it was told
+	Drain      int           // bytes that the peer may send in that time
 	Stuck      time.Duration // a write that takes so long is broken off where new work has to stop
 }
 
--- a/internal/m3ua/caller.go
+++ b/internal/m3ua/caller.go
@@ -19,7 +19,7 @@
 
 // Serve serves callers until the listener is closed.
 func (m *M3UA) Serve(l net.Listener) {
-	link.Serve(l, m.Callers, func(conn net.Conn) {
+	link.Serve(l, func() int { return m.Callers }, func(conn net.Conn) {
 		c := &caller{session: session{m: m, conn: conn, out: link.NewOutbox(conn, m.Link)}}
 		c.handle = c.take
 		err := c.read()
@@ -170,7 +170,7 @@
 		ev.Cell = cell
 	}
 	if ev.Class >= 0 {
-		ev.Left = c.m.Waits[ev.Class]
+		ev.Left = c.m.Node.Classes[ev.Class].Wait
 	}
 	c.m.mu.Lock()
 	id, there := c.m.inbound[ci]
--- a/internal/m3ua/front.go
+++ b/internal/m3ua/front.go
@@ -19,6 +19,7 @@
 	"elmseam/internal/core"
 	"elmseam/internal/link"
 	"elmseam/internal/loop"
+	"elmseam/internal/settings"
 )
 
 // Front is the name of this front.
@@ -82,11 +83,10 @@
 // Config is what the front is told beside its file.
 type Config struct {
 	File
-	Classes []string        // in the order of the settings
-	Waits   []time.Duration // how long a caller of each class waits: ISUP doesn't say
-	Report  []elmseam.Figure
-	Link    link.Limits   // of a caller's connection
-	Dial    time.Duration // to connect to a server and be active there
+	Node   settings.Node
+	Report []elmseam.Figure
+	Link   link.Limits   // of a caller's connection
+	Dial   time.Duration // to connect to a server and be active there
 
 	ServerLink link.Limits
 	Callers    int // connections of callers at once
@@ -142,9 +142,10 @@
 // Reaches says whether a server is reached by this front.
 func (m *M3UA) Reaches(name string) bool { return m.trunks[name] != nil }
 
+// class is the class of a name, -1: none.
 func (m *M3UA) class(name string) int {
-	for i, have := range m.Classes {
-		if have == name {
+	for i, have := range m.Node.Classes {
+		if have.Name == name && !have.Gone {
 			return i
 		}
 	}
@@ -153,7 +154,7 @@
 
 // category is the calling party's category that stands for a class.
 func (m *M3UA) category(class int) (byte, bool) {
-	n, ok := m.Categories[m.Classes[class]]
+	n, ok := m.Categories[m.Node.Classes[class].Name]
 	return byte(n), ok
 }
 
--- a/internal/m3ua/m3ua_test.go
+++ b/internal/m3ua/m3ua_test.go
@@ -21,6 +21,7 @@
 	"elmseam/internal/link"
 	"elmseam/internal/loop"
 	"elmseam/internal/platform"
+	"elmseam/internal/settings"
 )
 
 const (
@@ -30,7 +31,10 @@
 	clientPC = 300
 )
 
-var testLink = link.Limits{ReadFirst: 256, Message: 16 << 10, Outbox: 1 << 20, WriteStall: time.Second, Stuck: 50 * time.Millisecond}
+var testNode = settings.Node{Classes: []settings.Class{{Name: "voice", Wait: 5 * time.Second}}}
+
+var testLink = link.Limits{ReadFirst: 256, Message: 16 << 10, Outbox: 1 << 20, WriteStall: time.Second, Stuck: 50 * time.Millisecond,
+	First: patience, Idle: patience, Linger: 100 * time.Millisecond, Drain: 1 << 16}
 
 // peer is a stand-in's end of an association: it writes messages and reads them one by one.
 type peer struct {
@@ -124,7 +128,7 @@
 		Report: []elmseam.Figure{elmseam.FigureShare},
 	}
 	c, err := core.New(set, 1, core.Limits{AnswerMargin: 15 * time.Millisecond, Rebind: 100 * time.Millisecond,
-		RedialLeast: time.Millisecond, RedialMost: time.Millisecond, ServerLost: time.Minute, MaxOpen: 10000, OpenBytes: 1 << 20, Remember: time.Minute})
+		RedialLeast: time.Millisecond, RedialMost: time.Millisecond, ServerLost: time.Minute, Callers: 100, MaxOpen: 10000, OpenBytes: 1 << 20, Remember: time.Minute})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -139,13 +143,13 @@
 	}, zerolog.Nop())
 	file.PointCode, file.Network, file.RoutingContext, file.HeartbeatMS = ownPC, 2, 1, 1000
 	file.Circuits, file.Categories, file.Cells = 512, map[string]int{"voice": 10}, map[string]int{"100": 0}
-	m, err = New(Config{File: file, Classes: []string{"voice"}, Waits: []time.Duration{5 * time.Second}, Report: set.Report,
+	m, err = New(Config{File: file, Node: testNode, Report: set.Report,
 		Link: testLink, ServerLink: testLink, Dial: time.Second, Callers: 8}, l, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
 	l.Dialer(Front, m.Dial)
-	p := platform.New(platform.Config{Classes: []string{"voice"}, Link: testLink, ServerLink: testLink, Dial: time.Second, Callers: 8}, l, zerolog.Nop())
+	p := platform.New(platform.Config{Node: testNode, Link: testLink, ServerLink: testLink, Dial: time.Second, Callers: 8}, l, zerolog.Nop())
 	l.Dialer(platform.Front, p.Dial)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -7,7 +7,9 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"math"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -19,6 +21,7 @@
 	"elmseam/internal/link"
 	"elmseam/internal/loop"
 	"elmseam/internal/q850"
+	"elmseam/internal/settings"
 )
 
 // Front is the name of this front.
@@ -117,40 +120,48 @@
 	return append(b, value...)
 }
 
-// Config is what the front is told.
+// Config is what the front is told. A new one may come at any time.
 type Config struct {
-	Classes []string      // in the order of the settings
-	Columns []string      // of a load report
-	Link    link.Limits   // of a caller's connection
-	Dial    time.Duration // longest time to make a connection to a server
+	Node settings.Node
+	Link link.Limits   // of a caller's connection
+	Dial time.Duration // longest time to make a connection to a server
 
 	ServerLink link.Limits
 	Callers    int // connections of callers at once
 }
 
+// told is a configuration with what is looked up in it.
+type told struct {
+	Config
+	names map[string]int
+}
+
 // Platform is the front.
 type Platform struct {
-	Config
+	told     atomic.Pointer[told]
 	loop     *loop.Loop
 	log      zerolog.Logger
-	classes  map[string]int
+	loud     zerolog.Logger // of what callers can cause as often as they like
 	stopping atomic.Bool
 }
 
 // New makes the front.
 func New(cfg Config, l *loop.Loop, log zerolog.Logger) *Platform {
-	p := &Platform{Config: cfg, loop: l, log: log, classes: make(map[string]int)}
-	for i, name := range cfg.Classes {
-		p.classes[name] = i
-	}
+	p := &Platform{loop: l, log: log, loud: link.Sparse(log)}
+	p.Configure(cfg)
 	return p
 }
 
+// Configure replaces what the front was told. Connections that are open keep their limits.
+func (p *Platform) Configure(cfg Config) { p.told.Store(&told{cfg, cfg.Node.Names()}) }
+
 // Stop makes the front fail tests, so that nobody new is sent here.
 func (p *Platform) Stop() { p.stopping.Store(true) }
 
 // Serve serves callers until the listener is closed.
-func (p *Platform) Serve(l net.Listener) { link.Serve(l, p.Callers, p.caller) }
+func (p *Platform) Serve(l net.Listener) {
+	link.Serve(l, func() int { return p.told.Load().Callers }, p.caller)
+}
 
 // caller is the sending side of a caller's connection.
 type caller struct{ out *link.Outbox }
@@ -165,31 +176,38 @@
 	case core.Answered:
 		c.out.Post(link.Item{Data: appendFrame(nil, typeAnswer, e.ID, appendParam(nil, paramDesc, e.Desc...))})
 	case core.Rejected:
-		params := appendParam(make([]byte, 0, releasedSize), paramCause, q850.ToCaller(e.Reason))
-		if e.RetryAfter > 0 {
-			params = appendParam(params, paramRetry, strconv.AppendInt(nil, e.RetryAfter.Milliseconds(), 10)...)
-		}
-		c.out.Post(link.Item{Data: appendFrame(nil, typeRelease, e.ID, params)})
+		c.out.Post(link.Item{Data: rejection(e.ID, q850.ToCaller(e.Reason), e.RetryAfter)})
 	case core.Released:
 		c.out.Post(link.Item{Data: appendFrame(nil, typeRelease, e.ID, appendParam(nil, paramCause, q850.ToCaller(e.Reason)))})
 	}
 	return nil
 }
 
-// caller reads a caller's connection to its end.
+// rejection is a final answer other than that the call stands.
+func rejection(id core.ID, cause byte, retry time.Duration) []byte {
+	params := appendParam(make([]byte, 0, releasedSize), paramCause, cause)
+	if retry > 0 {
+		params = appendParam(params, paramRetry, strconv.AppendInt(nil, retry.Milliseconds(), 10)...)
+	}
+	return appendFrame(nil, typeRelease, id, params)
+}
+
+// caller reads a caller's connection to its end. One that brings no whole message in time, or stops within one,
+// is closed, and so is one that is idle for long: it holds a descriptor that others need.
 func (p *Platform) caller(conn net.Conn) {
-	id := p.loop.NewLink()
-	out := link.NewOutbox(conn, p.Link)
+	id, limits := p.loop.NewLink(), p.told.Load().Link
+	out := link.NewOutbox(conn, limits)
 	p.loop.Attach(id, &caller{out}, core.CallerUp{Link: id, Front: Front})
 	defer p.loop.Post(core.CallerDown{Link: id})
-	in := link.NewBuffer(p.Link.ReadFirst, p.Link.Message)
-	for {
+	in := link.NewBuffer(limits.ReadFirst, limits.Message)
+	for wait := limits.First; ; {
+		conn.SetReadDeadline(time.Now().Add(wait))
 		if in.Fill(conn) != nil {
 			return
 		}
 		at := p.loop.Now()
 		for {
-			f, n, err := parseFrame(in.Bytes(), p.Link.Message)
+			f, n, err := parseFrame(in.Bytes(), limits.Message)
 			if err == errShort {
 				break
 			}
@@ -197,10 +215,18 @@
 				err = p.take(id, out, f, at)
 			}
 			if err != nil {
-				p.log.Warn().Err(err).Stringer("caller", conn.RemoteAddr()).Msg("caller's connection closed")
+				p.loud.Warn().Err(err).Stringer("caller", conn.RemoteAddr()).Msg("caller's connection closed")
+				if f.kind == typeSetUp {
+					out.Post(link.Item{Data: rejection(f.id, q850.InvalidContents, 0)})
+				}
+				out.Linger(conn)
 				return
 			}
 			in.Skip(n)
+			wait = limits.Idle
+		}
+		if len(in.Bytes()) > 0 && wait == limits.Idle {
+			wait = limits.First
 		}
 	}
 }
@@ -226,31 +252,51 @@
 	return nil
 }
 
-// setUp translates a set-up. One that makes no sense gets a Class of -1, and the core refuses it.
+// setUp translates a set-up. One that makes no sense gets a Class of -1, and the core refuses it: servers close
+// on a call without an id, whatever else is open there, and an error of theirs costs them work.
 func (p *Platform) setUp(from core.Link, f frame, at core.Time) core.SetUp {
 	ev := core.SetUp{ID: f.id, From: from, Key: f.key, Number: number(f.key), Desc: f.desc, Cell: -1, At: at}
 	left, err := strconv.ParseFloat(f.left, 64)
-	class, known := p.classes[f.class]
-	if ev.Class = class; !known || err != nil || !(left >= 0 && left < 1e9) {
-		p.log.Warn().Str("class", f.class).Str("left", f.left).Msg("set-up refused")
-		ev.Class = -1
-		return ev
+	told := p.told.Load()
+	place, known := told.names[f.class]
+	var class settings.Class
+	if known {
+		class = told.Node.Classes[place]
 	}
-	ev.Left = time.Duration(left * float64(time.Millisecond))
+	sound := f.id != 0 && known && err == nil && left >= 0 && left < mostLeft
 	for pair := range strings.SplitSeq(f.extra, ";") {
+		if pair == "" {
+			continue
+		}
 		name, text, _ := strings.Cut(pair, ":")
 		value, err := strconv.ParseFloat(text, 64)
-		switch {
-		case err != nil:
-		case name == "dest":
+		sound = sound && err == nil
+		switch name {
+		case "dest":
+			sound = sound && value == math.Trunc(value) && value >= 0 && value < mostCell
 			ev.Cell = int(value)
-		case name == "again":
+			sound = sound && (len(class.Cells) == 0 || slices.Contains(class.Cells, ev.Cell))
+		case "width":
+			sound = sound && value > 0 && (class.Width == 0 || value == class.Width)
+		case "again":
 			ev.Cut = value == 1
 		}
 	}
+	if ev.Class = place; !sound {
+		p.loud.Warn().Str("class", f.class).Str("left", f.left).Str("extras", f.extra).Msg("set-up refused")
+		ev.Class = -1
+		return ev
+	}
+	ev.Left = time.Duration(left * float64(time.Millisecond))
 	return ev
 }
 
+// What a sound set-up stays under.
+const (
+	mostLeft = 1e9
+	mostCell = 1 << 16
+)
+
 // number is a called number as the module compares it: 0 is none.
 func number(key string) uint64 {
 	if key == "" {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -18,6 +18,7 @@
 	"elmseam/internal/core"
 	"elmseam/internal/link"
 	"elmseam/internal/loop"
+	"elmseam/internal/settings"
 )
 
 const patience = 5 * time.Second // for what must come; tests don't wait it out
@@ -25,11 +26,13 @@
 // story is a softswitch with this front, a scripted server and a caller.
 type story struct {
 	*testing.T
-	loop   *loop.Loop
-	server net.Listener
-	caller net.Conn
-	lines  *bufio.Scanner // of the server's connection
-	srv    net.Conn
+	loop     *loop.Loop
+	front    *Platform
+	listener net.Listener
+	server   net.Listener
+	caller   net.Conn
+	lines    *bufio.Scanner // of the server's connection
+	srv      net.Conn
 }
 
 func newStory(t *testing.T) *story {
@@ -38,19 +41,20 @@
 		Classes: []elmseam.Class{{Deadline: 9 * time.Second, Worth: 1}}, MaxAttempts: 4, OwnCell: -1,
 		ReleaseGuard: 50 * time.Millisecond, MaxRetryAfter: 2 * time.Second,
 	}, 1, core.Limits{Rebind: 100 * time.Millisecond, RedialLeast: time.Millisecond, RedialMost: time.Millisecond,
-		ServerLost: time.Minute, MaxOpen: 100, OpenBytes: 1 << 20, Remember: time.Minute})
+		ServerLost: time.Minute, Callers: 100, MaxOpen: 100, OpenBytes: 1 << 20, Remember: time.Minute})
 	if err != nil {
 		t.Fatal(err)
 	}
 	l := loop.New(c, 64, func(core.Effect) {}, zerolog.Nop())
-	limits := link.Limits{ReadFirst: 64, Message: 16 << 10, Outbox: 1 << 20, WriteStall: time.Second, Stuck: 50 * time.Millisecond}
+	limits := link.Limits{ReadFirst: 64, Message: 16 << 10, Outbox: 1 << 20, WriteStall: time.Second, Stuck: 50 * time.Millisecond,
+		First: patience, Idle: patience, Linger: 100 * time.Millisecond, Drain: 1 << 16}
 	p := New(Config{
-		Classes: []string{"voice"}, Columns: []string{"spare", "cut_by"}, Dial: time.Second, Callers: 8,
+		Node: settings.Node{Classes: []settings.Class{{Name: "voice", Cells: []int{0, 1}, Width: 1}}, Columns: []string{"spare", "cut_by"}}, Dial: time.Second, Callers: 8,
 		Link: limits, ServerLink: limits,
 	}, l, zerolog.Nop())
 	l.Dialer(Front, p.Dial)
-	s := &story{T: t, loop: l, server: listen(t)}
 	front := listen(t)
+	s := &story{T: t, loop: l, front: p, listener: front, server: listen(t)}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go l.Run(ctx)
@@ -203,9 +207,9 @@
 			t.Fatal(err)
 		}
 		c.SetDeadline(time.Now().Add(patience))
-		c.Write(bad)
-		if _, err := c.Read(make([]byte, 1)); err == nil || isTimeout(err) {
-			t.Errorf("%s: the connection stays open: %v", name, err)
+		c.Write(append(bad, make([]byte, 32<<10)...)) // unread, it would reset the connection over what was told
+		if told, err := io.ReadAll(c); err != nil || (len(told) > 0) != (name == "cut short") {
+			t.Errorf("%s: told %x, and then %v", name, told, err)
 		}
 		c.Close()
 	}
@@ -215,6 +219,54 @@
 	s.wantLine(`"offer"`)
 }
 
+// Figures out of their range, a class or a first choice that nobody has, no id: such a set-up is refused here.
+// Servers answered with an error, and closed the connection on a call without an id with all that was open on it.
+func TestUnsoundSetUps(t *testing.T) {
+	s := newStory(t)
+	with := func(id core.ID, class, left, extras string) []byte {
+		p := appendParam(appendParam(nil, paramClass, []byte(class)...), paramLeft, []byte(left)...)
+		return appendFrame(nil, typeSetUp, id, appendParam(p, paramExtras, []byte(extras)...))
+	}
+	for i, bad := range [][]byte{
+		with(1, "voice_x", "500", "dest:0;width:1"), with(2, "voice", "-5", "dest:0;width:1"), with(3, "voice", "soon", "dest:0"),
+		with(4, "voice", "", "dest:0"), with(5, "voice", "1e99", "dest:0"), with(6, "voice", "nan", "dest:0"),
+		with(7, "voice", "500", "dest:-3"), with(8, "voice", "500", "dest:99"), with(9, "voice", "500", "dest:nan"),
+		with(10, "voice", "500", "dest:0.5"), with(11, "voice", "500", "x"), with(12, "voice", "500", "dest:0;width:0"),
+		with(13, "voice", "500", "dest:0;width:400"),
+	} {
+		s.caller.Write(bad)
+		s.wantFrame(typeRelease, core.ID(i+1), 100)
+	}
+	s.caller.Write(with(0, "voice", "500", "dest:0;width:1"))
+	s.wantFrame(typeRelease, 0, 100)
+	s.caller.Write(with(14, "voice", "5000", "dest:1;width:1;via:-1"))
+	s.wantLine(`"offer"`, `00000e"`) // the first that the server sees
+}
+
+// A connection that brings no whole message in time is closed, and so is one that stops within a message; one that
+// has asked is kept for longer.
+func TestSilentCallers(t *testing.T) {
+	s := newStory(t)
+	told := *s.front.told.Load()
+	told.Link.First, told.Link.Idle = 50*time.Millisecond, time.Hour
+	s.front.Configure(told.Config)
+	test := appendFrame(nil, typeTest, 5, appendParam(nil, paramCause, 0))
+	for name, sent := range map[string][]byte{"nothing": nil, "a half": test[:5], "one and a half": append(test, test[:5]...)} {
+		c := s.dial(s.listener)
+		c.Write(sent)
+		if _, err := io.ReadAll(c); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	c := s.dial(s.listener)
+	c.Write(test)
+	c.Read(make([]byte, 64))
+	c.SetDeadline(time.Now().Add(200 * time.Millisecond))
+	if _, err := c.Read(make([]byte, 1)); !isTimeout(err) {
+		t.Errorf("a connection that has asked: %v", err)
+	}
+}
+
 func isTimeout(err error) bool {
 	ne, ok := err.(net.Error)
 	return ok && ne.Timeout()
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -56,7 +56,7 @@
 // appendOffer writes a set-up.
 func (p *Platform) appendOffer(b []byte, e core.Offer) []byte {
 	b = fmt.Appendf(b, `{"op":"offer","call":"%016x","with":{"class":`, uint64(e.ID))
-	b = appendText(b, p.Classes[e.Class])
+	b = appendText(b, p.told.Load().Node.Classes[e.Class].Name)
 	if e.Key != "" {
 		b = appendText(append(b, `,"key":`...), e.Key)
 	}
@@ -72,23 +72,24 @@
 
 // Dial makes a connection to a server and reads it to its end. It is a loop.Dialer.
 func (p *Platform) Dial(e core.Dial) {
-	conn, err := net.DialTimeout("tcp", e.Address, p.Config.Dial)
+	told := p.told.Load()
+	conn, err := net.DialTimeout("tcp", e.Address, told.Dial)
 	if err != nil {
 		p.log.Debug().Err(err).Str("server", e.Server).Msg("server out of reach")
 		p.loop.Post(core.ServerDown{Server: e.Server})
 		return
 	}
 	defer conn.Close()
-	s := &server{p: p, name: e.Server, link: p.loop.NewLink(), out: link.NewOutbox(conn, p.ServerLink)}
+	s := &server{p: p, name: e.Server, link: p.loop.NewLink(), out: link.NewOutbox(conn, told.ServerLink)}
 	p.loop.Attach(s.link, s, core.ServerUp{Server: e.Server, Address: e.Address, Link: s.link})
-	err = s.read(conn)
+	err = s.read(conn, told.ServerLink)
 	p.log.Info().Err(err).Str("server", e.Server).Msg("connection to server ended")
 	p.loop.Post(core.ServerDown{Server: e.Server, Link: s.link})
 }
 
 // read takes in a server's lines.
-func (s *server) read(conn net.Conn) error {
-	in := link.NewBuffer(s.p.ServerLink.ReadFirst, s.p.ServerLink.Message)
+func (s *server) read(conn net.Conn, limits link.Limits) error {
+	in := link.NewBuffer(limits.ReadFirst, limits.Message)
 	for {
 		if err := in.Fill(conn); err != nil {
 			return err
@@ -147,7 +148,8 @@
 	if text == "" {
 		return nil
 	}
-	r := make(elmseam.Report, len(p.Columns))
+	columns := p.told.Load().Node.Columns
+	r := make(elmseam.Report, len(columns))
 	for i := range r {
 		r[i] = -1
 	}
@@ -155,7 +157,7 @@
 	for pair := range strings.SplitSeq(text, ";") {
 		name, value, _ := strings.Cut(pair, ":")
 		n, err := strconv.ParseFloat(value, 64)
-		for i, column := range p.Columns {
+		for i, column := range columns {
 			if err == nil && column == name {
 				r[i], told = n, true
 			}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -118,18 +118,67 @@
 
 // Node is what a softswitch on sockets needs beside the decisions.
 type Node struct {
-	Classes        []string        // class names, in order
-	Columns        []string        // names of the values of a load report, in order
-	ConnectTimeout time.Duration   // a connection not made by then counts as unreachable
-	KeepAlive      time.Duration   // idle connections are closed by the far side after this
-	Waits          []time.Duration // how long a caller of each class waits at most
-	LongestWait    time.Duration   // the longest of these
-	MaxOpen        int             // calls that may be open at once
+	Classes        []Class       // in order
+	Columns        []string      // names of the values of a load report, in order
+	ConnectTimeout time.Duration // a connection not made by then counts as unreachable
+	KeepAlive      time.Duration // idle connections are closed by the far side after this
+	LongestWait    time.Duration // of a caller of any class
+	LongestHold    time.Duration // the longest that calls of a class last on average
+	MaxOpen        int           // calls that may be open at once
+}
+
+// Class is a class of call as callers name it.
+type Class struct {
+	Name  string
+	Wait  time.Duration // how long a caller waits at most
+	Cells []int         // that may be its first choice; none listed: any
+	Width float64       // lines a call takes; 0: not told
+	Gone  bool          // taken out by a new configuration: calls in hand still have it
+}
+
+// Names are the classes that calls may be of, with their places.
+func (n Node) Names() map[string]int {
+	names := make(map[string]int)
+	for i, c := range n.Classes {
+		if !c.Gone {
+			names[c.Name] = i
+		}
+	}
+	return names
+}
+
+// Follow gives the classes the places they had in an earlier configuration, as calls in hand know them by
+// their place. Those that are no more keep theirs.
+func Follow(old Node, n *Node, s *elmseam.Settings, was elmseam.Settings) {
+	place := n.Names()
+	var classes []Class
+	var rules []elmseam.Class
+	for i, c := range old.Classes {
+		at, there := place[c.Name]
+		if !there {
+			c.Gone = true
+			classes, rules = append(classes, c), append(rules, was.Classes[i])
+			continue
+		}
+		delete(place, c.Name)
+		classes, rules = append(classes, n.Classes[at]), append(rules, s.Classes[at])
+	}
+	for i, c := range n.Classes {
+		if at, there := place[c.Name]; there && at == i {
+			classes, rules = append(classes, c), append(rules, s.Classes[i])
+		}
+	}
+	n.Classes, s.Classes = classes, rules
 }
 
 // DecodeNode reads the part of the settings that concerns sockets. Keys it doesn't name are ignored.
 func DecodeNode(text []byte) (Node, error) {
 	var info struct {
+		FamilyInfo struct {
+			ClassCells [][]int   `json:"class-cells"`
+			ClassHold  []micros  `json:"class-hold-us"`
+			Widths     []float64 `json:"widths"`
+		} `json:"family-info"`
 		Limits struct {
 			Connect   micros `json:"connect-timeout-us"`
 			KeepAlive micros `json:"keepalive-us"`
@@ -156,9 +205,21 @@
 		if c.Name == "" {
 			return n, fmt.Errorf("settings: request-classes[%d].name: missing", i)
 		}
-		n.Classes = append(n.Classes, c.Name)
-		n.Waits = append(n.Waits, c.HardLimit.duration())
-		n.LongestWait = max(n.LongestWait, c.HardLimit.duration())
+		class := Class{Name: c.Name, Wait: c.HardLimit.duration()}
+		if i < len(info.FamilyInfo.ClassCells) {
+			class.Cells = info.FamilyInfo.ClassCells[i]
+		}
+		if i < len(info.FamilyInfo.Widths) {
+			class.Width = info.FamilyInfo.Widths[i]
+		}
+		if i < len(info.FamilyInfo.ClassHold) {
+			n.LongestHold = max(n.LongestHold, info.FamilyInfo.ClassHold[i].duration())
+		}
+		n.Classes = append(n.Classes, class)
+		n.LongestWait = max(n.LongestWait, class.Wait)
+	}
+	if names := n.Names(); len(names) < len(n.Classes) {
+		return n, fmt.Errorf("settings: request-classes: %d names for %d classes", len(names), len(n.Classes))
 	}
 	return n, nil
 }
