--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -146,7 +146,7 @@
 			Rebind:       100 * time.Millisecond, // a crossing close shows within 50 ms
 			RedialLeast:  100 * time.Millisecond,
 			RedialMost:   500 * time.Millisecond,
-			ServerLost:   6 * time.Second, // releases are owed 8 s after the end at the latest
+			ServerLost:   5 * time.Second, // releases are owed 8 s after the end at the latest
 			StopGrace:    700 * time.Millisecond,
 			StopMost:     max(n.LongestWait, 3*time.Second) + 600*time.Millisecond,
 			Callers:      callers - callers/8, // the rest are on their way in or out
@@ -172,6 +172,7 @@
 	}
 	// Callers that read nothing and set-ups that stay open hold no more than a quarter of the memory each.
 	l.ServerLink = l.Link
+	l.ServerLink.Line, l.ServerLink.Silence = 500*time.Millisecond, 3*time.Second
 	l.Link.Outbox = min(l.Link.Outbox, max(int(memory/4)/callers, 2*message))
 	l.Core.OpenBytes = int(memory / 4)
 	if l.Dial <= 0 {
--- a/internal/link/outbox.go
+++ b/internal/link/outbox.go
@@ -15,6 +15,8 @@
 	WriteStall time.Duration // and the longest that one write may take
 	First      time.Duration // to the end of the first message, or of one that has begun
 	Idle       time.Duration // without a message
+	Line       time.Duration // from a line's first byte to its last
+	Silence    time.Duration // the longest that a peer may be silent that speaks at intervals
 	Linger     time.Duration // that a connection's end may take, for the peer to read what it was told
 	Drain      int           // bytes that the peer may send in that time
 	Stuck      time.Duration // a write that takes so long is broken off where new work has to stop
--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -143,6 +143,7 @@
 	log      zerolog.Logger
 	loud     zerolog.Logger // of what callers can cause as often as they like
 	stopping atomic.Bool
+	pulse    pulse
 }
 
 // New makes the front.
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -47,6 +47,7 @@
 	}
 	l := loop.New(c, 64, func(core.Effect) {}, zerolog.Nop())
 	limits := link.Limits{ReadFirst: 64, Message: 16 << 10, Outbox: 1 << 20, WriteStall: time.Second, Stuck: 50 * time.Millisecond,
+		Line: 50 * time.Millisecond, Silence: 100 * time.Millisecond,
 		First: patience, Idle: patience, Linger: 100 * time.Millisecond, Drain: 1 << 16}
 	p := New(Config{
 		Node: settings.Node{Classes: []settings.Class{{Name: "voice", Cells: []int{0, 1}, Width: 1}}, Columns: []string{"spare", "cut_by"}}, Dial: time.Second, Callers: 8,
@@ -175,6 +176,30 @@
 	s.wantFrame(typeRelease, 1, 16)
 }
 
+// A server's connection stays open and is of no use: it stops within a line, or is silent where the server used to
+// tell its state. Set-ups waited there till their callers gave up, and releases of standing calls were never heard.
+func TestServerFallsSilent(t *testing.T) {
+	s := newStory(t)
+	s.caller.Write(setUp(1, "voice", "5000", ""))
+	s.wantLine(`"offer"`)
+	s.say(`{"op":"accept","call":"0000000000000001","with":{},"desc":""}`)
+	s.wantFrame(typeAnswer, 1, -1)
+	fmt.Fprint(s.srv, `{"op":"end","ca`)
+	s.accept()
+	s.say(`{"op":"end","call":"0000000000000001","with":{},"why":16}`) // told again on the next one
+	s.wantFrame(typeRelease, 1, 16)
+	for range pulseSeen + 1 {
+		s.say(`{"op":"group","with":{"load":"spare:3"}}`)
+		time.Sleep(20 * time.Millisecond)
+	}
+	s.caller.Write(setUp(2, "voice", "5000", ""))
+	s.wantLine(`"offer"`, `0002"`)
+	s.accept()
+	s.wantFrame(typeRelease, 2, 42) // there is no other server
+	s.say(`{"op":"group","with":{"load":"spare:3"}}`)
+	s.accept() // what the first has taught holds for the next
+}
+
 // A caller gives up: the server is told, and its crossing answer is not passed on.
 func TestCallerGivesUp(t *testing.T) {
 	s := newStory(t)
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"elmseam"
@@ -90,7 +91,20 @@
 // read takes in a server's lines.
 func (s *server) read(conn net.Conn, limits link.Limits) error {
 	in := link.NewBuffer(limits.ReadFirst, limits.Message)
+	var told time.Time // its state, last
+	partial := false
 	for {
+		wait := s.p.pulse.silence(limits.Silence)
+		switch now := time.Now(); {
+		case len(in.Bytes()) > 0 && !partial: // the line must be whole by then
+			partial = true
+			conn.SetReadDeadline(now.Add(limits.Line))
+		case partial:
+		case told.IsZero() || wait == 0:
+			conn.SetReadDeadline(time.Time{})
+		default:
+			conn.SetReadDeadline(now.Add(wait))
+		}
 		if err := in.Fill(conn); err != nil {
 			return err
 		}
@@ -107,11 +121,52 @@
 			if err != nil {
 				return fmt.Errorf("line of %d bytes: %w", end, err)
 			}
+			if now := time.Now(); l.op == "group" {
+				if !told.IsZero() {
+					s.p.pulse.told(now.Sub(told))
+				}
+				told = now
+			}
+			partial = false
 			in.Skip(end + 1)
 		}
 	}
 }
 
+// pulse tells when a connection has died that stays open. Servers tell the state of their group at intervals of
+// their own; when a few of them have passed without a line, nothing that is out there will be answered either.
+// What one connection has taught holds for the next.
+type pulse struct {
+	mu       sync.Mutex
+	interval time.Duration // the longest of late
+	seen     int
+}
+
+// Intervals that must have been seen, how many of the longest make a silence, and how slowly that one fades.
+const (
+	pulseSeen  = 3
+	pulseTimes = 3
+	pulseFade  = 32
+)
+
+// told takes in the time between two states.
+func (p *pulse) told(interval time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seen++
+	p.interval = max(interval, p.interval+(interval-p.interval)/pulseFade)
+}
+
+// silence is how long a connection may bring nothing; 0: for ever.
+func (p *pulse) silence(most time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.seen < pulseSeen {
+		return 0
+	}
+	return min(pulseTimes*p.interval, most)
+}
+
 // take passes a server's message on.
 func (s *server) take(l line) error {
 	var id core.ID
