--- a/cmd/elmseam/main_test.go
+++ b/cmd/elmseam/main_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -152,6 +153,32 @@
 	return wrap(t, c, err)
 }
 
+// server takes both connections that the program makes to a server, and reads them as one.
+func server(t *testing.T, l net.Listener) *conn {
+	t.Helper()
+	c := accept(t, l)
+	r, w := io.Pipe()
+	lines := bufio.NewWriterSize(w, 1<<16)
+	var mu sync.Mutex
+	var open sync.WaitGroup
+	for _, c := range []*conn{c, accept(t, l)} {
+		open.Go(func() {
+			for {
+				text, err := c.r.ReadString('\n')
+				if err != nil {
+					return
+				}
+				mu.Lock()
+				lines.WriteString(text)
+				lines.Flush()
+				mu.Unlock()
+			}
+		})
+	}
+	go func() { open.Wait(); w.Close() }()
+	return &conn{t, c.Conn, bufio.NewReader(r)}
+}
+
 func dial(t *testing.T, address string) *conn {
 	t.Helper()
 	c, err := net.Dial("tcp", address)
@@ -235,7 +262,7 @@
 func TestServeFollowStop(t *testing.T) {
 	old, fresh := listen(t), listen(t)
 	p := start(t, "", endpoint("old", "in_service", old))
-	first := accept(t, old)
+	first := server(t, old)
 	caller := dial(t, p.listen)
 	caller.setUp(1)
 	id := first.line(`"offer"`)
@@ -249,7 +276,7 @@
 		t.Errorf("Last-Event-ID %s, want 1", last)
 	}
 	ch.event(2, endpoint("new", "in_service", fresh))
-	second := accept(t, fresh)
+	second := server(t, fresh)
 	ch.Close()
 	ch = accept(t, p.channel)
 	if last := ch.events(); last != "2" {
@@ -289,10 +316,10 @@
 func TestReload(t *testing.T) {
 	srv, channel := listen(t), listen(t)
 	p := start(t, "", endpoint("s", "in_service", srv))
-	server := accept(t, srv)
+	peer := server(t, srv)
 	caller := dial(t, p.listen)
 	caller.setUp(1)
-	id := server.line(`"offer"`)
+	id := peer.line(`"offer"`)
 	old := accept(t, p.channel)
 	old.events()
 	old.event(2, endpoint("s", "in_service", srv))
@@ -309,17 +336,17 @@
 	p.cmd.Process.Signal(syscall.SIGHUP)
 	p.wantLog("configuration taken over")
 	caller.setUpOf("video", 2)
-	second := server.line(`"video"`)
-	fmt.Fprintf(server, `{"op":"accept","call":%q,"with":{},"desc":""}`+"\n", id)
+	second := peer.line(`"video"`)
+	fmt.Fprintf(peer, `{"op":"accept","call":%q,"with":{},"desc":""}`+"\n", id)
 	caller.frame(9, 1)
 
 	p.cmd.Process.Signal(syscall.SIGTERM)
 	p.wantLog("stopping")
 	p.cmd.Process.Signal(syscall.SIGHUP)
 	p.wantLog("configuration taken over")
-	fmt.Fprintf(server, `{"op":"end","call":%q,"with":{},"why":16}`+"\n", id)
+	fmt.Fprintf(peer, `{"op":"end","call":%q,"with":{},"why":16}`+"\n", id)
 	caller.frame(12, 1)
-	fmt.Fprintf(server, `{"op":"end","call":%q,"with":{},"why":47}`+"\n", second)
+	fmt.Fprintf(peer, `{"op":"end","call":%q,"with":{},"why":47}`+"\n", second)
 	caller.frame(12, 2)
 	if err := p.cmd.Wait(); err != nil {
 		t.Errorf("the program ends with %v", err)
@@ -376,7 +403,7 @@
 	file += fmt.Sprintf("[[bgp.peer]]\naddress = %q\nas = 64513\n", neighbour.Addr())
 	os.WriteFile(path, []byte(file), 0o600)
 	p := start(t, path, endpoint("new", "in_service", srv))
-	server := accept(t, srv)
+	activation := server(t, srv)
 
 	peer := accept(t, neighbour)
 	marker := bytes.Repeat([]byte{0xff}, 16)
@@ -401,8 +428,8 @@
 	// Protocol data from point 300 to 100, national: IAM on circuit 7, category 11, number 12.
 	client.Write([]byte{1, 0, 1, 1, 0, 0, 0, 44, 2, 0x10, 0, 33, 0, 0, 1, 44, 0, 0, 0, 100, 5, 2, 0, 7,
 		7, 0, 1, 0, 0x60, 1, 11, 0, 2, 0, 3, 3, 0x10, 0x21, 0, 0, 0, 0, 0, 0})
-	id := server.line(`"key":"12"`)
-	fmt.Fprintf(server, `{"op":"accept","call":%q,"with":{},"desc":"x"}`+"\n", id)
+	id := activation.line(`"key":"12"`)
+	fmt.Fprintf(activation, `{"op":"accept","call":%q,"with":{},"desc":"x"}`+"\n", id)
 	for {
 		b := client.bytes(8)
 		rest := client.bytes(int(binary.BigEndian.Uint32(b[4:])) - 8)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -13,6 +13,7 @@
 	"elmseam/internal/core"
 	"elmseam/internal/feed"
 	"elmseam/internal/link"
+	"elmseam/internal/platform"
 	"elmseam/internal/settings"
 )
 
@@ -146,7 +147,9 @@
 			Rebind:       100 * time.Millisecond, // a crossing close shows within 50 ms
 			RedialLeast:  100 * time.Millisecond,
 			RedialMost:   500 * time.Millisecond,
-			ServerLost:   5 * time.Second, // releases are owed 8 s after the end at the latest
+			Lines:        map[core.Front]int{platform.Front: 2},
+			Mute:         100 * time.Millisecond, // any answer takes less where the server isn't pressed
+			ServerLost:   5 * time.Second,        // releases are owed 8 s after the end at the latest
 			StopGrace:    700 * time.Millisecond,
 			StopMost:     max(n.LongestWait, 3*time.Second) + 600*time.Millisecond,
 			Callers:      callers - callers/8, // the rest are on their way in or out
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -27,6 +27,7 @@
 	number int
 	server *server
 	phase  phase
+	line   *line // where it went
 	at     Time
 	cause  elmseam.Cause // that the module is told when the end is written
 }
@@ -53,7 +54,7 @@
 type server struct {
 	Server
 	id        elmseam.ServerID
-	link      Link
+	lines     []*line
 	dialing   bool
 	backoff   time.Duration
 	lost      Time   // out of reach since; 0: not
@@ -65,6 +66,13 @@
 	redialing bool         // a timer runs
 }
 
+// line is a connection to a server.
+type line struct {
+	link Link
+	used Time // for a set-up, last
+	mute Time // nothing has been heard since this set-up went out; 0: something has
+}
+
 // caller is the connection of a caller.
 type caller struct {
 	link  Link
@@ -161,6 +169,7 @@
 		c.serverEnd(ev)
 	case ServerReport:
 		if s := c.servers[ev.Server]; s != nil {
+			s.heard(ev.Link)
 			c.tell(elmseam.Health{Server: s.id, OK: true, Report: ev.Report})
 		}
 	case ServerPaused:
@@ -379,14 +388,18 @@
 // offer writes an attempt, or has it wait for the release gap or a connection.
 func (c *Core) offer(k *call) {
 	s := k.out.server
+	l := c.lineTo(s)
 	switch {
 	case c.now < k.gap:
 		c.timer(k.gap, Token{kind: tokenGap, call: k.ID, number: uint32(k.out.number)})
-	case s.link == 0:
+	case l == nil:
 		c.dial(s)
 	default:
-		k.out.phase, k.out.at = sent, c.now
-		c.do(Offer{To: s.link, ID: k.ID, Class: k.Class, Key: k.Key, Desc: k.SetUp.Desc, Cell: s.Cell, Until: k.deadline})
+		k.out.phase, k.out.line, k.out.at, l.used = sent, l, c.now, c.now
+		if l.mute == 0 {
+			l.mute = c.now
+		}
+		c.do(Offer{To: l.link, ID: k.ID, Class: k.Class, Key: k.Key, Desc: k.SetUp.Desc, Cell: s.Cell, Until: k.deadline})
 	}
 }
 
@@ -398,7 +411,7 @@
 		c.outcome(k, elmseam.Outcome{Cause: elmseam.CauseNotSent})
 	case a.phase == sent:
 		a.phase, a.cause = ending, cause
-		c.do(End{To: a.server.link, ID: k.ID, Tell: true})
+		c.do(End{To: a.line.link, ID: k.ID, Tell: true})
 	}
 }
 
@@ -447,12 +460,13 @@
 	if s == nil {
 		return
 	}
+	s.heard(ev.Link)
 	k := s.out[ev.ID]
 	switch {
 	case k == nil && s.standing[ev.ID] != nil:
 		return // said twice
 	case k == nil:
-		c.do(End{To: s.link, ID: ev.ID})
+		c.endAt(s, ev.ID)
 		return
 	case k.out.phase != sent:
 		return // its end is on the way
@@ -485,6 +499,7 @@
 	if s == nil {
 		return
 	}
+	s.heard(ev.Link)
 	o := elmseam.Outcome{Refusal: ev.Refusal, Report: ev.Report}
 	if k := s.standing[ev.ID]; k != nil {
 		if o.Cause = elmseam.CauseReset; ev.Reason == Normal {
@@ -585,16 +600,12 @@
 	case k == nil:
 		if _, known := c.ended[ev.ID]; !known {
 			for _, s := range c.order {
-				if s.link != 0 {
-					c.do(End{To: s.link, ID: ev.ID})
-				}
+				c.endAt(s, ev.ID)
 			}
 		}
 	case k.stands != nil:
 		k.gone = true
-		if l := k.stands.link; l != 0 {
-			c.do(End{To: l, ID: k.ID})
-		}
+		c.endAt(k.stands, k.ID)
 		c.released(k, Normal, elmseam.Outcome{Cause: elmseam.CauseCancelled})
 	case ev.From == k.From || k.orphan:
 		c.callerGone(k)
@@ -698,7 +709,7 @@
 	case tokenRedial:
 		if s := c.servers[t.server]; s != nil {
 			s.redialing = false
-			if s.link == 0 && c.wanted(s) {
+			if len(s.lines) < c.wanted(s) {
 				c.dial(s)
 			}
 		}
@@ -729,7 +740,7 @@
 func (c *Core) deadline(k *call) {
 	if a := k.out; a != nil {
 		if a.phase == sent {
-			c.do(End{To: a.server.link, ID: k.ID})
+			c.do(End{To: a.line.link, ID: k.ID})
 		}
 		cause := elmseam.CauseTimeout
 		if a.phase == waiting {
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -65,8 +65,8 @@
 			c.dial(s)
 			continue
 		}
-		if s.link != 0 {
-			c.do(Withdraw{To: s.link})
+		for _, l := range s.lines {
+			c.do(Withdraw{To: l.link})
 		}
 		for _, k := range inOrder(s.out) {
 			if k.out.phase == waiting {
@@ -123,35 +123,69 @@
 	return false
 }
 
-// wanted says whether a connection to a server is of use.
-func (c *Core) wanted(s *server) bool {
-	return s.Phase == elmseam.Ready && !c.cutOff(s) || len(s.standing) > 0
+// wanted is how many connections to a server are of use. More than one, so that what goes wrong on one doesn't
+// concern all that is out there, and shows.
+func (c *Core) wanted(s *server) int {
+	switch {
+	case s.Phase == elmseam.Ready && !c.cutOff(s):
+		return max(c.limits.Lines[s.Front], 1)
+	case len(s.standing) > 0:
+		return 1
+	}
+	return 0
 }
 
-// dial asks for a connection, once at a time.
+// dial asks for a connection, one at a time.
 func (c *Core) dial(s *server) {
-	if s.dialing || s.link != 0 {
+	if s.dialing || len(s.lines) >= max(c.wanted(s), 1) {
 		return
 	}
 	s.dialing = true
 	c.do(Dial{Server: s.Name, Address: s.Address, Front: s.Front})
 }
 
-// hangUp ends the connection to a server; what is out there is cut.
+// lineTo is the connection for the next set-up: the one used least of late among those that don't leave set-ups
+// without a word.
+func (c *Core) lineTo(s *server) (best *line) {
+	doubt := func(l *line) bool { return l.mute != 0 && c.now-l.mute > c.limits.Mute }
+	for _, l := range s.lines {
+		if best == nil || doubt(best) && !doubt(l) || doubt(best) == doubt(l) && l.used < best.used {
+			best = l
+		}
+	}
+	return best
+}
+
+// heard takes in that a connection brings something.
+func (s *server) heard(link Link) {
+	for _, l := range s.lines {
+		if l.link == link {
+			l.mute = 0
+		}
+	}
+}
+
+// endAt releases a call at a server, on any connection.
+func (c *Core) endAt(s *server, id ID) {
+	if l := c.lineTo(s); l != nil {
+		c.do(End{To: l.link, ID: id})
+	}
+}
+
+// hangUp ends the connections to a server; what is out there is cut.
 func (c *Core) hangUp(s *server) {
-	if s.link == 0 {
-		return
+	lines := s.lines
+	s.lines = nil
+	for _, l := range lines {
+		c.do(Hangup{To: l.link})
+		c.cutOut(s, l, elmseam.CauseReset)
 	}
-	l := s.link
-	s.link = 0
-	c.do(Hangup{To: l})
-	c.cutOut(s, elmseam.CauseReset)
 }
 
 // serverUp sends what has waited for the connection.
 func (c *Core) serverUp(ev ServerUp) {
 	s := c.servers[ev.Server]
-	if s == nil || s.link != 0 {
+	if s == nil || len(s.lines) >= max(c.wanted(s), 1) {
 		c.do(Hangup{To: ev.Link})
 		return
 	}
@@ -160,32 +194,41 @@
 		c.dial(s)
 		return
 	}
-	s.link, s.dialing, s.backoff, s.lost = ev.Link, false, 0, 0
+	s.lines = append(s.lines, &line{link: ev.Link})
+	s.backoff, s.lost = 0, 0
 	for _, k := range inOrder(s.out) {
 		if k.out.phase == waiting && c.now >= k.gap {
 			c.retry(k)
 		}
 	}
+	c.dial(s)
 }
 
 // serverDown takes in that a connection has ended or could not be made. Set-ups open on it are cut or
 // were never sent; what stands there stands on, and a new connection will tell of it.
 func (c *Core) serverDown(ev ServerDown) {
 	s := c.servers[ev.Server]
-	if s == nil || ev.Link != s.link {
+	if s == nil {
 		return
 	}
-	cause := elmseam.CauseReset
-	if s.link == 0 {
-		cause = elmseam.CauseUnreachable
+	cause := elmseam.CauseUnreachable
+	var gone *line
+	if ev.Link != 0 {
+		i := slices.IndexFunc(s.lines, func(l *line) bool { return l.link == ev.Link })
+		if i < 0 {
+			return
+		}
+		cause, gone = elmseam.CauseReset, s.lines[i]
+		s.lines = slices.Delete(s.lines, i, i+1)
+	} else {
+		s.dialing = false
 	}
-	s.link, s.dialing = 0, false
-	if s.lost == 0 {
+	if s.lost == 0 && len(s.lines) == 0 {
 		s.lost = c.now
 		c.timer(c.now+c.limits.ServerLost, Token{kind: tokenLost, server: s.Name})
 	}
-	c.cutOut(s, cause)
-	if s.link == 0 && !s.dialing && !s.redialing && c.wanted(s) {
+	c.cutOut(s, gone, cause)
+	if !s.dialing && !s.redialing && len(s.lines) < c.wanted(s) {
 		at := c.now
 		if cause == elmseam.CauseUnreachable {
 			s.backoff = min(max(2*s.backoff, c.limits.RedialLeast), c.limits.RedialMost)
@@ -197,17 +240,20 @@
 	c.tidy(s)
 }
 
-// cutOut ends the attempts out at a server whose connection has ended.
-func (c *Core) cutOut(s *server, cause elmseam.Cause) {
+// cutOut ends the attempts out at a server on a connection that has ended, and if it was the last, or none could
+// be made, those that wait for one.
+func (c *Core) cutOut(s *server, gone *line, cause elmseam.Cause) {
 	for _, k := range inOrder(s.out) {
 		if k.out == nil || k.out.server != s {
 			continue
 		}
 		o := elmseam.Outcome{Cause: cause}
-		switch {
-		case k.out.phase == ending:
-			o.Cause = k.out.cause
-		case k.out.phase == waiting && cause == elmseam.CauseReset:
+		switch a := k.out; {
+		case a.phase == waiting && len(s.lines) > 0, a.phase != waiting && a.line != gone:
+			continue
+		case a.phase == ending:
+			o.Cause = a.cause
+		case a.phase == waiting && cause == elmseam.CauseReset:
 			o.Cause = elmseam.CauseNotSent
 		}
 		c.outcome(k, o)
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -85,6 +85,7 @@
 	// ServerAnswer says that the call stands.
 	ServerAnswer struct {
 		Server string
+		Link   Link
 		ID     ID
 		Desc   []byte
 		Report elmseam.Report
@@ -92,6 +93,7 @@
 	// ServerEnd is a server's refusal of a set-up or its release of a call that stands.
 	ServerEnd struct {
 		Server  string
+		Link    Link
 		ID      ID
 		Reason  Reason
 		Refusal elmseam.Refusal
@@ -100,6 +102,7 @@
 	// ServerReport is a load report that came by itself.
 	ServerReport struct {
 		Server string
+		Link   Link
 		Report elmseam.Report
 	}
 	// ServerPaused says that a server's own signalling takes no new work, or does again.
@@ -267,6 +270,8 @@
 	Rebind       time.Duration // a set-up may come again on a new connection for so long
 	RedialLeast  time.Duration // between attempts to reach a server again
 	RedialMost   time.Duration
+	Lines        map[Front]int // connections to a server, by its front; not named: one
+	Mute         time.Duration // a connection that has brought nothing so long after a set-up is doubtful
 	ServerLost   time.Duration // out of reach for so long, a server's standing calls are taken for cut
 	StopGrace    time.Duration // callers may still come for this long after a Stop
 	StopMost     time.Duration // and standing calls are waited for this long
--- a/internal/m3ua/server.go
+++ b/internal/m3ua/server.go
@@ -249,7 +249,7 @@
 				report[i] = share
 			}
 		}
-		s.m.loop.Post(core.ServerReport{Server: s.name, Report: report})
+		s.m.loop.Post(core.ServerReport{Server: s.name, Link: s.link, Report: report})
 	}
 }
 
@@ -273,14 +273,14 @@
 	case isupANM:
 		if id, there := s.trunk.call(ci.cic, calling); there {
 			s.trunk.move(id, standing, calling)
-			s.m.loop.Post(core.ServerAnswer{Server: s.name, ID: id, Desc: k.desc})
+			s.m.loop.Post(core.ServerAnswer{Server: s.name, Link: s.link, ID: id, Desc: k.desc})
 		}
 	case isupREL, isupRSC: // a circuit reset has no cause: the call on it is cut
 		id, there := s.trunk.cleared(ci.cic, calling, standing)
 		s.write(ci.cic, call{kind: isupRLC}, nil)
 		if there {
 			s.m.loop.Post(core.ServerEnd{
-				Server: s.name, ID: id, Reason: q850.FromServer(k.cause), Refusal: q850.RefusalOf(k.cause),
+				Server: s.name, Link: s.link, ID: id, Reason: q850.FromServer(k.cause), Refusal: q850.RefusalOf(k.cause),
 			})
 		}
 	case isupRLC:
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -180,14 +180,14 @@
 	report := s.p.report(l.load)
 	switch l.op {
 	case "accept":
-		s.p.loop.Post(core.ServerAnswer{Server: s.name, ID: id, Desc: []byte(l.desc), Report: report})
+		s.p.loop.Post(core.ServerAnswer{Server: s.name, Link: s.link, ID: id, Desc: []byte(l.desc), Report: report})
 	case "end":
 		s.p.loop.Post(core.ServerEnd{
-			Server: s.name, ID: id, Reason: q850.FromServer(l.why), Refusal: q850.Refusal(l.note), Report: report,
+			Server: s.name, Link: s.link, ID: id, Reason: q850.FromServer(l.why), Refusal: q850.Refusal(l.note), Report: report,
 		})
 	case "group":
 		if report != nil {
-			s.p.loop.Post(core.ServerReport{Server: s.name, Report: report})
+			s.p.loop.Post(core.ServerReport{Server: s.name, Link: s.link, Report: report})
 		}
 	case "test":
 		s.out.Post(link.Item{Data: fmt.Appendf(nil, `{"op":"tested","call":"%016x","with":{},"why":1}`+"\n", uint64(id))})
