Know a server again that comes back; its part goes by the most lines it has had

It told 94 lines then, 239 before and again at 14.5 s, and the budget goes by lines (controller.go partOf). What it had taken was forgotten with it: core/servers.go tidy dropped the name, so the module saw a new server. Ruled out: the budget for diverted calls (3.0 of 3.0 most of the time), lines (83 of 94 free), pressure (share 0.00 to 0.02).

Now the module keeps for a minute what the last 8 servers to go were, the core keeps their ids, and a processor is measured by the most lines that its server has told.

--- a/controller.go
+++ b/controller.go
@@ -56,6 +56,8 @@
 	retryHint     = 300 * time.Millisecond // hint with a refusal: a redial soon can still stand in time
 	answerMargin  = 5 * time.Millisecond   // final answers go out this long before the caller's time is up
 	stallRoom     = 2 * time.Second        // time that a held call must have left: a proxy may stall
+	pastKept      = time.Minute            // what a server that has gone was is known for so long
+	pastServers   = 8                      // and of so many
 	resubscribe   = time.Second            // gap between requests for the list after one failed
 )
 
@@ -89,11 +91,20 @@
 
 	topRate float64 // highest rate told
 	size    float64 // lines in all, 0: not told
+	most    float64 // the most that it has had: its processor is still there for those
 	cold    bucket  // budget while cold
 	divert  bucket  // budget of diverted calls
 	trials  bucket  // budget of trials after a full cut
 }
 
+// past is what a server was that has gone: it may come back.
+type past struct {
+	id         ServerID
+	most, took float64
+	floor      time.Duration
+	at         Time
+}
+
 // attempt is a set-up that has not been answered.
 type attempt struct {
 	call    *call
@@ -145,6 +156,7 @@
 	set        Settings
 	servers    []*server // as listed
 	byID       map[ServerID]*server
+	past       []past // the last to go, oldest first
 	calls      map[CallID]*call
 	out        []Action
 	now        Time
@@ -297,20 +309,34 @@
 		over := s.phase == Gone && len(s.out) == 0
 		if over {
 			delete(c.byID, s.id)
+			c.past = append(c.past, past{s.id, s.most, max(s.took, c.rate(s.stands)), s.floor, c.now})
 		}
 		return over
 	})
+	c.past = slices.DeleteFunc(c.past, func(p past) bool { return c.now > p.at+pastKept })
+	c.past = c.past[max(len(c.past)-pastServers, 0):]
+}
+
+// newServer is a server that the list names; of one that comes back some things are known.
+func (c *Controller) newServer(id ServerID) *server {
+	s := &server{id: id}
+	for _, p := range c.past {
+		if p.id == id {
+			s.most, s.took, s.floor = p.most, p.took, p.floor
+		}
+	}
+	return s
 }
 
 // listEntry takes in what the list says of one server. One that started anew has a clean slate.
 func (c *Controller) listEntry(e ListEntry) {
 	s := c.byID[e.Server]
 	if s == nil {
-		s = &server{id: e.Server}
+		s = c.newServer(e.Server)
 		c.byID[e.Server] = s
 		c.servers = append(c.servers, s)
 	} else if s.started != e.Started {
-		*s = server{id: s.id, out: s.out, floor: s.floor, took: max(s.took, c.rate(s.stands))}
+		*s = server{id: s.id, out: s.out, floor: s.floor, most: s.most, took: max(s.took, c.rate(s.stands))}
 	}
 	s.cell, s.phase, s.started = e.Cell, e.Phase, e.Started
 	if s.cold.at == 0 { // from the telling on, or what came due before would go out at once
@@ -342,7 +368,7 @@
 		}
 	}
 	if free >= 0 && all > 0 {
-		s.size, s.free = all, free
+		s.size, s.most, s.free = all, max(s.most, all), free
 		s.lines = max(0, 1-free/(scarceLines*all))
 	}
 }
@@ -610,10 +636,10 @@
 // partOf is a server's part, by its lines, of the set-ups a second that warm servers take from here.
 func (c *Controller) partOf(s *server) float64 { return c.perLine * c.linesOf(s) }
 
-// linesOf is the size of a server: the mean of the others where it is not told.
+// linesOf is the size of a server as far as its processor goes: the mean of the others where it is not told.
 func (c *Controller) linesOf(s *server) float64 {
-	if s.size > 0 {
-		return s.size
+	if s.most > 0 {
+		return s.most
 	}
 	return c.meanLines
 }
@@ -625,8 +651,8 @@
 func (c *Controller) measure() {
 	told, n := 0.0, 0.0
 	for _, s := range c.servers {
-		if s.size > 0 {
-			told, n = told+s.size, n+1
+		if s.most > 0 {
+			told, n = told+s.most, n+1
 		}
 	}
 	if c.meanLines = 1; n > 0 {
--- a/controller_test.go
+++ b/controller_test.go
@@ -684,6 +684,44 @@
 	if n := len(b.c.servers); n != 1 {
 		t.Errorf("%d servers kept after the set-up's end, want 1", n)
 	}
+	if n := len(b.c.past); n > pastServers {
+		t.Errorf("%d servers known that have gone", n)
+	}
+	b.pass(pastKept + time.Second)
+	if b.on(ListDelta{}); len(b.c.past) != 0 {
+		t.Errorf("%d servers known that went long ago", len(b.c.past))
+	}
+}
+
+// A server that dies and comes back with a part of its lines still has its processor: its budget while cold goes
+// by what it was. It was taken for a new and small one, and stood idle beside one that was overrun.
+func TestServerThatComesBackIsKnown(t *testing.T) {
+	set := settings()
+	b := newBench(t, set, 2)
+	const perSecond = 40
+	load := func(d time.Duration, each func()) {
+		for until := b.now + d; b.now < until; b.pass(time.Second / perSecond) {
+			each()
+		}
+	}
+	b.report(1, 900, 1000, 0)
+	b.report(2, 900, 1000, 0)
+	load(20*time.Second, func() { b.answered(1+int(b.next)%2, 20*ms) })
+	b.on(ListDelta{Entries: []ListEntry{{Server: 2, Cell: 2, Phase: Gone}}})
+	load(4*time.Second, func() { b.answered(1, 20*ms) })
+	began := b.now
+	b.on(ListDelta{Entries: []ListEntry{{Server: 2, Cell: 2, Phase: Ready, Started: began}}})
+	b.report(2, 400, 400, 0)
+	var sent []Time
+	load(4*time.Second, func() {
+		if b.answered(2, 20*ms) == 2 {
+			sent = append(sent, b.now)
+		}
+	})
+	if len(sent) < 40 {
+		t.Errorf("%d set-ups in 4 s, of a processor that took 20 a second", len(sent))
+	}
+	coldWindows(t, set, began, sent, perSecond/2, coldBurst)
 }
 
 func TestListAskedFor(t *testing.T) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -149,7 +149,8 @@
 			RedialMost:   500 * time.Millisecond,
 			Lines:        map[core.Front]int{platform.Front: 2},
 			Mute:         100 * time.Millisecond, // any answer takes less where the server isn't pressed
-			ServerLost:   5 * time.Second,        // releases are owed 8 s after the end at the latest
+			Left:         16,
+			ServerLost:   5 * time.Second, // releases are owed 8 s after the end at the latest
 			StopGrace:    700 * time.Millisecond,
 			StopMost:     max(n.LongestWait, 3*time.Second) + 600*time.Millisecond,
 			Callers:      callers - callers/8, // the rest are on their way in or out
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -66,6 +66,12 @@
 	redialing bool         // a timer runs
 }
 
+// left remembers under which id the module knew a server that has gone: one that comes back is the same.
+type left struct {
+	name string
+	id   elmseam.ServerID
+}
+
 // line is a connection to a server.
 type line struct {
 	link Link
@@ -105,6 +111,7 @@
 	byID     map[elmseam.ServerID]*server
 	order    []*server
 	lastID   elmseam.ServerID
+	left     []left           // servers that have gone, oldest first
 	routes   map[string]Route // withdrawn
 	callers  map[Link]*caller
 	links    []*caller // oldest first
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -360,3 +360,23 @@
 	r.want(r.setUp(8, 5*time.Second), "rejected8@1 ")
 	r.want(r.step(ServerEnd{Server: "a", ID: 7, Reason: Full}), "rejected7@1 ")
 }
+
+// A server that went and comes back is the same one to the module; what is kept of those that don't is bounded.
+func TestServerComesBack(t *testing.T) {
+	r := newRig(t)
+	r.c.limits.Left = 2
+	id := r.c.servers["a"].id
+	r.list(elmseam.Gone, elmseam.Ready)
+	r.list(elmseam.Ready, elmseam.Ready)
+	if got := r.c.servers["a"].id; got != id {
+		t.Errorf("it is %d now, was %d", got, id)
+	}
+	for i := range 10 {
+		name := fmt.Sprint(i)
+		r.step(List{Servers: []Server{{Name: name, Address: "x:1", Phase: elmseam.Ready}}})
+		r.step(List{Servers: []Server{{Name: name, Address: "x:1", Phase: elmseam.Gone}}})
+	}
+	if len(r.c.left) != 2 || len(r.c.servers) != 2 || len(r.c.byID) != 2 || len(r.c.order) != 2 {
+		t.Errorf("%d left, %d servers, %d ids, %d in order", len(r.c.left), len(r.c.servers), len(r.c.byID), len(r.c.order))
+	}
+}
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -16,8 +16,7 @@
 		s := c.servers[e.Name]
 		switch {
 		case s == nil:
-			c.lastID++
-			s = &server{id: c.lastID, standing: make(map[ID]*call), out: make(map[ID]*call)}
+			s = &server{id: c.idOf(e.Name), standing: make(map[ID]*call), out: make(map[ID]*call)}
 			c.servers[e.Name], c.byID[s.id] = s, s
 			c.order = append(c.order, s)
 		case s.Started != e.Started || s.Address != e.Address:
@@ -89,6 +88,8 @@
 	c.hangUp(s)
 	delete(c.servers, s.Name)
 	delete(c.byID, s.id)
+	c.left = append(c.left, left{s.Name, s.id})
+	c.left = c.left[max(len(c.left)-c.limits.Left, 0):]
 	for i, have := range c.order {
 		if have == s {
 			c.order = append(c.order[:i], c.order[i+1:]...)
@@ -97,6 +98,18 @@
 	}
 }
 
+// idOf is the module's name for a server that comes into the list.
+func (c *Core) idOf(name string) elmseam.ServerID {
+	for i, l := range c.left {
+		if l.name == name {
+			c.left = slices.Delete(c.left, i, i+1)
+			return l.id
+		}
+	}
+	c.lastID++
+	return c.lastID
+}
+
 // route takes in that the way to some servers has gone or come.
 func (c *Core) route(ev Route) {
 	if c.routes[ev.Name] = ev; ev.Up {
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -272,6 +272,7 @@
 	RedialMost   time.Duration
 	Lines        map[Front]int // connections to a server, by its front; not named: one
 	Mute         time.Duration // a connection that has brought nothing so long after a set-up is doubtful
+	Left         int           // servers that have gone and are known again when they come back
 	ServerLost   time.Duration // out of reach for so long, a server's standing calls are taken for cut
 	StopGrace    time.Duration // callers may still come for this long after a Stop
 	StopMost     time.Duration // and standing calls are waited for this long
