Measure a server that starts anew by what it took when it last answered

Checked with a trace of offers and reports: told shares 0.00 to 0.06, no wait, 50 lines free; so it was the budget. controller.go listEntry took the rate at the moment of the restart, after 5 s dead (0.72 of it left in a memory of 15 s), over a window that counted the dead time too; and coldPasses held it to the lower of that and its part by lines, where the other server's lines were many and its processor weak. rate divided by the time lived where the memory holds 15*(1-exp(-t/15)) of it.

Now the rate is that of the last answer, the divisor is what the memory holds, and a known rate stands alone.

--- a/controller.go
+++ b/controller.go
@@ -309,7 +309,7 @@
 		over := s.phase == Gone && len(s.out) == 0
 		if over {
 			delete(c.byID, s.id)
-			c.past = append(c.past, past{s.id, s.most, max(s.took, c.rate(s.stands)), s.floor, c.now})
+			c.past = append(c.past, past{s.id, s.most, c.tookBy(s), s.floor, c.now})
 		}
 		return over
 	})
@@ -317,6 +317,10 @@
 	c.past = c.past[max(len(c.past)-pastServers, 0):]
 }
 
+// tookBy is what a server takes from here, or took before it started anew: as it was when it last
+// answered, for one that starts anew has been dead for a while.
+func (c *Controller) tookBy(s *server) float64 { return max(s.took, c.rateAt(s.stands, s.stands.at)) }
+
 // newServer is a server that the list names; of one that comes back some things are known.
 func (c *Controller) newServer(id ServerID) *server {
 	s := &server{id: id}
@@ -336,7 +340,7 @@
 		c.byID[e.Server] = s
 		c.servers = append(c.servers, s)
 	} else if s.started != e.Started {
-		*s = server{id: s.id, out: s.out, floor: s.floor, most: s.most, took: max(s.took, c.rate(s.stands))}
+		*s = server{id: s.id, out: s.out, floor: s.floor, most: s.most, took: c.tookBy(s)}
 	}
 	s.cell, s.phase, s.started = e.Cell, e.Phase, e.Started
 	if s.cold.at == 0 { // from the telling on, or what came due before would go out at once
@@ -599,9 +603,9 @@
 		return true
 	}
 	warm := c.set.ColdFrom + (1-c.set.ColdFrom)*float64(c.now-s.started)/float64(c.set.ColdRamp)
-	part := c.partOf(s)
-	if s.took > 0 {
-		part = min(part, s.took) // what it took before it started anew: lines say little of a processor
+	part := s.took // what it took before it started anew: lines say little of a processor
+	if part <= 0 {
+		part = c.partOf(s)
 	}
 	return s.cold.spread(c.now, coldSafety*c.set.TipMultiple*warm*part, coldBurst, c.gaps(coldGaps))
 }
@@ -704,9 +708,11 @@
 func (n *counter) add(now Time) { n.count, n.at = n.now(now)+1, now }
 
 // rate is the rate a second of what a counter has counted.
-func (c *Controller) rate(n counter) float64 {
-	memory := min(max((c.now-c.born).Seconds(), minMemory), rateMemory)
-	return n.now(c.now) / memory
+func (c *Controller) rate(n counter) float64 { return c.rateAt(n, c.now) }
+
+// rateAt is the rate as it was at a time after the last count.
+func (c *Controller) rateAt(n counter, at Time) float64 {
+	return n.now(at) / (rateMemory * (1 - decay(max((at-c.born).Seconds(), minMemory))))
 }
 
 // decay is the weight of what happened dt seconds ago.
--- a/controller_test.go
+++ b/controller_test.go
@@ -1101,6 +1101,30 @@
 	}
 }
 
+// What a server took is taken from its last answers: one that was dead for some seconds before it started anew was
+// held for half as strong as it was, and its budget stayed short until it was warm.
+func TestDeadTimeIsNoMeasure(t *testing.T) {
+	b := newBench(t, settings(), 2)
+	b.report(1, 900, 1000, 0)
+	b.report(2, 1900, 2000, 0) // lines say little of a processor
+	b.steady(2)
+	b.pass(6 * time.Second)
+	b.on(ListDelta{Entries: []ListEntry{{Server: 2, Cell: 2, Phase: Ready, Started: b.now}}})
+	if took := b.c.byID[2].took; took < 4.5 || took > 5.5 {
+		t.Errorf("a server that took 5 a second is held for one that took %.1f", took)
+	}
+	s := b.c.byID[2]
+	b.c.now = b.now
+	b.c.coldPasses(s)
+	s.cold.tokens = 0
+	b.c.now += 500 * ms
+	b.c.coldPasses(s)
+	warm := 0.3 + 0.7*0.5/14
+	if got, want := s.cold.tokens, coldSafety*2*warm*5/2; math.Abs(got-want) > 0.2 {
+		t.Errorf("a budget of %.2f in half a second, want %.2f", got, want)
+	}
+}
+
 // The time to decide an arrival grows with the number of servers, and no faster.
 func BenchmarkArrival(b *testing.B) {
 	for _, servers := range []int{3, 12, 48} {
