Take the module's times from the settings: retry hint, held calls, freshness of a delay

From 12 s on 16 to 22% of the tries were refused and 20 to 27% stood late, at servers whose answers took 47 to 68 ms.

Checked by printing the settings that a node is told: aims of 310 and 380 ms, a resend gap of 126 ms, tries of 1.08 s; the site's and the simulator's are 1.2 s, 500 ms and 3.1 s. So the constants in controller.go were four times too long there: retryHint 300 ms sent a caller away for all of its aim, stallRoom 2 s let no call wait for the release guard (again), lagFresh 1 s kept a delay believed for eight gaps.

Now they are parts of the least aim and of the gap, with the same values under the simulator; the core's own hint too.

--- a/controller.go
+++ b/controller.go
@@ -34,7 +34,7 @@
 	busyNumbers   = 8                      // numbers kept as busy
 	windowed      = 0.1                    // share over which a server also has a window
 	defaultGap    = 500 * time.Millisecond // stands in for the resend gap where there is none
-	lagFresh      = time.Second            // an observed answer delay tells of the present for so long
+	lagFresh      = 2.0                    // gaps for which an observed answer delay tells of the present
 	lagKeep       = 3                      // and for so many times the delay itself: slow ones jam easily
 	rateMemory    = 15.0                   // s, memory of the own rate
 	minMemory     = 3.0                    // s, least time over which a rate is taken
@@ -53,9 +53,9 @@
 	greatWorth    = 2.0                    // times the least worth of a class that make great worth
 	greatWindow   = 3.0                    // times the limit on unanswered set-ups that holds for such a call
 	offeredPart   = 0.25                   // of the calls that came: the least taken for what servers take
-	retryHint     = 300 * time.Millisecond // hint with a refusal: a redial soon can still stand in time
+	retryPart     = 0.25                   // of the least aim: a redial after it can still stand in time
 	answerMargin  = 5 * time.Millisecond   // final answers go out this long before the caller's time is up
-	stallRoom     = 2 * time.Second        // time that a held call must have left: a proxy may stall
+	stallRoom     = 4.0                    // gaps that a held call must have left: a proxy may stall
 	pastKept      = time.Minute            // what a server that has gone was is known for so long
 	pastServers   = 8                      // and of so many
 	resubscribe   = time.Second            // gap between requests for the list after one failed
@@ -161,7 +161,8 @@
 	out        []Action
 	now        Time
 	leastWorth float64
-	usual      []usualTry // of each class
+	hint       time.Duration // told with a refusal
+	usual      []usualTry    // of each class
 	busy       [busyNumbers]busyNumber
 	busyAt     int // next to be replaced
 	tenants    []tenantMix
@@ -201,9 +202,11 @@
 	c.tenants = make([]tenantMix, len(set.Tenants))
 	c.usual = make([]usualTry, len(set.Classes))
 	c.leastWorth = set.Classes[0].Worth
+	aim := set.Classes[0].Aim
 	for _, class := range set.Classes {
-		c.leastWorth = min(c.leastWorth, class.Worth)
+		c.leastWorth, aim = min(c.leastWorth, class.Worth), min(aim, class.Aim)
 	}
+	c.hint = time.Duration(retryPart * float64(aim))
 	return nil
 }
 
@@ -435,9 +438,9 @@
 
 // lagNow is how late a server's answers are: the last set-up's delay, or what the oldest
 // unanswered one has waited by now.
-func (s *server) lagNow(now Time) time.Duration {
+func (s *server) lagNow(now Time, fresh time.Duration) time.Duration {
 	var lag time.Duration
-	if now < s.lagAt+lagFresh+lagKeep*s.lag {
+	if now < s.lagAt+fresh+lagKeep*s.lag {
 		lag = s.lag
 	}
 	for _, a := range s.out {
@@ -470,7 +473,7 @@
 		}
 		return 0
 	}
-	p := max(s.lines, c.shareOfWait(s.lagNow(c.now)))
+	p := max(s.lines, c.shareOfWait(s.lagNow(c.now, c.gaps(lagFresh))))
 	if c.now < s.lapse {
 		p = max(p, s.told)
 	}
@@ -514,7 +517,7 @@
 // each send would come back as not sent until the answer is late.
 func (c *Controller) route(k *call) {
 	if c.now >= k.end {
-		c.refuse(k, retryHint)
+		c.refuse(k, c.hint)
 		return
 	}
 	c.measure()
@@ -522,7 +525,7 @@
 		c.send(k, s)
 		return
 	}
-	c.refuse(k, retryHint)
+	c.refuse(k, c.hint)
 }
 
 // pick chooses the server: the first choice if it can be had and its thinning lets the call pass, else the
@@ -960,8 +963,8 @@
 // much time left that a stall of this proxy does not lose it: while it is held nothing else answers it.
 func (c *Controller) again(k *call) {
 	if k.sends >= c.set.MaxAttempts || k.mayRun && k.class.Repeat != RepeatFree ||
-		k.after > c.now && k.after > k.end-stallRoom {
-		c.refuse(k, retryHint)
+		k.after > c.now && k.after > k.end-c.gaps(stallRoom) {
+		c.refuse(k, c.hint)
 		return
 	}
 	if k.after > c.now {
@@ -985,7 +988,7 @@
 		c.fault(k.out.server, silenceWeight)
 	case c.now >= k.out.sent+c.gaps(doubtful):
 		s := k.out.server
-		k.out.lost = s.told < windowed && c.now < s.lapse-reportLapse+lagFresh
+		k.out.lost = s.told < windowed && c.now < s.lapse-reportLapse+c.gaps(lagFresh)
 		c.do(SetTimer{Token: uint32(k.id), At: k.out.sent + c.gaps(hopeless)})
 	}
 }
--- a/controller_test.go
+++ b/controller_test.go
@@ -1125,6 +1125,23 @@
 	}
 }
 
+// Times go by the settings: on sockets a deployment's aims and gaps are told four times as short as the simulator's.
+// The hint sent callers away for all of the aim, and no call was held for the release guard as none had 2 s left.
+func TestTimesGoByTheSettings(t *testing.T) {
+	set := settings()
+	set.Classes[0].Aim, set.ResendGap, set.ReleaseGuard = 320*ms, 125*ms, 100*ms
+	b := newBench(t, set, 2)
+	id, _ := b.call(1)
+	acts := b.on(Outcome{Call: id, Server: 1, Cause: CauseReset})
+	if len(acts) != 1 || acts[0] != (SetTimer{Token: uint32(id), At: b.now + 100*ms}) {
+		t.Errorf("a call with 3 s left is not held for the guard: %v", acts)
+	}
+	b = newBench(t, set, 0)
+	if _, acts := b.call(1); len(acts) != 1 || acts[0].(Refuse).RetryAfter != 80*ms {
+		t.Errorf("refused with %v, want a hint of 80 ms", acts)
+	}
+}
+
 // The time to decide an arrival grows with the number of servers, and no faster.
 func BenchmarkArrival(b *testing.B) {
 	for _, servers := range []int{3, 12, 48} {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -155,7 +155,7 @@
 			StopMost:     max(n.LongestWait, 3*time.Second) + 600*time.Millisecond,
 			Callers:      callers - callers/8, // the rest are on their way in or out
 			MaxOpen:      n.MaxOpen,
-			RetryHint:    300 * time.Millisecond,
+			RetryHint:    max(n.LeastAim/4, 50*time.Millisecond), // a redial can still stand in time
 			Remember:     max(n.LongestWait, 10*time.Second) * 6,
 		},
 		Link: link.Limits{
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -123,6 +123,7 @@
 	ConnectTimeout time.Duration // a connection not made by then counts as unreachable
 	KeepAlive      time.Duration // idle connections are closed by the far side after this
 	LongestWait    time.Duration // of a caller of any class
+	LeastAim       time.Duration // the shortest time that a class is wanted to stand within
 	LongestHold    time.Duration // the longest that calls of a class last on average
 	MaxOpen        int           // calls that may be open at once
 }
@@ -190,6 +191,7 @@
 		Classes []struct {
 			Name      string `json:"name"`
 			HardLimit micros `json:"hard-limit-us"`
+			Objective micros `json:"objective-us"`
 		} `json:"request-classes"`
 	}
 	if err := json.Unmarshal(text, &info); err != nil {
@@ -217,6 +219,9 @@
 		}
 		n.Classes = append(n.Classes, class)
 		n.LongestWait = max(n.LongestWait, class.Wait)
+		if aim := c.Objective.duration(); aim > 0 && (n.LeastAim == 0 || aim < n.LeastAim) {
+			n.LeastAim = aim
+		}
 	}
 	if names := n.Names(); len(names) < len(n.Classes) {
 		return n, fmt.Errorf("settings: request-classes: %d names for %d classes", len(names), len(n.Classes))
