Hold a cut call for the release gap by its aim too, not by the resend gap alone

Checked: the test's settings have a resend gap of 10 s; since the room that a held call must have left is four gaps (controller.go, again: stallRoom), 40 s for a call of 5 s. Wherever the gap is long beside the calls' time no call that was cut was tried again. Ruled out: the front (attempts end as reset there), the core's guards (none held).

Now the room is four gaps, but at most two aims.

--- a/controller.go
+++ b/controller.go
@@ -57,6 +57,7 @@
 	retryPart     = 0.25                   // of the least aim: a redial after it can still stand in time
 	answerMargin  = 5 * time.Millisecond   // final answers go out this long before the caller's time is up
 	stallRoom     = 4.0                    // gaps that a held call must have left: a proxy may stall
+	stallAims     = 2.0                    // but no more than so many aims, where the gap is long
 	pastKept      = time.Minute            // what a server that has gone was is known for so long
 	pastServers   = 8                      // and of so many
 	resubscribe   = time.Second            // gap between requests for the list after one failed
@@ -966,8 +967,8 @@
 // again makes a further attempt, now or when the release guard has passed. A call is held only if it has so
 // much time left that a stall of this proxy does not lose it: while it is held nothing else answers it.
 func (c *Controller) again(k *call) {
-	if k.sends >= c.set.MaxAttempts || k.mayRun && k.class.Repeat != RepeatFree ||
-		k.after > c.now && k.after > k.end-c.gaps(stallRoom) {
+	room := min(c.gaps(stallRoom), time.Duration(stallAims*float64(k.class.Aim)))
+	if k.sends >= c.set.MaxAttempts || k.mayRun && k.class.Repeat != RepeatFree || k.after > c.now && k.after > k.end-room {
 		c.refuse(k, c.hint)
 		return
 	}
--- a/controller_test.go
+++ b/controller_test.go
@@ -1154,6 +1154,14 @@
 	if len(acts) != 1 || acts[0] != (SetTimer{Token: uint32(id), At: b.now + 100*ms}) {
 		t.Errorf("a call with 3 s left is not held for the guard: %v", acts)
 	}
+	// A gap longer than the call itself: no call that was cut was ever sent again.
+	set.ResendGap = 10 * time.Second
+	b = newBench(t, set, 2)
+	id, _ = b.call(1)
+	if acts := b.on(Outcome{Call: id, Server: 1, Cause: CauseReset}); len(acts) != 1 || acts[0] != (SetTimer{Token: uint32(id), At: b.now + 100*ms}) {
+		t.Errorf("with a gap of 10 s a call with 3 s left is not held for the guard: %v", acts)
+	}
+	set.ResendGap = 125 * ms
 	b = newBench(t, set, 0)
 	if _, acts := b.call(1); len(acts) != 1 || acts[0].(Refuse).RetryAfter != 80*ms {
 		t.Errorf("refused with %v, want a hint of 80 ms", acts)
