--- a/controller.go
+++ b/controller.go
@@ -968,7 +968,8 @@
 // much time left that a stall of this proxy does not lose it: while it is held nothing else answers it.
 func (c *Controller) again(k *call) {
 	room := min(c.gaps(stallRoom), time.Duration(stallAims*float64(k.class.Aim)))
-	if k.sends >= c.set.MaxAttempts || k.mayRun && k.class.Repeat != RepeatFree || k.after > c.now && k.after > k.end-room {
+	if k.sends >= c.set.MaxAttempts || k.mayRun && k.class.Repeat != RepeatFree ||
+		k.after > c.now && k.after > k.end-room {
 		c.refuse(k, c.hint)
 		return
 	}
