Let a pressed server have set-ups out for the way there and back beside the limit

Checked with a probe of each refusal (state of both servers): 400 of 757 met 'unanswered' at server 1 with 118 to 142 of 260 lines free, a share of 0.11 to 0.12 (just over windowed), one or two set-ups out, 1 to 60 ms old, a way of 37 ms and answers in 50 ms. The window was rate x limit: 28 a second x 38 ms, one set-up (controller.go, unanswered); but as many are on their way there and back with no queue at all. Ruled out: the budget of the cold (open in all), lines at server 1, the credit.

Tried: the shortest way (floor) and half as much again (way). The way is kept.

--- a/controller.go
+++ b/controller.go
@@ -488,7 +488,8 @@
 // unanswered says whether a server leaves this sender's set-ups without an answer so that no other may
 // follow for now: the oldest for too long, or of a pressed one more than it answers in that time. Senders
 // so clock themselves by the answers, whatever the redials that a share lets pass, and none piles up at a
-// server that is slow, hung, jammed or gone. It could harm where ways are more uneven than queues.
+// server that is slow, hung, jammed or gone. What is on its way there and back is not held against a server:
+// that way may be as long as the limit. It could harm where ways are more uneven than queues.
 // Calls of great worth have a wider limit.
 func (c *Controller) unanswered(s *server, pressed bool, wider float64) bool {
 	limit := c.gaps(silence * wider)
@@ -501,7 +502,7 @@
 			return true
 		}
 	}
-	return pressed && float64(n) >= max(wider, c.rate(s.stands)*limit.Seconds())
+	return pressed && float64(n) >= max(wider, c.rate(s.stands)*(limit+s.way()).Seconds())
 }
 
 // usable says whether a call may go to a server at all.
--- a/controller_test.go
+++ b/controller_test.go
@@ -1143,6 +1143,32 @@
 	b.want("beside one that waits for 55 ms", b.answered(1, 40*ms), 1)
 }
 
+// A pressed server may have as many set-ups out as are on their way there and back anyhow, beside those it answers
+// within the limit. Without the way a server that asked to hold back a tenth got one set-up at a time on sockets, where
+// the way is as long as the limit: the next was refused while the one before was still under way.
+func TestWindowCoversTheWay(t *testing.T) {
+	set := settings()
+	set.ResendGap = 125 * ms
+	set.Report = []Figure{FigureFreeLines, FigureLines, FigureShare}
+	b := newBench(t, set, 1)
+	for range 30 * 20 {
+		b.pass(time.Second / 30)
+		b.answered(1, 40*ms)
+	}
+	b.report(1, 138, 260, 0.12)
+	b.c.now, b.c.byID[1].credit = b.now, maxCredit
+	sent := 0
+	for range 5 {
+		b.pass(2 * ms)
+		if _, acts := b.call(1); sentTo(acts) != 0 {
+			sent++
+		}
+	}
+	if sent != 3 { // 30 a second, 37.5 ms of limit and 60 ms for the way
+		t.Errorf("%d set-ups out at once, want 3", sent)
+	}
+}
+
 // Times go by the settings: on sockets a deployment's aims and gaps are told four times as short as the simulator's.
 // The hint sent callers away for all of the aim, and no call was held for the release guard as none had 2 s left.
 func TestTimesGoByTheSettings(t *testing.T) {
