Bound the debt that calls of great worth leave in the budget of diverted calls

Calls of great worth pass without a budget and each takes one from it (controller.go, pick: divert.tokens--), with no bound.

Now the debt ends at a burst.

--- a/controller.go
+++ b/controller.go
@@ -553,7 +553,7 @@
 	case primary != nil && c.passes(primary, k):
 		return primary
 	case best != nil && c.passes(best, k):
-		best.divert.tokens--
+		best.divert.tokens = max(best.divert.tokens-1, -divertBurst)
 		return best
 	}
 	return nil
@@ -636,7 +636,8 @@
 
 // divertPasses says whether a server has room for one more diverted call. Reports tell of a flood only when
 // it has come: where a great server leaves, all that it had would fall on small ones and jam them for
-// long. So a server gets diverted no more than what is its part by its lines.
+// long. So a server gets diverted no more than what is its part by its lines. Calls of great worth overdraw
+// that, but not by so much that the others are kept out for long.
 func (c *Controller) divertPasses(s *server, k *call) bool {
 	part := divertPart * c.partOf(s)
 	if c.now < s.lapse && c.reported(s) == 0 {
--- a/controller_test.go
+++ b/controller_test.go
@@ -1169,6 +1169,25 @@
 	}
 }
 
+// Calls of great worth are diverted whatever the budget says, but run up no debt that others pay for long: after a
+// few seconds of a pressed first choice, ordinary calls were kept from an idle second one for four seconds more.
+func TestDivertDebtIsBounded(t *testing.T) {
+	set := settings()
+	set.Classes = append(set.Classes, Class{Aim: time.Second, Deadline: 6 * time.Second, Worth: 8})
+	b := newBench(t, set, 2)
+	b.steady(2)
+	b.report(1, 900, 1000, 400) // pressed
+	for range 40 {
+		b.next++
+		b.on(Arrival{Call: b.next, Class: 1, Cell: 1, Within: 3 * time.Second})
+		b.on(Standing{Call: b.next, Server: 2, Took: 20 * ms})
+	}
+	b.report(1, 900, 1000, 4000) // jammed
+	b.report(2, 900, 1000, 0)
+	b.pass(time.Second)
+	b.want("an ordinary call a second later", b.answered(1, 20*ms), 2)
+}
+
 // Times go by the settings: on sockets a deployment's aims and gaps are told four times as short as the simulator's.
 // The hint sent callers away for all of the aim, and no call was held for the release guard as none had 2 s left.
 func TestTimesGoByTheSettings(t *testing.T) {
