Bound what is remembered of ended calls, withdrawn routes and long waits

Callers that ask again the moment they are refused, at some thousands a second, fill a memory of 32 to 64 MB with ids alone.

Now ids are kept up to an eighth of the memory, oldest out first; a route that goes is forgotten by the speaker; the core keeps withdrawn ones that concern no server up to a limit; nobody waits longer than the class allows. Each test fails with its change taken out (checked one by one).

--- a/internal/bgp/bgp_test.go
+++ b/internal/bgp/bgp_test.go
@@ -144,6 +144,34 @@
 	}
 }
 
+// Routes that come and go leave nothing behind: each was counted for good, and after as many as a peer may announce
+// the session ended, and so did every later one.
+func TestRoutesThatGoAreForgotten(t *testing.T) {
+	s, l, events := speaker(t, 90)
+	n := accept(t, l, 90)
+	next := netip.MustParseAddr("127.0.0.2")
+	for i := range 3 * s.limits.Routes {
+		p := netip.PrefixFrom(netip.AddrFrom4([4]byte{127, 1, byte(i >> 8), byte(i)}), 32)
+		n.Write(announcement(p, next, 64513, true, true))
+		n.Write(withdrawal(p))
+		for _, up := range []bool{true, false} {
+			select {
+			case ev := <-events:
+				if ev.(core.Route).Up != up {
+					t.Fatalf("route %d: %+v, want up: %v", i, ev, up)
+				}
+			case <-time.After(patience):
+				t.Fatalf("route %d: nothing is told of it", i)
+			}
+		}
+	}
+	s.telling.Lock()
+	defer s.telling.Unlock()
+	if len(s.routes) != 0 {
+		t.Errorf("%d routes kept", len(s.routes))
+	}
+}
+
 // A silent peer is left when the hold timer expires, with a NOTIFICATION; KEEPALIVEs go out meanwhile. What is
 // malformed ends the session likewise, and the session is tried again.
 func TestSessionsEnd(t *testing.T) {
--- a/internal/bgp/speaker.go
+++ b/internal/bgp/speaker.go
@@ -52,6 +52,7 @@
 	limits   Limits
 	post     func(core.Event)
 	log      zerolog.Logger
+	loud     zerolog.Logger // of what peers can cause as often as they like
 
 	telling sync.Mutex                       // keeps what is told of routes in order; never held by the loop, which may be waited for
 	routes  map[netip.Prefix]map[string]bool // by whom an address is announced; under telling
@@ -64,7 +65,7 @@
 // New checks the configuration. An error names the field.
 func New(c Config, limits Limits, post func(core.Event), log zerolog.Logger) (*Speaker, error) {
 	s := &Speaker{
-		as: c.AS, hold: uint16(c.HoldS), peers: c.Peers, limits: limits, post: post, log: log,
+		as: c.AS, hold: uint16(c.HoldS), peers: c.Peers, limits: limits, post: post, log: log, loud: link.Sparse(log),
 		sessions: make(map[*session]bool), routes: make(map[netip.Prefix]map[string]bool),
 	}
 	var err error
@@ -316,13 +317,16 @@
 		by[peer] = true
 		return len(by) == 1
 	}
-	delete(by, peer)
-	return len(by) == 0
+	if delete(by, peer); len(by) > 0 {
+		return false
+	}
+	delete(s.routes, p)
+	return true
 }
 
 // tell hands the core a route's coming or going.
 func (s *Speaker) tell(p netip.Prefix, up bool) {
-	s.log.Info().Stringer("prefix", p).Bool("up", up).Msg("route")
+	s.loud.Info().Stringer("prefix", p).Bool("up", up).Msg("route")
 	s.post(core.Route{Name: p.String(), Up: up, Covers: func(address string) bool {
 		a, err := netip.ParseAddrPort(address)
 		return err == nil && p.Contains(a.Addr())
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -26,6 +26,7 @@
 
 	Feed    feed.Limits
 	Dial    time.Duration // to connect to a server
+	Confirm time.Duration // a release not confirmed by then is sent again
 	Callers int           // connections of callers at once
 	Inbox   int           // events that wait for the core
 	Memory  int64         // bytes the garbage collector aims to stay under
@@ -136,6 +137,9 @@
 
 const leastSockets = 32
 
+// endedSize is about what it takes to remember a call that is over, in bytes.
+const endedSize = 128
+
 // limits fills the one set of limits, from what the platform tells where it does.
 func limits(f file, n settings.Node) Limits {
 	message := 16 << 10
@@ -155,6 +159,8 @@
 			StopMost:     max(n.LongestWait, 3*time.Second) + 600*time.Millisecond,
 			Callers:      callers - callers/8, // the rest are on their way in or out
 			MaxOpen:      n.MaxOpen,
+			Ended:        int(memory / 8 / endedSize),
+			Routes:       10000,
 			RetryHint:    max(n.LeastAim/4, 50*time.Millisecond), // a redial can still stand in time
 			Remember:     max(n.LongestWait, 10*time.Second) * 6,
 		},
@@ -169,6 +175,7 @@
 			Retry: 100 * time.Millisecond, Event: 1 << 20, First: 4 << 10,
 		},
 		Dial:    n.ConnectTimeout,
+		Confirm: 15 * time.Second, // T1 of Q.764 at its least
 		Callers: callers,
 		Inbox:   4096,
 		Memory:  memory * 6 / 10,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -261,8 +261,11 @@
 // closing connection; as ids are never used twice, it is refused.
 func (c *Core) setUp(ev SetUp) {
 	from := c.callers[ev.From]
-	if from == nil {
-		return // its connection has been closed: it comes again on another
+	if from == nil { // its connection has been closed: it comes again on another
+		if c.calls[ev.ID] == nil {
+			c.do(Dropped{ID: ev.ID})
+		}
+		return
 	}
 	from.asked, from.heard = true, c.now
 	if k := c.calls[ev.ID]; k != nil {
@@ -361,9 +364,15 @@
 	c.bytes -= k.size
 	delete(c.calls, k.ID)
 	delete(c.byCID, k.cid)
-	c.ended[k.ID] = c.now
-	c.endedAt = append(c.endedAt, over{k.ID, c.now})
-	for len(c.endedAt) > 0 && c.endedAt[0].at < c.now-c.limits.Remember {
+	c.remember(k.ID)
+}
+
+// remember keeps the id of a call that is over for a while, and of so many: those that come at full speed to be
+// turned away would else fill the memory.
+func (c *Core) remember(id ID) {
+	c.ended[id] = c.now
+	c.endedAt = append(c.endedAt, over{id, c.now})
+	for len(c.endedAt) > 0 && (c.endedAt[0].at < c.now-c.limits.Remember || c.limits.Ended > 0 && len(c.endedAt) > c.limits.Ended) {
 		if c.ended[c.endedAt[0].id] == c.endedAt[0].at {
 			delete(c.ended, c.endedAt[0].id)
 		}
@@ -544,8 +553,7 @@
 	if _, known := c.ended[ev.ID]; known || c.calls[ev.ID] != nil || ev.Reason == Full || ev.Reason == Busy || ev.Reason == Unsent {
 		return
 	}
-	c.ended[ev.ID] = c.now
-	c.endedAt = append(c.endedAt, over{ev.ID, c.now})
+	c.remember(ev.ID)
 	told := make(map[Front]bool)
 	for _, l := range c.links { // whose it was isn't known
 		if !told[l.front] {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -346,7 +346,8 @@
 	r.want(r.step(CallerUp{Link: 7, Front: "f"}), "hangup@2 ")
 	ask(7)
 	r.want(r.step(CallerUp{Link: 8, Front: "f"}), "hangup@8 ")
-	r.want(r.step(SetUp{ID: 8, From: 8, Cell: 0, Left: time.Minute, At: r.now}), "")
+	// A front that keeps something for the call, a circuit say, is told that it never was.
+	r.want(r.step(SetUp{ID: 8, From: 8, Cell: 0, Left: time.Minute, At: r.now}), "dropped8 ")
 }
 
 // New settings and limits hold from now on for the calls in hand too, and drop none.
@@ -361,6 +362,28 @@
 	r.want(r.step(ServerEnd{Server: "a", ID: 7, Reason: Full}), "rejected7@1 ")
 }
 
+// What comes at full speed to be turned away, or is told of addresses that no server has, fills no memory.
+func TestMemoriesAreBounded(t *testing.T) {
+	r := newRig(t)
+	r.c.limits.Ended, r.c.limits.Routes = 3, 2
+	for id := ID(1); id <= 10; id++ {
+		r.setUp(id, 5*time.Second)
+		r.step(ServerEnd{Server: "a", ID: id, Reason: Full})
+		r.step(ServerEnd{Server: "b", ID: id, Reason: Full})
+	}
+	if len(r.c.ended) != 3 || len(r.c.endedAt) != 3 || len(r.c.calls) != 0 {
+		t.Errorf("%d, %d ids kept, %d calls", len(r.c.ended), len(r.c.endedAt), len(r.c.calls))
+	}
+	r.want(r.setUp(10, 5*time.Second), "rejected10@1 ") // the last ones are
+	for i := range 10 {
+		r.step(Route{Name: fmt.Sprint(i), Covers: func(string) bool { return false }})
+	}
+	r.want(r.step(Route{Name: "a/32", Covers: func(address string) bool { return address == "a:1" }}), "withdraw@10 ")
+	if len(r.c.routes) != 3 || r.c.servers["a"].told != elmseam.Gone {
+		t.Errorf("%d routes kept, a server whose own is withdrawn is in phase %v", len(r.c.routes), r.c.servers["a"].told)
+	}
+}
+
 // A server that went and comes back is the same one to the module; what is kept of those that don't is bounded.
 func TestServerComesBack(t *testing.T) {
 	r := newRig(t)
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -112,15 +112,18 @@
 
 // route takes in that the way to some servers has gone or come.
 func (c *Core) route(ev Route) {
-	if c.routes[ev.Name] = ev; ev.Up {
-		delete(c.routes, ev.Name)
-	}
 	var changed []*server
 	for _, s := range c.order {
 		if ev.Covers(s.Address) {
 			changed = append(changed, s)
 		}
 	}
+	switch {
+	case ev.Up:
+		delete(c.routes, ev.Name)
+	case len(changed) > 0 || len(c.routes) < c.limits.Routes:
+		c.routes[ev.Name] = ev
+	}
 	if len(changed) > 0 {
 		c.phases(changed, false, false)
 	}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -214,9 +214,9 @@
 	}
 	// Serving says whether new calls are welcome.
 	Serving struct{ Yes bool }
-	// Dropped says that a caller's call is over and that it will not be told.
+	// Dropped says that a caller's call is over, or never was, and that it will not be told.
 	Dropped struct {
-		Front Front
+		Front Front // empty: not known
 		ID    ID
 	}
 	// Stopped says that nothing is owed any more after a Stop.
@@ -281,4 +281,6 @@
 	OpenBytes    int           // that calls in hand may keep
 	RetryHint    time.Duration // told with a refusal for want of room
 	Remember     time.Duration // a call that is over is remembered for so long
+	Ended        int           // and of so many; 0: of any
+	Routes       int           // withdrawn ones that concern no server of the list
 }
--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -289,6 +289,9 @@
 		return ev
 	}
 	ev.Left = time.Duration(left * float64(time.Millisecond))
+	if class.Wait > 0 { // nobody waits for longer; a timer of days would be kept for days
+		ev.Left = min(ev.Left, class.Wait)
+	}
 	return ev
 }
 
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -264,8 +264,13 @@
 	}
 	s.caller.Write(with(0, "voice", "500", "dest:0;width:1"))
 	s.wantFrame(typeRelease, 0, 100)
-	s.caller.Write(with(14, "voice", "5000", "dest:1;width:1;via:-1"))
+	// Nobody waits for longer than the class allows: a timer of days would be kept for days.
+	told := *s.front.told.Load()
+	told.Node.Classes = []settings.Class{{Name: "voice", Cells: []int{0, 1}, Width: 1, Wait: 200 * time.Millisecond}}
+	s.front.Configure(told.Config)
+	s.caller.Write(with(14, "voice", "99999999", "dest:1;width:1;via:-1"))
 	s.wantLine(`"offer"`, `00000e"`) // the first that the server sees
+	s.wantFrame(typeRelease, 14, 41)
 }
 
 // A connection that brings no whole message in time is closed, and so is one that stops within a message; one that
