M3UA: take new configurations over, close idle and garbled associations, ask again for RLCs

A class that SIGHUP adds, asked for by a caller of the platform and sent towards an M3UA server, ended the program (loopback test: EOF for every caller). - front.go, read: a peer that stops within a message, or sends it byte by byte, kept its place for as long as it liked; so did one that answers heartbeats and never says ASP up. A quarter of the callers' descriptors were open to that. - front.go, read: behind a broken frame the connection was closed with bytes unread, which resets it over the ERR. - server.go, trunk: a circuit waits for the server's RLC for ever; each that the server loses costs one for good. - core.go, setUp: an IAM that crosses the closing of its association kept its circuit, as the core passed it over. - log lines for each malformed message, at any rate.

Now Configure takes all but the file over, before the core hears of new classes; First bounds ASP up and a message under way; a caller's connection lingers over an ERR; releases not confirmed in T1 go out again; the core says Dropped of a set-up that never was; such lines are sampled. The file itself (points, servers, peers) is read at the start only.

--- a/cmd/elmseam/main.go
+++ b/cmd/elmseam/main.go
@@ -67,7 +67,7 @@
 				speaker.Serving(e.Yes)
 			}
 		case core.Dropped:
-			if second != nil && e.Front == m3ua.Front {
+			if second != nil && e.Front != platform.Front {
 				second.Dropped(e.ID)
 			}
 		}
@@ -138,6 +138,9 @@
 		cfg = next
 		collect(cfg.Limits)
 		first.Configure(cfg.Platform())
+		if second != nil { // before the core knows of new classes
+			second.Configure(cfg.M3UA(sig.M3UA))
+		}
 		l.Post(core.Configured{Settings: cfg.Settings, Limits: cfg.Limits.Core})
 		follow.Follow(cfg.Channel, cfg.Known)
 		log.Info().Str("channel", cfg.Channel).Msg("configuration taken over")
--- a/cmd/elmseam/main_test.go
+++ b/cmd/elmseam/main_test.go
@@ -353,6 +353,46 @@
 	}
 }
 
+// With the second front on, a class that a new configuration adds has no form over M3UA: the call is refused. Such a
+// call ended the program, as that front went on with the classes of its start.
+func TestReloadWithSecondFront(t *testing.T) {
+	srv := listen(t)
+	path := filepath.Join(t.TempDir(), "m3ua.toml")
+	os.WriteFile(path, fmt.Appendf(nil, `enabled = true
+		[m3ua]
+		listen = "127.0.0.1:0"
+		point_code = 100
+		routing_context = 1
+		heartbeat_ms = 5000
+		circuits = 8
+		categories = { voice = 11 }
+		[[m3ua.server]]
+		name = "hlr"
+		address = %q
+		point_code = 201`, srv.Addr()), 0o600)
+	p := start(t, path)
+	hlr := accept(t, srv)
+	hlr.bytes(8) // ASP up
+	hlr.Write([]byte{1, 0, 3, 4, 0, 0, 0, 8})
+	hlr.bytes(16) // ASP active
+	hlr.Write([]byte{1, 0, 4, 3, 0, 0, 0, 8})
+	iam := func() byte { return hlr.bytes(int(binary.BigEndian.Uint32(hlr.bytes(8)[4:])) - 8)[26] }
+	caller := dial(t, p.listen)
+	caller.setUp(1)
+	if kind := iam(); kind != 1 {
+		t.Fatalf("ISUP message type %d, want an IAM", kind)
+	}
+	p.write(p.channel, strings.Replace(settingsText, `[{"name":"voice"`, `[{"name":"video","hard-limit-us":3000000},{"name":"voice"`, 1))
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.wantLog("configuration taken over")
+	caller.setUpOf("video", 2)
+	caller.frame(12, 2)
+	caller.setUp(3)
+	if kind := iam(); kind != 1 {
+		t.Fatalf("ISUP message type %d, want another IAM", kind)
+	}
+}
+
 // A configuration that makes no sense ends the program with one line that names the field.
 func TestBadConfiguration(t *testing.T) {
 	good := `{"name":"n","listen":"127.0.0.1:0","seed":"1","limits":{"memory_mb":1,"sockets":99},"channel":"127.0.0.1:1","settings":` + settingsText + "}"
--- a/internal/config/signalling.go
+++ b/internal/config/signalling.go
@@ -46,7 +46,7 @@
 func (c *Config) M3UA(file m3ua.File) m3ua.Config {
 	return m3ua.Config{
 		File: file, Node: c.Node, Report: c.Settings.Report, Link: c.Limits.Link, ServerLink: c.Limits.ServerLink,
-		Dial: c.Limits.Dial, Callers: c.Limits.Callers / 4,
+		Dial: c.Limits.Dial, Callers: c.Limits.Callers / 4, Confirm: c.Limits.Confirm,
 	}
 }
 
@@ -54,6 +54,6 @@
 func (l Limits) BGP() bgp.Limits {
 	return bgp.Limits{
 		Connect: l.Feed.Connect, RetryLeast: 250 * time.Millisecond, RetryMost: 30 * time.Second,
-		Routes: 10000, Link: l.Link,
+		Routes: l.Core.Routes, Link: l.Link,
 	}
 }
--- a/internal/m3ua/caller.go
+++ b/internal/m3ua/caller.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"strconv"
+	"time"
 
 	"elmseam/internal/core"
 	"elmseam/internal/link"
@@ -12,19 +13,25 @@
 // caller is the connection of an old client, an ASP of ours.
 type caller struct {
 	session
-	link   core.Link // while active
+	late   *time.Timer // ends one that doesn't come up
+	link   core.Link   // while active
 	up     bool
 	active bool
 }
 
 // Serve serves callers until the listener is closed.
 func (m *M3UA) Serve(l net.Listener) {
-	link.Serve(l, func() int { return m.Callers }, func(conn net.Conn) {
-		c := &caller{session: session{m: m, conn: conn, out: link.NewOutbox(conn, m.Link)}}
+	link.Serve(l, func() int { return m.told.Load().Callers }, func(conn net.Conn) {
+		c := &caller{session: m.session(conn, m.told.Load().Link)}
 		c.handle = c.take
+		c.late = time.AfterFunc(c.limits.First, func() { conn.Close() })
+		defer c.late.Stop()
 		err := c.read()
-		m.log.Info().Err(err).Stringer("caller", conn.RemoteAddr()).Msg("association ended")
+		m.loud.Info().Err(err).Stringer("caller", conn.RemoteAddr()).Msg("association ended")
 		c.deactivate()
+		if _, bad := err.(*protocolError); bad { // the ERR is still to be read
+			c.out.Linger(conn)
+		}
 	})
 }
 
@@ -61,6 +68,7 @@
 	switch msg.kind {
 	case msgASPUP:
 		c.deactivate()
+		c.late.Stop()
 		c.up = true
 		c.send(msgASPUPACK)
 		c.send(msgNTFY, number32(tagStatus, statusASInactive), context)
@@ -170,7 +178,7 @@
 		ev.Cell = cell
 	}
 	if ev.Class >= 0 {
-		ev.Left = c.m.Node.Classes[ev.Class].Wait
+		ev.Left = c.m.told.Load().Node.Classes[ev.Class].Wait
 	}
 	c.m.mu.Lock()
 	id, there := c.m.inbound[ci]
--- a/internal/m3ua/front.go
+++ b/internal/m3ua/front.go
@@ -80,7 +80,7 @@
 	return nil
 }
 
-// Config is what the front is told beside its file.
+// Config is what the front is told. All but the file may be told anew at any time.
 type Config struct {
 	File
 	Node   settings.Node
@@ -89,14 +89,17 @@
 	Dial   time.Duration // to connect to a server and be active there
 
 	ServerLink link.Limits
-	Callers    int // connections of callers at once
+	Callers    int           // connections of callers at once
+	Confirm    time.Duration // a release that a server has not confirmed by then is sent again
 }
 
 // M3UA is the front.
 type M3UA struct {
-	Config
+	File
+	told   atomic.Pointer[Config]
 	loop   *loop.Loop
 	log    zerolog.Logger
+	loud   zerolog.Logger    // of what peers can cause as often as they like
 	trunks map[string]*trunk // by server
 	serial atomic.Uint64
 	boot   uint64 // what the front's ids begin with
@@ -111,9 +114,10 @@
 // New makes the front.
 func New(cfg Config, l *loop.Loop, log zerolog.Logger) (*M3UA, error) {
 	m := &M3UA{
-		Config: cfg, loop: l, log: log, trunks: make(map[string]*trunk),
+		File: cfg.File, loop: l, log: log, loud: link.Sparse(log), trunks: make(map[string]*trunk),
 		inbound: make(map[circuit]core.ID), circuits: make(map[core.ID]circuit), active: make(map[*caller]bool),
 	}
+	m.Configure(cfg)
 	for name := range cfg.Categories {
 		if m.class(name) < 0 {
 			return nil, fmt.Errorf("categories.%s: no such class", name)
@@ -128,6 +132,9 @@
 	return m, nil
 }
 
+// Configure replaces what the front was told, but for its file. Connections that are open keep their limits.
+func (m *M3UA) Configure(cfg Config) { m.told.Store(&cfg) }
+
 // Servers is the front's list of servers.
 func (m *M3UA) Servers() core.List {
 	l := core.List{Source: Source}
@@ -144,7 +151,7 @@
 
 // class is the class of a name, -1: none.
 func (m *M3UA) class(name string) int {
-	for i, have := range m.Node.Classes {
+	for i, have := range m.told.Load().Node.Classes {
 		if have.Name == name && !have.Gone {
 			return i
 		}
@@ -154,7 +161,7 @@
 
 // category is the calling party's category that stands for a class.
 func (m *M3UA) category(class int) (byte, bool) {
-	n, ok := m.Categories[m.Node.Classes[class].Name]
+	n, ok := m.Categories[m.told.Load().Node.Classes[class].Name]
 	return byte(n), ok
 }
 
@@ -185,24 +192,39 @@
 type session struct {
 	m      *M3UA
 	conn   net.Conn
+	limits link.Limits
 	out    *link.Outbox
 	handle func(msg message, at core.Time) error
 }
 
+func (m *M3UA) session(conn net.Conn, limits link.Limits) session {
+	return session{m: m, conn: conn, limits: limits, out: link.NewOutbox(conn, limits)}
+}
+
+var errSlow = errors.New("a message was not whole in time")
+
 func (s *session) send(kind uint16, params ...param) {
 	s.out.Post(link.Item{Data: build(kind, params...)})
 }
 
 // read takes in messages until the connection ends. What is malformed is answered by an ERR; where nothing
 // behind it can be read, or the peer goes on and on, the connection ends. A silent peer is sent heartbeats,
-// and given up when it answers none.
+// and given up when it answers none; one that stops within a message, or trickles it, is not waited for.
 func (s *session) read() error {
-	in := link.NewBuffer(s.m.Link.ReadFirst, s.m.Link.Message)
+	in := link.NewBuffer(s.limits.ReadFirst, s.limits.Message)
 	beat := time.Duration(s.m.HeartbeatMS) * time.Millisecond
 	errs, silent := 0, 0
+	var whole time.Time // when the message under way must be; zero: there is none
 	for {
-		s.conn.SetReadDeadline(time.Now().Add(beat))
+		until := time.Now().Add(beat)
+		if !whole.IsZero() && whole.Before(until) {
+			until = whole
+		}
+		s.conn.SetReadDeadline(until)
 		err := in.Fill(s.conn)
+		if !whole.IsZero() && !time.Now().Before(whole) {
+			return errSlow
+		}
 		if errors.Is(err, os.ErrDeadlineExceeded) && silent < maxSilent {
 			silent++
 			s.send(msgBEAT, param{tagHeartbeat, []byte("elmseam")})
@@ -214,20 +236,20 @@
 		silent = 0
 		at := s.m.loop.Now()
 		for {
-			msg, n, err := parse(in.Bytes(), s.m.Link.Message)
+			msg, n, err := parse(in.Bytes(), s.limits.Message)
 			if err == errShort {
 				break
 			}
+			whole = time.Time{} // another one begins
 			if err == nil {
 				err = s.take(msg, at)
 			}
 			if bad, ok := err.(*protocolError); ok {
 				if errs++; errs == 1 {
-					s.m.log.Warn().Err(err).Stringer("peer", s.conn.RemoteAddr()).Msg("malformed signalling")
+					s.m.loud.Warn().Err(err).Stringer("peer", s.conn.RemoteAddr()).Msg("malformed signalling")
 				}
 				s.send(msgERR, number32(tagErrorCode, bad.code))
 				if bad.end || errs >= maxErrors {
-					s.out.Flush()
 					return err
 				}
 			} else if err != nil {
@@ -235,6 +257,9 @@
 			}
 			in.Skip(n)
 		}
+		if len(in.Bytes()) > 0 && whole.IsZero() {
+			whole = time.Now().Add(s.limits.First)
+		}
 	}
 }
 
@@ -258,7 +283,7 @@
 		return nil
 	case msgERR:
 		code, _ := msg.number(tagErrorCode)
-		s.m.log.Warn().Uint32("code", code).Stringer("peer", s.conn.RemoteAddr()).Msg("peer reports an error")
+		s.m.loud.Warn().Uint32("code", code).Stringer("peer", s.conn.RemoteAddr()).Msg("peer reports an error")
 		return nil
 	}
 	return s.handle(msg, at)
--- a/internal/m3ua/m3ua_test.go
+++ b/internal/m3ua/m3ua_test.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -120,7 +121,7 @@
 
 // softswitch starts the program's parts with this front and returns where it listens. The platform's
 // front reaches the servers of which no trunk is known.
-func softswitch(t *testing.T, guard time.Duration, file File, more ...core.Server) (*loop.Loop, string) {
+func softswitch(t *testing.T, guard time.Duration, file File, more ...core.Server) (*M3UA, string) {
 	t.Helper()
 	set := elmseam.Settings{
 		Classes:     []elmseam.Class{{Aim: time.Second, Deadline: 9 * time.Second, Worth: 1}},
@@ -144,7 +145,7 @@
 	file.PointCode, file.Network, file.RoutingContext, file.HeartbeatMS = ownPC, 2, 1, 1000
 	file.Circuits, file.Categories, file.Cells = 512, map[string]int{"voice": 10}, map[string]int{"100": 0}
 	m, err = New(Config{File: file, Node: testNode, Report: set.Report,
-		Link: testLink, ServerLink: testLink, Dial: time.Second, Callers: 8}, l, zerolog.Nop())
+		Link: testLink, ServerLink: testLink, Dial: time.Second, Callers: 8, Confirm: 50 * time.Millisecond}, l, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -158,7 +159,7 @@
 	go m.Serve(front)
 	l.Post(m.Servers())
 	l.Post(core.List{Source: "test", Full: true, Servers: more})
-	return l, front.Addr().String()
+	return m, front.Addr().String()
 }
 
 // client is an old client's active association.
@@ -396,6 +397,99 @@
 	}
 }
 
+// Connections that say nothing, stop within a message or trickle it, or never come up held a place for as long as
+// they liked. They are closed in time, and an association that is up and idle is not. Where the framing is lost the
+// ERR can be read, whatever the peer sent behind it.
+func TestIdleAndGarbledAssociations(t *testing.T) {
+	m, address := softswitch(t, guard, File{})
+	told := *m.told.Load()
+	told.Link.First = 50 * time.Millisecond
+	m.Configure(told)
+	c := client(t, address)
+	dial := func() net.Conn {
+		d, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { d.Close() })
+		d.SetDeadline(time.Now().Add(patience))
+		return d
+	}
+	up := build(msgASPUP)
+	for name, sent := range map[string][]byte{
+		"nothing": nil, "not up": build(msgBEAT), "half a message": up[:5], "half of the next": append(build(msgASPUP), up[:5]...),
+	} {
+		d := dial()
+		d.Write(sent)
+		if _, err := io.ReadAll(d); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	d := dial() // a trickle
+	d.Write(up)
+	long := build(msgBEAT, param{tagHeartbeat, make([]byte, 12<<10)})
+	go func() {
+		for _, b := range long {
+			if _, err := d.Write([]byte{b}); err != nil {
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	for p := newPeer(d); ; {
+		if m, err := p.next(); err != nil || m.kind == msgBEATACK {
+			if err == nil {
+				t.Error("a message that came in by single bytes was waited for")
+			}
+			break
+		}
+	}
+	for range 30 { // a reset is a matter of luck
+		d := dial()
+		d.Write(append([]byte{9, 0, 3, 1, 0, 0, 0, 8}, make([]byte, 32<<10)...))
+		if b, err := io.ReadAll(d); err != nil || len(b) == 0 {
+			t.Fatalf("told %x, and then %v, want an ERR and the end", b, err)
+		}
+	}
+	c.put(build(msgBEAT, param{tagHeartbeat, []byte("x")}))
+	c.until(t, msgBEATACK)
+}
+
+// A server that loses a release, or its own confirmation, would keep a circuit from us for good with each: it is
+// told again.
+func TestReleaseNotConfirmed(t *testing.T) {
+	sl := listen(t)
+	m, address := softswitch(t, guard, fileOf("hlr", 201, sl))
+	s := mustAccept(t, sl)
+	m.trunks["hlr"].mu.Lock()
+	for i := range m.trunks["hlr"].state[1:] { // the others are in use
+		m.trunks["hlr"].state[1+i] = standing
+	}
+	m.trunks["hlr"].mu.Unlock()
+	c := client(t, address)
+	iam := call{kind: isupIAM, category: 10, digits: "1"}
+	c.isup(circuit{clientPC, ownPC, 1}, iam)
+	s.untilISUP(t, isupIAM)
+	c.isup(circuit{clientPC, ownPC, 1}, call{kind: isupREL, cause: 16})
+	s.untilISUP(t, isupREL) // not confirmed
+	c.isup(circuit{clientPC, ownPC, 2}, iam)
+	c.untilISUP(t, isupREL)
+	time.Sleep(2 * m.told.Load().Confirm)
+	c.isup(circuit{clientPC, ownPC, 3}, iam)
+	ci, _ := s.untilISUP(t, isupREL)
+	s.isup(ci.back(), call{kind: isupRLC})
+	for n := uint16(4); ; n++ {
+		c.isup(circuit{clientPC, ownPC, n}, iam)
+		time.Sleep(time.Millisecond)
+		s.SetDeadline(time.Now().Add(20 * time.Millisecond))
+		if msg, err := s.next(); err == nil && msg.kind == msgDATA {
+			return
+		} else if n > 200 {
+			t.Fatal("the circuit never comes back")
+		}
+	}
+}
+
 // ledger counts, over all stand-in servers, the attempts out for each call.
 type ledger struct {
 	mu       sync.Mutex
--- a/internal/m3ua/server.go
+++ b/internal/m3ua/server.go
@@ -21,6 +21,8 @@
 	next     int
 	ids      []core.ID // by circuit
 	state    []use
+	since    []time.Time // of the release, while it is not confirmed
+	swept    time.Time   // when that was last looked at
 	circuits map[core.ID]uint16
 }
 
@@ -34,7 +36,7 @@
 )
 
 func newTrunk(base circuit, n int) *trunk {
-	return &trunk{base: base, ids: make([]core.ID, n), state: make([]use, n), circuits: make(map[core.ID]uint16)}
+	return &trunk{base: base, ids: make([]core.ID, n), state: make([]use, n), since: make([]time.Time, n), circuits: make(map[core.ID]uint16)}
 }
 
 // take finds a free circuit for a call.
@@ -70,7 +72,10 @@
 
 // set must be called with the lock held.
 func (t *trunk) set(cic uint16, to use) {
-	if t.state[cic] = to; to == free || to == releasing {
+	if t.state[cic] = to; to == releasing {
+		t.since[cic] = time.Now()
+	}
+	if to == free || to == releasing {
 		if t.circuits[t.ids[cic]] == cic {
 			delete(t.circuits, t.ids[cic])
 		}
@@ -121,6 +126,25 @@
 	return unconfirmed
 }
 
+// overdue are the circuits whose release the server has not confirmed for so long: it may have lost that, or never
+// answered, and a circuit would be lost for good with each. They are to be released again.
+func (t *trunk) overdue(after time.Duration) (cics []uint16) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	if now.Sub(t.swept) < after {
+		return nil
+	}
+	t.swept = now
+	for i, s := range t.state {
+		if s == releasing && now.Sub(t.since[i]) >= after {
+			t.since[i] = now
+			cics = append(cics, uint16(i))
+		}
+	}
+	return cics
+}
+
 // server is a connection to a server, as an ASP of its.
 type server struct {
 	session
@@ -140,16 +164,17 @@
 		m.loop.Post(core.ServerDown{Server: e.Server})
 		return
 	}
-	conn, err := net.DialTimeout("tcp", e.Address, m.Config.Dial)
+	told := m.told.Load()
+	conn, err := net.DialTimeout("tcp", e.Address, told.Dial)
 	if err != nil {
 		m.loop.Post(core.ServerDown{Server: e.Server})
 		return
 	}
 	defer conn.Close()
-	s := &server{session: session{m: m, conn: conn, out: link.NewOutbox(conn, m.ServerLink)}, name: e.Server, trunk: t, up: make(chan struct{})}
+	s := &server{session: m.session(conn, told.ServerLink), name: e.Server, trunk: t, up: make(chan struct{})}
 	s.handle = func(msg message, at core.Time) error { return s.take(msg, e.Address) }
 	s.send(msgASPUP)
-	late := time.AfterFunc(m.Config.Dial, func() {
+	late := time.AfterFunc(told.Dial, func() {
 		select {
 		case <-s.up:
 		default:
@@ -164,6 +189,7 @@
 	m.log.Info().Err(err).Str("server", e.Server).Msg("association with server ended")
 	t.broken()
 	m.loop.Post(core.ServerDown{Server: e.Server, Link: s.link})
+	s.out.Flush() // what is wrong with its messages
 }
 
 // take handles a server's message.
@@ -243,8 +269,9 @@
 			level = maxCongestion
 		}
 		share := float64(min(level&0xff, maxCongestion)) / maxCongestion
-		report := make(elmseam.Report, len(s.m.Report))
-		for i, f := range s.m.Report {
+		figures := s.m.told.Load().Report
+		report := make(elmseam.Report, len(figures))
+		for i, f := range figures {
 			if report[i] = -1; f == elmseam.FigureShare {
 				report[i] = share
 			}
@@ -339,6 +366,9 @@
 // offer writes a set-up. A class or a number that has no form here is not sent, and neither is a call for
 // which no circuit is free.
 func (s *server) offer(e core.Offer) []core.Event {
+	for _, cic := range s.trunk.overdue(s.m.told.Load().Confirm) {
+		s.write(cic, call{kind: isupREL, cause: q850.NormalClearing}, nil)
+	}
 	category, known := s.m.category(e.Class)
 	cic, ok := uint16(0), false
 	if known {
@@ -354,7 +384,7 @@
 	if err == nil {
 		data = dataMessage(ci, s.m.Network, s.m.RoutingContext, isup)
 	}
-	if err != nil || len(data) > s.m.Link.Message {
+	if err != nil || len(data) > s.limits.Message {
 		return s.notSent(e.ID)
 	}
 	s.out.Post(link.Item{
