--- a/controller.go
+++ b/controller.go
@@ -14,8 +14,8 @@
 
 // Tuned values. Times that depend on the deployment are given as parts of its settings.
 const (
-	reportLapse   = 5 * time.Second        // a report is forgotten after this (draft 4.5: default validity)
-	fullHold      = time.Second            // after 'processor full' no report that may be older lifts the cut
+	reportLapse   = 10.0                   // gaps after which a report is forgotten (draft 4.5: 5 s)
+	fullHold      = 2.0                    // after 'processor full' no report that may be older lifts the cut
 	waitLow       = 0.1                    // part of the gap up to which a wait asks for no cut
 	waitSpan      = 0.8                    // each further such part leaves 1/e: steady at reports delays
 	scarceLines   = 0.02                   // part of its lines free below which a server is spared
@@ -30,7 +30,7 @@
 	maxVotes      = 20                     // tries of another length in a row that make it the usual one
 	failLimit     = 8                      // weight of bad endings in a row for a full cut; an error is 1
 	silenceWeight = 4                      // of a set-up that stays unanswered
-	busyHold      = 2 * time.Second        // calls to a number found busy are refused for this long
+	busyHold      = 4.0                    // gaps for which calls to a number found busy are refused
 	busyNumbers   = 8                      // numbers kept as busy
 	windowed      = 0.1                    // share over which a server also has a window
 	defaultGap    = 500 * time.Millisecond // stands in for the resend gap where there is none
@@ -357,10 +357,10 @@
 func (c *Controller) report(s *server, r Report) {
 	c.freeLines(s, r)
 	share, known := c.shareTold(s, r)
-	if !known || s.full && c.now < s.fullAt+fullHold {
+	if !known || s.full && c.now < s.fullAt+c.gaps(fullHold) {
 		return
 	}
-	s.told, s.lapse, s.full, s.trial = share, c.now+reportLapse, false, false
+	s.told, s.lapse, s.full, s.trial = share, c.now+c.gaps(reportLapse), false, false
 }
 
 // freeLines takes in how many lines a server has left, which it tells by itself at short intervals.
@@ -424,8 +424,8 @@
 
 // cut makes a full cut of a server.
 func (c *Controller) cut(s *server, wait time.Duration) {
-	if wait <= 0 || wait > reportLapse {
-		wait = reportLapse
+	if most := c.gaps(reportLapse); wait <= 0 || wait > most {
+		wait = most
 	}
 	c.tryAfter(s)
 	s.told, s.fullAt, s.lapse, s.trial = 1, c.now, c.now+wait, false
@@ -802,11 +802,11 @@
 func (c *Controller) holdNumber(number uint64) {
 	for i := range c.busy {
 		if c.busy[i].number == number {
-			c.busy[i].until = c.now + busyHold
+			c.busy[i].until = c.now + c.gaps(busyHold)
 			return
 		}
 	}
-	c.busy[c.busyAt] = busyNumber{number, c.now + busyHold}
+	c.busy[c.busyAt] = busyNumber{number, c.now + c.gaps(busyHold)}
 	c.busyAt = (c.busyAt + 1) % len(c.busy)
 }
 
@@ -996,7 +996,7 @@
 		c.fault(k.out.server, silenceWeight)
 	case c.now >= k.out.sent+c.gaps(doubtful):
 		s := k.out.server
-		k.out.lost = s.told < windowed && c.now < s.lapse-reportLapse+c.gaps(lagFresh)
+		k.out.lost = s.told < windowed && c.now < s.lapse-c.gaps(reportLapse-lagFresh)
 		c.do(SetTimer{Token: uint32(k.id), At: k.out.sent + c.gaps(hopeless)})
 	}
 }
