--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -17,7 +17,7 @@
 	"elmseam/internal/settings"
 )
 
-// Limits are all sizes, counts and times. They are filled once, by Load, and handed down.
+// Limits are all sizes, counts and times. They are filled by Load, at the start and for each reload, and handed down.
 type Limits struct {
 	Core core.Limits
 	Link link.Limits // of a caller's connection
