Give operators a door with readiness, figures and drains, and retune whole or not at all

Not taken: net/http's server (its own pool of goroutines, keep-alive and no bound on silent callers), and asking the loop for each call (a caller would wait for it).

The trace shows that no set-up comes on open connections 0.24 s after the drain begins, so each connection stays until its own calls are released, and those without any close after 0.5 s. Set-ups that still come after 1.5 s are refused. Releases that find no connection wait for one that has asked for something (core.flush at CallerUp was at fault).

Retuning: a call keeps its class's rules (as before) and now its number of attempts too. A file that lacks a key, or has a deadline or attempts not over 0, was taken over (settings.Decode read zeros); it is turned down now and counted.

--- a/cmd/elmseam/main.go
+++ b/cmd/elmseam/main.go
@@ -21,6 +21,7 @@
 	"elmseam/internal/feed"
 	"elmseam/internal/loop"
 	"elmseam/internal/m3ua"
+	"elmseam/internal/mgmt"
 	"elmseam/internal/platform"
 )
 
@@ -81,6 +82,20 @@
 	}
 	defer listener.Close()
 	serve := []func(){func() { first.Serve(listener) }}
+	if cfg.Mgmt != "" {
+		door, err := net.Listen("tcp", cfg.Mgmt)
+		if err != nil {
+			return fmt.Errorf("mgmt: %w", err)
+		}
+		defer door.Close()
+		l.Publish(cfg.Limits.Figures)
+		ops := &mgmt.Door{
+			Limits: cfg.Limits.Mgmt, Figures: l.Figures, Names: first.Classes,
+			Drain: first.Drain, Post: l.Post, Log: log,
+		}
+		log.Info().Str("mgmt", door.Addr().String()).Msg("door for operators")
+		go ops.Serve(door)
+	}
 	var speaking sync.WaitGroup // the speaker takes leave of its peers
 	defer speaking.Wait()
 	defer cancel()
@@ -130,10 +145,11 @@
 		next, err := config.Reload(os.Getenv, cfg)
 		if err != nil {
 			log.Error().Err(err).Msg("configuration not taken over")
+			l.Post(core.Misconfigured{})
 			return
 		}
-		if next.Listen != cfg.Listen || next.Name != cfg.Name {
-			log.Warn().Str("name", next.Name).Str("listen", next.Listen).Msg("name and listen change at a restart only")
+		if next.Listen != cfg.Listen || next.Name != cfg.Name || next.Mgmt != cfg.Mgmt {
+			log.Warn().Str("name", next.Name).Str("listen", next.Listen).Str("mgmt", next.Mgmt).Msg("name, listen and mgmt change at a restart only")
 		}
 		cfg = next
 		collect(cfg.Limits)
--- a/cmd/elmseam/main_test.go
+++ b/cmd/elmseam/main_test.go
@@ -44,6 +44,7 @@
 	logged  chan string
 	listen  string
 	m3ua    string
+	mgmt    string
 	channel net.Listener
 }
 
@@ -63,9 +64,9 @@
 	t.Cleanup(func() { p.cmd.Process.Kill(); p.cmd.Wait() })
 	lines := bufio.NewScanner(out)
 	for p.listen == "" && lines.Scan() {
-		var l struct{ Listen, M3UA string }
+		var l struct{ Listen, M3UA, Mgmt string }
 		json.Unmarshal(lines.Bytes(), &l)
-		p.listen, p.m3ua = l.Listen, p.m3ua+l.M3UA
+		p.listen, p.m3ua, p.mgmt = l.Listen, p.m3ua+l.M3UA, p.mgmt+l.Mgmt
 	}
 	if p.listen == "" {
 		t.Fatal("the program doesn't start")
@@ -83,7 +84,7 @@
 
 // write fills the configuration file.
 func (p *program) write(channel net.Listener, settings string, servers ...string) {
-	text := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"memory_mb":192,"sockets":1024},
+	text := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","mgmt":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"memory_mb":192,"sockets":1024},
 		"channel":%q,"known":{"cursor":1,"cmds":[{"cursor":1,"nodes":{"snapshot":true,"endpoints":[%s]}}]},"settings":%s}`,
 		channel.Addr(), strings.Join(servers, ","), settings)
 	if err := os.WriteFile(p.config, []byte(text), 0o600); err != nil {
@@ -327,7 +328,7 @@
 	os.WriteFile(p.config, []byte(`{"name":"n1"}`), 0o600)
 	p.cmd.Process.Signal(syscall.SIGHUP)
 	p.wantLog("configuration not taken over")
-	p.write(channel, strings.Replace(settingsText, `[{"name":"voice"`, `[{"name":"video","hard-limit-us":3000000},{"name":"voice"`, 1))
+	p.write(channel, strings.Replace(settingsText, `[{"name":"voice"`, `[{"name":"video","effect":"free","gain":1,"objective-us":1000000,"hard-limit-us":3000000},{"name":"voice"`, 1))
 	p.cmd.Process.Signal(syscall.SIGHUP)
 	ch := accept(t, channel)
 	if last := ch.events(); last != "2" {
@@ -382,7 +383,7 @@
 	if kind := iam(); kind != 1 {
 		t.Fatalf("ISUP message type %d, want an IAM", kind)
 	}
-	p.write(p.channel, strings.Replace(settingsText, `[{"name":"voice"`, `[{"name":"video","hard-limit-us":3000000},{"name":"voice"`, 1))
+	p.write(p.channel, strings.Replace(settingsText, `[{"name":"voice"`, `[{"name":"video","effect":"free","gain":1,"objective-us":1000000,"hard-limit-us":3000000},{"name":"voice"`, 1))
 	p.cmd.Process.Signal(syscall.SIGHUP)
 	p.wantLog("configuration taken over")
 	caller.setUpOf("video", 2)
--- a/controller.go
+++ b/controller.go
@@ -128,6 +128,7 @@
 	end     Time // the final answer is out by then
 	after   Time // not sent again before
 	sends   int
+	most    int  // attempts it may have, by the settings it came under
 	mayRun  bool // an attempt may have run
 	gone    bool // its caller has left
 	cut     bool // it stood, was cut and comes again
@@ -505,6 +506,12 @@
 	return pressed && float64(n) >= max(wider, c.rate(s.stands)*(limit+s.way()).Seconds())
 }
 
+// Avoids says whether a server of the list gets nothing new for now: it is not ready, or its cut is a full one.
+func (c *Controller) Avoids(id ServerID, now Time) bool {
+	s := c.byID[id]
+	return s == nil || s.phase != Ready || s.full || s.told >= 1 && now < s.lapse || s.lines >= 1
+}
+
 // usable says whether a call may go to a server at all.
 func (c *Controller) usable(s *server, k *call) bool {
 	if s.phase != Ready || s.cell == c.set.OwnCell && c.set.OwnCell >= 0 {
@@ -774,7 +781,7 @@
 	}
 	k := &call{
 		id: ev.Call, class: &c.set.Classes[ev.Class], number: ev.Number, cell: ev.Cell, transit: ev.Transit,
-		end: c.now + ev.Within - answerMargin,
+		most: c.set.MaxAttempts, end: c.now + ev.Within - answerMargin,
 	}
 	c.offered.add(c.now)
 	late, over := c.lateTry(ev), c.overShare(ev.Tenant)
@@ -970,7 +977,7 @@
 // much time left that a stall of this proxy does not lose it: while it is held nothing else answers it.
 func (c *Controller) again(k *call) {
 	room := min(c.gaps(stallRoom), time.Duration(stallAims*float64(k.class.Aim)))
-	if k.sends >= c.set.MaxAttempts || k.mayRun && k.class.Repeat != RepeatFree ||
+	if k.sends >= k.most || k.mayRun && k.class.Repeat != RepeatFree ||
 		k.after > c.now && k.after > k.end-room {
 		c.refuse(k, c.hint)
 		return
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,8 +4,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -13,6 +15,7 @@
 	"elmseam/internal/core"
 	"elmseam/internal/feed"
 	"elmseam/internal/link"
+	"elmseam/internal/mgmt"
 	"elmseam/internal/platform"
 	"elmseam/internal/settings"
 )
@@ -29,14 +32,17 @@
 	Confirm time.Duration // a release not confirmed by then is sent again
 	Callers int           // connections of callers at once
 	Inbox   int           // events that wait for the core
-	Memory  int64         // bytes the garbage collector aims to stay under
-	GC      int           // per cent that the heap may grow by before that
+	Figures time.Duration // between snapshots of the figures
+	Mgmt    mgmt.Limits
+	Memory  int64 // bytes the garbage collector aims to stay under
+	GC      int   // per cent that the heap may grow by before that
 }
 
 // Config is all that a softswitch is told.
 type Config struct {
 	Name     string
 	Listen   string
+	Mgmt     string // where operators call; empty: nowhere
 	Seed     uint64
 	Channel  string
 	Cursor   int64
@@ -44,12 +50,14 @@
 	Settings elmseam.Settings
 	Node     settings.Node
 	Limits   Limits
+	keys     map[string]json.RawMessage // of the file, outermost
 }
 
 // file is the form of the configuration file.
 type file struct {
 	Name   string `json:"name"`
 	Listen string `json:"listen"`
+	Mgmt   string `json:"mgmt"`
 	Seed   string `json:"seed"`
 	Limits struct {
 		MemoryMB int `json:"memory_mb"`
@@ -77,18 +85,29 @@
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
 	}
+	var keys map[string]json.RawMessage
+	if err := json.Unmarshal(text, &keys); err != nil {
+		return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
+	}
 	if v := getenv("ROUTER_NAME"); v != "" {
 		f.Name = v
 	}
 	if v := getenv("ROUTER_LISTEN"); v != "" {
 		f.Listen = v
 	}
-	return build(f)
+	if v := getenv("ROUTER_MGMT"); v != "" {
+		f.Mgmt = v
+	}
+	c, err := build(f)
+	if err == nil {
+		c.keys = keys
+	}
+	return c, err
 }
 
 // build checks the fields and fills the limits.
 func build(f file) (*Config, error) {
-	c := &Config{Name: f.Name, Listen: f.Listen, Channel: f.Channel, Cursor: f.Known.Cursor, Known: f.Known.Cmds}
+	c := &Config{Name: f.Name, Listen: f.Listen, Mgmt: f.Mgmt, Channel: f.Channel, Cursor: f.Known.Cursor, Known: f.Known.Cmds}
 	if c.Name == "" {
 		return nil, fmt.Errorf("name: missing")
 	}
@@ -97,6 +116,11 @@
 			return nil, fmt.Errorf("%s: %w", a.field, err)
 		}
 	}
+	if f.Mgmt != "" {
+		if _, _, err := net.SplitHostPort(f.Mgmt); err != nil {
+			return nil, fmt.Errorf("mgmt: %w", err)
+		}
+	}
 	var err error
 	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("seed: %q is not hex", f.Seed)
@@ -112,6 +136,12 @@
 			return nil, fmt.Errorf("known.cmds[%d]: %w", i, err)
 		}
 	}
+	if len(f.Settings) == 0 {
+		return nil, fmt.Errorf("settings: missing")
+	}
+	if err = settings.Whole(f.Settings); err != nil {
+		return nil, err
+	}
 	if c.Settings, err = settings.Decode(f.Settings); err != nil {
 		return nil, err
 	}
@@ -125,12 +155,17 @@
 	return c, nil
 }
 
-// Reload reads the configuration again. The classes of the earlier one keep their places.
+// Reload reads the configuration again: it must hold what the earlier one held. The classes of the earlier one keep their places.
 func Reload(getenv func(string) string, old *Config) (*Config, error) {
 	c, err := Load(getenv)
 	if err != nil {
 		return nil, err
 	}
+	for _, key := range slices.Sorted(maps.Keys(old.keys)) { // what the environment says stands in for none
+		if v, there := c.keys[key]; !there || string(v) == "null" {
+			return nil, fmt.Errorf("%s: missing", key)
+		}
+	}
 	settings.Follow(old.Node, &c.Node, &c.Settings, old.Settings)
 	return c, nil
 }
@@ -154,7 +189,12 @@
 			Lines:        map[core.Front]int{platform.Front: 2},
 			Mute:         100 * time.Millisecond, // any answer takes less where the server isn't pressed
 			Left:         16,
-			ServerLost:   5 * time.Second, // releases are owed 8 s after the end at the latest
+			ServerLost:   5 * time.Second,        // releases are owed 8 s after the end at the latest
+			DrainGrace:   500 * time.Millisecond, // the front asks every 0.1 s and sends new ones for 0.2 s more
+			DrainTake:    1500 * time.Millisecond,
+			DrainSweep:   20 * time.Millisecond,
+			DrainIdle:    20 * time.Millisecond,
+			Transient:    map[core.Front]bool{platform.Front: true},
 			StopGrace:    700 * time.Millisecond,
 			StopMost:     max(n.LongestWait, 3*time.Second) + 600*time.Millisecond,
 			Callers:      callers - callers/8, // the rest are on their way in or out
@@ -178,6 +218,8 @@
 		Confirm: 15 * time.Second, // T1 of Q.764 at its least
 		Callers: callers,
 		Inbox:   4096,
+		Figures: 50 * time.Millisecond, // they may be 0.5 s old
+		Mgmt:    mgmt.Limits{Callers: 16, Head: 8 << 10, Read: 2 * time.Second, Write: time.Second, Fresh: 2 * time.Second, Drains: 16},
 		Memory:  memory * 6 / 10,
 		GC:      200,
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -44,6 +44,7 @@
 	answered bool // the final answer is out
 	gone     bool // its caller has left
 	sends    int
+	most     int // attempts it may have, by the settings of its set-up
 	out      *attempt
 	gap      Time    // not sent again before
 	stands   *server // where it stands
@@ -122,6 +123,10 @@
 	graced   bool
 	stopped  bool
 	serving  bool
+	draining bool
+	drained  Time   // when that began or ended
+	drains   uint32 // how often it did
+	figures  Figures
 }
 
 // pendingRelease is a release that finds no connection of its caller.
@@ -138,7 +143,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Core{
+	c := &Core{
 		limits:  limits,
 		guard:   set.ReleaseGuard,
 		most:    set.MaxAttempts,
@@ -150,7 +155,9 @@
 		routes:  make(map[string]Route),
 		callers: make(map[Link]*caller),
 		ended:   make(map[ID]Time),
-	}, nil
+	}
+	c.figures.room(len(set.Classes))
+	return c, nil
 }
 
 // Step takes in one event. The effects are to be carried out in their order, and are valid until the
@@ -195,9 +202,18 @@
 	case Configured:
 		if err := c.ctl.Configure(ev.Settings); err != nil {
 			c.do(Broken{Rule: err.Error()})
+			c.figures.Invalid++
 			break
 		}
+		c.figures.Loaded++
+		c.figures.room(len(ev.Settings.Classes))
 		c.limits, c.guard, c.most = ev.Limits, ev.Settings.ReleaseGuard, ev.Settings.MaxAttempts
+	case Misconfigured:
+		c.figures.Invalid++
+	case Drain:
+		c.drain(ev.On)
+	case Sent:
+		c.figures.Sends++
 	case Due:
 		c.due(ev.Token)
 	case Stop:
@@ -247,7 +263,7 @@
 	for _, s := range c.order {
 		yes = yes || s.told == elmseam.Ready
 	}
-	if yes = yes && !c.stopping; yes != c.serving {
+	if yes = yes && !c.stopping && !c.draining; yes != c.serving {
 		c.serving = yes
 		c.do(Serving{Yes: yes})
 	}
@@ -267,7 +283,7 @@
 		}
 		return
 	}
-	from.asked, from.heard = true, c.now
+	c.asks(from)
 	if k := c.calls[ev.ID]; k != nil {
 		c.repeated(k, ev)
 		return
@@ -282,12 +298,16 @@
 	case ev.Class < 0:
 		c.do(Rejected{To: ev.From, ID: ev.ID, Reason: Unsupported})
 		return
-	case left <= 0 || c.open >= c.limits.MaxOpen || c.bytes+size > c.limits.OpenBytes:
+	case ev.Class >= len(c.figures.Classes): // it comes with a configuration that is on its way here
+		c.do(Rejected{To: ev.From, ID: ev.ID, Reason: Congested, RetryAfter: c.limits.RetryHint})
+		return
+	case left <= 0 || c.away() || c.open >= c.limits.MaxOpen || c.bytes+size > c.limits.OpenBytes:
 		c.do(Rejected{To: ev.From, ID: ev.ID, Reason: Congested, RetryAfter: c.limits.RetryHint})
+		c.count(ev.Class, false, Congested)
 		return
 	}
 	c.lastCID++
-	k := &call{SetUp: ev, size: size, cid: c.lastCID, print: printOf(ev), front: from.front, deadline: c.now + left}
+	k := &call{SetUp: ev, size: size, cid: c.lastCID, print: printOf(ev), front: from.front, deadline: c.now + left, most: c.most}
 	c.calls[k.ID], c.byCID[k.cid] = k, k
 	c.open++
 	c.bytes += size
@@ -338,6 +358,7 @@
 	default:
 		r.To, r.ID = k.From, k.ID
 		c.do(r)
+		c.count(k.Class, false, r.Reason)
 	}
 	c.close(k)
 }
@@ -392,7 +413,7 @@
 	k.sends++
 	k.out, s.out[k.ID] = at, k
 	switch {
-	case c.now >= k.deadline || c.most > 0 && k.sends > c.most || s.told != elmseam.Ready:
+	case c.now >= k.deadline || k.most > 0 && k.sends > k.most || s.told != elmseam.Ready:
 		c.outcome(k, elmseam.Outcome{Cause: elmseam.CauseNotSent})
 		return
 	case a.Timeout > 0:
@@ -503,6 +524,7 @@
 		l.stood, l.heard = true, c.now
 	}
 	c.do(Answered{To: k.From, ID: k.ID, Desc: ev.Desc})
+	c.count(k.Class, true, Normal)
 	c.tell(elmseam.Standing{Call: k.cid, Server: s.id, Took: took})
 	if ev.Report != nil {
 		c.tell(elmseam.Health{Server: s.id, OK: true, Report: ev.Report})
@@ -576,13 +598,26 @@
 	c.tidy(k.stands)
 }
 
+// asks takes in that a caller's connection is used: releases that found none go out on it.
+func (c *Core) asks(l *caller) {
+	l.heard = c.now
+	if !l.asked {
+		l.asked = true
+		c.flush()
+	}
+}
+
+// takes says whether releases of any call can go out on a connection. One that has asked for nothing yet may be a
+// front's test, where they are lost.
+func (c *Core) takes(l *caller) bool { return l.asked || !c.limits.Transient[l.front] }
+
 // release sends a caller the end of a call that stood, on its connection or another of its front, best one
 // that has had calls and is in use; if there is none, on the next.
 func (c *Core) release(front Front, to Link, id ID, why Reason) {
 	if c.callers[to] == nil {
 		var best *caller
 		for _, l := range c.links {
-			if l.front == front && (best == nil || l.stood && !best.stood || l.stood == best.stood && l.heard >= best.heard) {
+			if l.front == front && c.takes(l) && (best == nil || l.stood && !best.stood || l.stood == best.stood && l.heard >= best.heard) {
 				best = l
 			}
 		}
@@ -611,6 +646,9 @@
 // callerEnd is a set-up given up, or the release of a call that stands, perhaps from before a restart.
 func (c *Core) callerEnd(ev CallerEnd) {
 	k := c.calls[ev.ID]
+	if l := c.callers[ev.From]; l != nil {
+		c.asks(l)
+	}
 	switch {
 	case k == nil:
 		if _, known := c.ended[ev.ID]; !known {
@@ -660,7 +698,9 @@
 	}
 	c.callers[ev.Link] = l
 	c.links = append(c.links, l)
-	c.flush()
+	if c.takes(l) {
+		c.flush()
+	}
 }
 
 // spare is the connection that can be missed first: one that has never asked for anything, the oldest of them,
@@ -732,6 +772,8 @@
 		if s := c.servers[t.server]; s != nil && s.lost != 0 && c.now >= s.lost+c.limits.ServerLost {
 			c.cutAll(s)
 		}
+	case tokenDrain:
+		c.sweep(t.number)
 	case tokenStop:
 		c.graced = true
 	case tokenFinal:
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -65,6 +65,8 @@
 			said += fmt.Sprintf("released%d@%d ", e.ID, e.To)
 		case Withdraw:
 			said += fmt.Sprintf("withdraw@%d ", e.To)
+		case Part:
+			said += fmt.Sprintf("part@%d ", e.To)
 		case Hangup:
 			said += fmt.Sprintf("hangup@%d ", e.To)
 		case Dropped:
@@ -287,7 +289,8 @@
 		t.Error("a send to a server that drains waits for something")
 	}
 	k = newCall(3)
-	k.sends = r.c.most
+	k.most = 4
+	k.sends = k.most
 	if r.want(send(k, "b"), ""); k.out != nil {
 		t.Error("an attempt too many waits for something")
 	}
@@ -350,7 +353,7 @@
 	r.want(r.step(SetUp{ID: 8, From: 8, Cell: 0, Left: time.Minute, At: r.now}), "dropped8 ")
 }
 
-// New settings and limits hold from now on for the calls in hand too, and drop none.
+// New settings and limits hold from now on, and drop no call in hand: that one keeps the attempts it came with.
 func TestConfiguredAnew(t *testing.T) {
 	r := newRig(t)
 	r.want(r.setUp(7, 5*time.Second), "offer7@10 ")
@@ -359,7 +362,11 @@
 	limits.MaxOpen = 1
 	r.want(r.step(Configured{Settings: set, Limits: limits}), "")
 	r.want(r.setUp(8, 5*time.Second), "rejected8@1 ")
-	r.want(r.step(ServerEnd{Server: "a", ID: 7, Reason: Full}), "rejected7@1 ")
+	r.want(r.step(ServerEnd{Server: "a", ID: 7, Reason: Full}), "offer7@11 ")
+	r.step(ServerEnd{Server: "b", ID: 7, Reason: Full})
+	r.pass(5 * time.Second) // the full cuts are over
+	r.want(r.setUp(9, 5*time.Second), "offer9@10 ")
+	r.want(r.step(ServerEnd{Server: "a", ID: 9, Reason: Full}), "rejected9@1 ") // by the new settings
 }
 
 // What comes at full speed to be turned away, or is told of addresses that no server has, fills no memory.
--- /dev/null
+++ b/internal/core/drain.go
@@ -0,0 +1,43 @@
+package core
+
+// A drain sends callers away while the process goes on: operators ask for it and end it, as often as they like.
+// New calls cease to be welcome at once, and the front's test says so. The front needs a while to learn of it and
+// sends new ones until then; they are served. After that, connections that carry no call are closed. One whose
+// calls still stand is needed for their releases; callers that go on asking on it are turned away after a while.
+
+// drain begins or ends a drain. To ask for what is so already changes nothing.
+func (c *Core) drain(on bool) {
+	if on == c.draining {
+		return
+	}
+	c.draining, c.drained = on, c.now
+	c.drains++
+	if on {
+		c.timer(c.now+c.limits.DrainGrace, Token{kind: tokenDrain, number: c.drains})
+	}
+}
+
+// sweep parts from the callers that have nothing here, and looks again in a while as long as the drain lasts.
+func (c *Core) sweep(drain uint32) {
+	if !c.draining || drain != c.drains {
+		return
+	}
+	carries := make(map[Link]bool)
+	for _, k := range c.calls {
+		carries[k.From] = true
+	}
+	var idle []*caller
+	for _, l := range c.links {
+		if !carries[l.link] && c.limits.Transient[l.front] && c.now >= l.heard+c.limits.DrainIdle {
+			idle = append(idle, l)
+		}
+	}
+	for _, l := range idle {
+		c.forgetCaller(l.link)
+		c.do(Part{To: l.link})
+	}
+	c.timer(c.now+c.limits.DrainSweep, Token{kind: tokenDrain, number: drain})
+}
+
+// away says whether callers have had time enough to go elsewhere.
+func (c *Core) away() bool { return c.draining && c.now >= c.drained+c.limits.DrainTake }
--- /dev/null
+++ b/internal/core/figures.go
@@ -0,0 +1,64 @@
+package core
+
+import "slices"
+
+// ClassFigures count the requests of a class by their final answers.
+type ClassFigures struct {
+	Answered uint64 // it stands
+	Deferred uint64 // refused: trying again is harmless
+	Errored  uint64 // failed
+}
+
+// Figures are what operators are shown. The counts start with the process.
+type Figures struct {
+	Classes          []ClassFigures // by place; a class that a new configuration drops keeps its own
+	Sends            uint64         // attempts written whole to servers
+	Current          int            // requests taken and not yet ended
+	ClusterSize      int            // servers in the list
+	ClusterUnhealthy int            // those of them that get nothing new now
+	Loaded, Invalid  uint64         // configurations taken over and turned down
+	Ready            bool           // this process can serve
+	Draining         bool
+	Stopping         bool
+}
+
+// Figures are the figures of now. What they hold is the caller's.
+func (c *Core) Figures(now Time) Figures {
+	f := c.figures
+	f.Classes = slices.Clone(f.Classes)
+	f.Current, f.Draining, f.Stopping = len(c.calls), c.draining, c.stopping
+	for _, s := range c.order {
+		if s.Phase == 0 { // gone, and kept for what is left of it
+			continue
+		}
+		f.ClusterSize++
+		if len(s.lines) == 0 || c.ctl.Avoids(s.id, max(now, c.now)) {
+			f.ClusterUnhealthy++
+		} else {
+			f.Ready = c.serving
+		}
+	}
+	return f
+}
+
+// count takes in a final answer of a class.
+func (c *Core) count(class int, answered bool, why Reason) {
+	if class < 0 || class >= len(c.figures.Classes) {
+		return
+	}
+	switch f := &c.figures.Classes[class]; {
+	case answered:
+		f.Answered++
+	case why == Congested || why == Full || why == Unsent:
+		f.Deferred++
+	default:
+		f.Errored++
+	}
+}
+
+// room makes room for the figures of so many classes.
+func (f *Figures) room(classes int) {
+	for len(f.Classes) < classes {
+		f.Classes = append(f.Classes, ClassFigures{})
+	}
+}
--- /dev/null
+++ b/internal/core/ops_test.go
@@ -0,0 +1,89 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"elmseam"
+)
+
+func (r *rig) drainable() {
+	l := &r.c.limits
+	l.DrainGrace, l.DrainTake, l.DrainSweep, l.DrainIdle = 500*ms, 1500*ms, 20*ms, 20*ms
+	l.Transient = map[Front]bool{"f": true}
+}
+
+// A drain closes the connections that carry no call once the front has learned of it; one whose call stands is left
+// until that is released there, as nobody else would hear of it, and takes nothing new after a while. To ask twice is
+// to ask once, and a drain that has ended closes nothing.
+func TestDrain(t *testing.T) {
+	r := newRig(t)
+	r.drainable()
+	r.step(CallerUp{Link: 2, Front: "f"})
+	r.step(CallerUp{Link: 3, Front: "m"}) // associations of the other front stay
+	r.want(r.setUp(7, 5*time.Second), "offer7@10 ")
+	r.want(r.step(ServerAnswer{Server: "a", ID: 7}), "answered7@1 ")
+	r.want(r.step(Drain{On: true}), "")
+	r.want(r.pass(300*ms), "")
+	r.want(r.setUp(8, 5*time.Second), "offer8@10 ") // the front sends new ones for a while
+	r.want(r.step(Drain{On: true}), "")
+	r.want(r.step(ServerAnswer{Server: "a", ID: 8}), "answered8@1 ")
+	r.want(r.pass(210*ms), "part@2 ")
+	r.want(r.pass(time.Second), "")
+	r.want(r.setUp(9, 5*time.Second), "rejected9@1 ")
+	r.want(r.step(ServerEnd{Server: "a", ID: 8, Reason: Normal}), "released8@1 ")
+	r.want(r.pass(time.Second), "")
+	r.want(r.step(ServerEnd{Server: "a", ID: 7, Reason: Normal}), "released7@1 ")
+	r.want(r.pass(50*ms), "part@1 ")
+	r.step(Drain{})
+	r.step(CallerUp{Link: 4, Front: "f"})
+	r.want(r.pass(time.Minute), "")
+	if f := r.c.Figures(r.now); !f.Ready || f.Draining {
+		t.Errorf("figures after the drain: %+v", f)
+	}
+}
+
+// A release that finds no connection of its caller waits for one that is used: on one that has asked for nothing, a
+// front's test, it would be lost.
+func TestReleaseWaitsForACaller(t *testing.T) {
+	r := newRig(t)
+	r.drainable()
+	r.setUp(7, 5*time.Second)
+	r.step(ServerAnswer{Server: "a", ID: 7})
+	r.step(CallerDown{Link: 1})
+	r.want(r.step(CallerUp{Link: 2, Front: "f"}), "")
+	r.want(r.step(ServerEnd{Server: "a", ID: 7, Reason: Normal}), "")
+	r.want(r.step(CallerUp{Link: 3, Front: "f"}), "")
+	r.want(r.step(SetUp{ID: 8, From: 3, Cell: 0, Left: 5 * time.Second, At: r.now}), "released7@3 offer8@10 ")
+}
+
+// The figures count each request once, by its final answer, in its class; a class that a new configuration drops
+// keeps its counts, and servers that are avoided show.
+func TestFigures(t *testing.T) {
+	r := newRig(t)
+	r.setUp(1, 5*time.Second)
+	r.step(Sent{Server: "a", ID: 1})
+	r.step(ServerAnswer{Server: "a", ID: 1})
+	r.step(SetUp{ID: 2, From: 1, Cell: 0, Left: ms, At: r.now}) // too late to be sent
+	r.setUp(3, 400*ms)
+	r.pass(time.Second) // its time is up
+	r.setUp(4, 5*time.Second)
+	r.step(ServerEnd{Server: "a", ID: 4, Reason: Full, Refusal: elmseam.RefusalProcessor})
+	f := r.c.Figures(r.now)
+	if want := (ClassFigures{Answered: 1, Deferred: 1, Errored: 1}); f.Classes[0] != want {
+		t.Errorf("figures of the class %+v, want %+v", f.Classes[0], want)
+	}
+	if f.Sends != 1 || f.Current != 2 || f.ClusterSize != 2 || f.ClusterUnhealthy != 1 || !f.Ready {
+		t.Errorf("figures %+v", f)
+	}
+	r.step(Misconfigured{})
+	r.step(Configured{Settings: elmseam.Settings{Classes: make([]elmseam.Class, 2), MaxAttempts: 1, OwnCell: -1}, Limits: r.c.limits})
+	r.list(elmseam.Draining, elmseam.Gone)
+	f = r.c.Figures(r.now)
+	if len(f.Classes) != 2 || f.Classes[0].Answered != 1 || f.Loaded != 1 || f.Invalid != 1 {
+		t.Errorf("figures after a reload %+v", f)
+	}
+	if f.ClusterSize != 1 || f.ClusterUnhealthy != 1 || f.Ready {
+		t.Errorf("figures with one server that drains %+v", f)
+	}
+}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -137,29 +137,41 @@
 		Settings elmseam.Settings
 		Limits   Limits
 	}
+	// Misconfigured says that a configuration was turned down. What was told before holds on.
+	Misconfigured struct{}
+	// Drain begins or ends a drain: callers are sent away while the process goes on.
+	Drain struct{ On bool }
+	// Sent says that an offer has been written whole.
+	Sent struct {
+		Server string
+		ID     ID
+	}
 	// Due is a timer that has come due.
 	Due struct{ Token Token }
 	// Stop asks for an orderly end.
 	Stop struct{}
 )
 
-func (CallerUp) event()     {}
-func (CallerDown) event()   {}
-func (SetUp) event()        {}
-func (CallerEnd) event()    {}
-func (ServerUp) event()     {}
-func (ServerDown) event()   {}
-func (ServerAnswer) event() {}
-func (ServerEnd) event()    {}
-func (ServerReport) event() {}
-func (ServerPaused) event() {}
-func (Route) event()        {}
-func (Written) event()      {}
-func (NotSent) event()      {}
-func (List) event()         {}
-func (Configured) event()   {}
-func (Due) event()          {}
-func (Stop) event()         {}
+func (CallerUp) event()      {}
+func (CallerDown) event()    {}
+func (SetUp) event()         {}
+func (CallerEnd) event()     {}
+func (ServerUp) event()      {}
+func (ServerDown) event()    {}
+func (ServerAnswer) event()  {}
+func (ServerEnd) event()     {}
+func (ServerReport) event()  {}
+func (ServerPaused) event()  {}
+func (Route) event()         {}
+func (Written) event()       {}
+func (NotSent) event()       {}
+func (List) event()          {}
+func (Configured) event()    {}
+func (Misconfigured) event() {}
+func (Drain) event()         {}
+func (Sent) event()          {}
+func (Due) event()           {}
+func (Stop) event()          {}
 
 // Effect is something the loop shall carry out; see the types below.
 type Effect interface{ effect() }
@@ -207,6 +219,8 @@
 		Front   Front
 	}
 	Hangup struct{ To Link }
+	// Part ends a caller's connection with no set-up open on it, so that what was written last can be read.
+	Part struct{ To Link }
 	// Timer asks for a Due.
 	Timer struct {
 		At    Time
@@ -236,6 +250,7 @@
 func (Withdraw) effect() {}
 func (Dial) effect()     {}
 func (Hangup) effect()   {}
+func (Part) effect()     {}
 func (Timer) effect()    {}
 func (Serving) effect()  {}
 func (Dropped) effect()  {}
@@ -261,6 +276,7 @@
 	tokenRedial
 	tokenLost  // a server has been out of reach for long
 	tokenStop  // the grace of a stop is over
+	tokenDrain // callers of a drained process are looked through
 	tokenFinal // and so is the longest time for what still stands
 )
 
@@ -270,17 +286,22 @@
 	Rebind       time.Duration // a set-up may come again on a new connection for so long
 	RedialLeast  time.Duration // between attempts to reach a server again
 	RedialMost   time.Duration
-	Lines        map[Front]int // connections to a server, by its front; not named: one
-	Mute         time.Duration // a connection that has brought nothing so long after a set-up is doubtful
-	Left         int           // servers that have gone and are known again when they come back
-	ServerLost   time.Duration // out of reach for so long, a server's standing calls are taken for cut
-	StopGrace    time.Duration // callers may still come for this long after a Stop
-	StopMost     time.Duration // and standing calls are waited for this long
-	Callers      int           // connections of callers
-	MaxOpen      int           // set-ups open at once
-	OpenBytes    int           // that calls in hand may keep
-	RetryHint    time.Duration // told with a refusal for want of room
-	Remember     time.Duration // a call that is over is remembered for so long
-	Ended        int           // and of so many; 0: of any
-	Routes       int           // withdrawn ones that concern no server of the list
+	Lines        map[Front]int  // connections to a server, by its front; not named: one
+	Mute         time.Duration  // a connection that has brought nothing so long after a set-up is doubtful
+	Left         int            // servers that have gone and are known again when they come back
+	ServerLost   time.Duration  // out of reach for so long, a server's standing calls are taken for cut
+	DrainGrace   time.Duration  // and after a Drain, before connections are closed
+	DrainTake    time.Duration  // and before set-ups are refused on those that stay open
+	DrainSweep   time.Duration  // between looks for connections that can be closed
+	DrainIdle    time.Duration  // one that has brought a set-up so short a time ago may bring the next
+	Transient    map[Front]bool // fronts whose callers come and go by connections, and are sent away by closing them
+	StopGrace    time.Duration  // callers may still come for this long after a Stop
+	StopMost     time.Duration  // and standing calls are waited for this long
+	Callers      int            // connections of callers
+	MaxOpen      int            // set-ups open at once
+	OpenBytes    int            // that calls in hand may keep
+	RetryHint    time.Duration  // told with a refusal for want of room
+	Remember     time.Duration  // a call that is over is remembered for so long
+	Ended        int            // and of so many; 0: of any
+	Routes       int            // withdrawn ones that concern no server of the list
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -37,6 +37,14 @@
 	timers   timers
 	notify   func(core.Effect)
 	log      zerolog.Logger
+	publish  time.Duration // between snapshots of the figures; 0: none
+	figures  atomic.Pointer[Snapshot]
+}
+
+// Snapshot are the figures as they were at a time.
+type Snapshot struct {
+	core.Figures
+	At time.Time
 }
 
 // item is an event with the time it happened at and, where it begins a connection, its carrier.
@@ -71,6 +79,17 @@
 // Dialer sets how servers of a front are reached. It must be called before Run.
 func (l *Loop) Dialer(f core.Front, d Dialer) { l.dialers[f] = d }
 
+// Publish has the figures published at this interval. It must be called before Run.
+func (l *Loop) Publish(every time.Duration) { l.publish = every }
+
+// Figures are those last published. It never waits for the loop.
+func (l *Loop) Figures() Snapshot {
+	if s := l.figures.Load(); s != nil {
+		return *s
+	}
+	return Snapshot{}
+}
+
 // Post hands in an event; it waits while the inbox is full.
 func (l *Loop) Post(ev core.Event) { l.post(item{at: l.Now(), ev: ev}) }
 
@@ -94,6 +113,12 @@
 	defer close(l.done)
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	var publish <-chan time.Time
+	if l.publish > 0 {
+		ticker := time.NewTicker(l.publish)
+		defer ticker.Stop()
+		publish = ticker.C
+	}
 	for {
 		wait := time.Hour
 		if len(l.timers) > 0 {
@@ -104,6 +129,9 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-publish:
+			l.figures.Store(&Snapshot{l.core.Figures(l.Now()), time.Now()})
+			continue
 		case it = <-l.in:
 		case <-timer.C:
 			if len(l.timers) == 0 || l.timers[0].At > l.Now() {
@@ -152,6 +180,11 @@
 					delete(l.carriers, e.To)
 					c.Close()
 				}
+			case core.Part:
+				if c := l.carriers[e.To]; c != nil {
+					delete(l.carriers, e.To)
+					c.Carry(e)
+				}
 			case core.Serving:
 				l.log.Info().Bool("serving", e.Yes).Msg("service")
 				l.notify(e)
--- a/internal/m3ua/server.go
+++ b/internal/m3ua/server.go
@@ -389,6 +389,7 @@
 	}
 	s.out.Post(link.Item{
 		Data: data, ID: uint64(e.ID), Offer: true, Until: s.m.loop.When(e.Until),
+		Done: func() { s.m.loop.Post(core.Sent{Server: s.name, ID: e.ID}) },
 		Lapse: func() {
 			for _, ev := range s.notSent(e.ID) {
 				s.m.loop.Post(ev)
--- /dev/null
+++ b/internal/mgmt/stats.go
@@ -0,0 +1,37 @@
+package mgmt
+
+import (
+	"fmt"
+	"strings"
+
+	"elmseam/internal/core"
+)
+
+// The calls there are.
+const (
+	pathReady  = "/ops/readiness"
+	pathStats  = "/ops/stats"
+	pathDrain  = "/ops/drain/start"
+	pathResume = "/ops/drain/stop"
+)
+
+// Text shows figures, one a line. Classes go by their names.
+func Text(f core.Figures, names []string) string {
+	var b strings.Builder
+	for i, name := range names {
+		var class core.ClassFigures
+		if i < len(f.Classes) {
+			class = f.Classes[i]
+		}
+		fmt.Fprintf(&b, "app.transactions.%s.answered=%d\n", name, class.Answered)
+		fmt.Fprintf(&b, "app.transactions.%s.deferred=%d\n", name, class.Deferred)
+		fmt.Fprintf(&b, "app.transactions.%s.errored=%d\n", name, class.Errored)
+	}
+	fmt.Fprintf(&b, "app.sends=%d\n", f.Sends)
+	fmt.Fprintf(&b, "app.current=%d\n", f.Current)
+	fmt.Fprintf(&b, "app.cluster_size=%d\n", f.ClusterSize)
+	fmt.Fprintf(&b, "app.cluster_unhealthy=%d\n", f.ClusterUnhealthy)
+	fmt.Fprintf(&b, "app.conf_loaded=%d\n", f.Loaded)
+	fmt.Fprintf(&b, "app.conf_invalid=%d\n", f.Invalid)
+	return b.String()
+}
--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -143,6 +143,7 @@
 	log      zerolog.Logger
 	loud     zerolog.Logger // of what callers can cause as often as they like
 	stopping atomic.Bool
+	draining atomic.Bool
 	pulse    pulse
 }
 
@@ -156,21 +157,59 @@
 // Configure replaces what the front was told. Connections that are open keep their limits.
 func (p *Platform) Configure(cfg Config) { p.told.Store(&told{cfg, cfg.Node.Names()}) }
 
+// Classes are the names of the classes, by place.
+func (p *Platform) Classes() []string {
+	var names []string
+	for _, c := range p.told.Load().Node.Classes {
+		names = append(names, c.Name)
+	}
+	return names
+}
+
 // Stop makes the front fail tests, so that nobody new is sent here.
 func (p *Platform) Stop() { p.stopping.Store(true) }
 
+// Drain makes the front fail tests while it lasts.
+func (p *Platform) Drain(on bool) { p.draining.Store(on) }
+
 // Serve serves callers until the listener is closed.
 func (p *Platform) Serve(l net.Listener) {
 	link.Serve(l, func() int { return p.told.Load().Callers }, p.caller)
 }
 
 // caller is the sending side of a caller's connection.
-type caller struct{ out *link.Outbox }
+type caller struct {
+	conn    net.Conn
+	out     *link.Outbox
+	linger  time.Duration
+	parting atomic.Bool
+}
 
 func (c *caller) Close() { c.out.Close() }
 
 func (c *caller) Flush() { c.out.Flush() }
 
+// part ends the connection: the caller is told that there is no more, and what it sends until it has heard that is
+// read, as a connection closed with something unread is reset and takes with it what the caller has not read.
+func (c *caller) part() {
+	c.parting.Store(true)
+	go func() {
+		c.out.Flush()
+		if conn, ok := c.conn.(interface{ CloseWrite() error }); !ok || conn.CloseWrite() != nil {
+			c.conn.Close()
+		}
+		c.conn.SetReadDeadline(time.Now().Add(c.linger))
+	}()
+}
+
+// wait sets how long the next bytes may take.
+func (c *caller) wait(d time.Duration) {
+	c.conn.SetReadDeadline(time.Now().Add(d))
+	if c.parting.Load() {
+		c.conn.SetReadDeadline(time.Now().Add(c.linger))
+	}
+}
+
 // Carry writes an effect for a caller.
 func (c *caller) Carry(e core.Effect) []core.Event {
 	switch e := e.(type) {
@@ -178,6 +217,8 @@
 		c.out.Post(link.Item{Data: appendFrame(nil, typeAnswer, e.ID, appendParam(nil, paramDesc, e.Desc...))})
 	case core.Rejected:
 		c.out.Post(link.Item{Data: rejection(e.ID, q850.ToCaller(e.Reason), e.RetryAfter)})
+	case core.Part:
+		c.part()
 	case core.Released:
 		c.out.Post(link.Item{Data: appendFrame(nil, typeRelease, e.ID, appendParam(nil, paramCause, q850.ToCaller(e.Reason)))})
 	}
@@ -198,11 +239,12 @@
 func (p *Platform) caller(conn net.Conn) {
 	id, limits := p.loop.NewLink(), p.told.Load().Link
 	out := link.NewOutbox(conn, limits)
-	p.loop.Attach(id, &caller{out}, core.CallerUp{Link: id, Front: Front})
+	c := &caller{conn: conn, out: out, linger: limits.Linger}
+	p.loop.Attach(id, c, core.CallerUp{Link: id, Front: Front})
 	defer p.loop.Post(core.CallerDown{Link: id})
 	in := link.NewBuffer(limits.ReadFirst, limits.Message)
 	for wait := limits.First; ; {
-		conn.SetReadDeadline(time.Now().Add(wait))
+		c.wait(wait)
 		if in.Fill(conn) != nil {
 			return
 		}
@@ -242,7 +284,7 @@
 		out.Post(link.Item{Data: appendFrame(nil, typeHeard, f.id, nil)})
 	case typeTest:
 		passed := byte(1)
-		if p.stopping.Load() {
+		if p.stopping.Load() || p.draining.Load() {
 			passed = 0
 		}
 		out.Post(link.Item{Data: appendFrame(nil, typeTested, f.id, appendParam(nil, paramCause, passed))})
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -33,6 +33,7 @@
 	case core.Offer:
 		s.out.Post(link.Item{
 			Data: s.p.appendOffer(nil, e), ID: uint64(e.ID), Offer: true, Until: s.p.loop.When(e.Until),
+			Done:  func() { s.p.loop.Post(core.Sent{Server: s.name, ID: e.ID}) },
 			Lapse: func() { s.p.loop.Post(core.NotSent{Server: s.name, ID: e.ID}) },
 		})
 	case core.End:
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"elmseam"
@@ -172,6 +173,71 @@
 	n.Classes, s.Classes = classes, rules
 }
 
+// needed are the keys that the settings of a softswitch must hold, by the object they stand in. A file that was cut
+// short and closed again would else be taken for one that asks for zeros.
+var needed = map[string][]string{
+	"":                {"request-classes", "family-info", "limits", "load-report", "obligations"},
+	"family-info":     {"own-number", "release-guard-us", "retransmit-us"},
+	"limits":          {"max-attempts", "max-open", "connect-timeout-us", "retry-after", "max-retry-after-us", "cancel"},
+	"load-report":     {"columns", "via"},
+	"obligations":     {"cold-from", "ramp-time-us", "tip-after-us", "tip-multiple"},
+	"request-classes": {"name", "effect", "gain", "hard-limit-us", "objective-us"},
+}
+
+// Whole says whether settings hold every key that is needed, and figures that calls can live by. An error is one
+// line that names the field.
+func Whole(text []byte) error {
+	var top map[string]json.RawMessage
+	if err := json.Unmarshal(text, &top); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	if err := holds(text, "", "settings."); err != nil {
+		return err
+	}
+	for _, part := range []string{"family-info", "limits", "load-report", "obligations"} {
+		if err := holds(top[part], part, "settings."+part+"."); err != nil {
+			return err
+		}
+	}
+	var classes []json.RawMessage
+	if err := json.Unmarshal(top["request-classes"], &classes); err != nil {
+		return fmt.Errorf("settings.request-classes: %w", err)
+	}
+	for i, class := range classes {
+		field := fmt.Sprintf("settings.request-classes[%d].", i)
+		if err := holds(class, "request-classes", field); err != nil {
+			return err
+		}
+		var c struct {
+			HardLimit micros `json:"hard-limit-us"`
+		}
+		if err := json.Unmarshal(class, &c); err != nil || c.HardLimit.duration() <= 0 {
+			return fmt.Errorf("%shard-limit-us: %v is not over 0", field, float64(c.HardLimit))
+		}
+	}
+	var l struct {
+		MaxAttempts int `json:"max-attempts"`
+	}
+	if err := json.Unmarshal(top["limits"], &l); err != nil || l.MaxAttempts <= 0 {
+		return fmt.Errorf("settings.limits.max-attempts: %d is not over 0", l.MaxAttempts)
+	}
+	return nil
+}
+
+// holds names the first key that an object lacks.
+func holds(text []byte, part, field string) error {
+	var have map[string]json.RawMessage
+	if err := json.Unmarshal(text, &have); err != nil {
+		return fmt.Errorf("%s: %w", strings.TrimSuffix(field, "."), err)
+	}
+	for _, key := range needed[part] {
+		if v, there := have[key]; !there || string(v) == "null" {
+			return fmt.Errorf("%s%s: missing", field, key)
+		}
+	}
+	return nil
+}
+
 // DecodeNode reads the part of the settings that concerns sockets. Keys it doesn't name are ignored.
 func DecodeNode(text []byte) (Node, error) {
 	var info struct {
