--- a/controller.go
+++ b/controller.go
@@ -506,7 +506,7 @@
 	return pressed && float64(n) >= max(wider, c.rate(s.stands)*(limit+s.way()).Seconds())
 }
 
-// Avoids says whether a server of the list gets nothing new for now: it is not ready, or its cut is a full one.
+// Avoids says whether a server gets nothing new for now: it is not ready, or its cut is a full one.
 func (c *Controller) Avoids(id ServerID, now Time) bool {
 	s := c.byID[id]
 	return s == nil || s.phase != Ready || s.full || s.told >= 1 && now < s.lapse || s.lines >= 1
