Hand the listener, the connections and what is owed to a newer process under load

Design: the newer process asks the older one over a Unix socket in $TMPDIR for the callers' listener, says yes once a server can be reached, and takes connections from the shared queue from then on. At SIGTERM the older one closes its copy of the listener and hands each caller's connection on between two messages, with the part of a message it has read, the set-ups open on it and the calls that stand. It keeps its calls; what it says to their callers goes through the newer one, whose core keeps account of the set-ups that the older one owes an answer (core.foreign): one answer each, and a failure for all that are left should the older one die. Ends of calls that the newer one doesn't know go to the older one as long as that is there.

Ways not taken: SO_REUSEPORT (each process has a queue of its own, and closing one resets what waits in it); the listener alone (the older one has to close its connections, and set-ups cross the close); two writers on one connection (messages of the two could mix). Where no Unix socket is to be had, or its other end speaks another version, the program starts as before. File() and Fd() are avoided: Fd would make the shared file blocking for both processes.

Tests: TestUpgrade (three processes in a row, one killed, a stale file, a set-up in two parts), TestUpgradeWithADeath, TestUpgradeRefused, TestTakenOver, TestHandOver.

--- a/cmd/elmseam/main.go
+++ b/cmd/elmseam/main.go
@@ -9,9 +9,9 @@
 	"net"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -19,6 +19,8 @@
 	"elmseam/internal/config"
 	"elmseam/internal/core"
 	"elmseam/internal/feed"
+	"elmseam/internal/handover"
+	"elmseam/internal/link"
 	"elmseam/internal/loop"
 	"elmseam/internal/m3ua"
 	"elmseam/internal/mgmt"
@@ -50,7 +52,8 @@
 	log := zerolog.New(os.Stderr).Level(zerolog.InfoLevel).With().Timestamp().Str("node", cfg.Name).Logger()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	collect(cfg.Limits)
+	memory := &memory{}
+	memory.configure(cfg.Limits)
 
 	c, err := core.New(cfg.Settings, cfg.Seed, cfg.Limits.Core)
 	if err != nil {
@@ -58,6 +61,8 @@
 	}
 	var second *m3ua.M3UA
 	var speaker *bgp.Speaker
+	up := &upgrade{path: handover.Path(os.Getenv("TMPDIR"), cfg.Name), limits: cfg.Limits.HandOver, memory: memory, log: log, loud: link.Sparse(log)}
+	able := make(chan struct{})
 	l := loop.New(c, cfg.Limits.Inbox, func(e core.Effect) {
 		switch e := e.(type) {
 		case core.Serving:
@@ -67,6 +72,12 @@
 			if speaker != nil {
 				speaker.Serving(e.Yes)
 			}
+		case core.Able:
+			close(able)
+		case core.ToPredecessor:
+			up.toPredecessor(e)
+		case core.ToSuccessor:
+			up.tell(e.Front, 0, e.Effect)
 		case core.Dropped:
 			if second != nil && e.Front != platform.Front {
 				second.Dropped(e.ID)
@@ -76,12 +87,28 @@
 
 	first := platform.New(cfg.Platform(), l, log)
 	l.Dialer(platform.Front, first.Dial)
-	listener, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+	up.loop, up.front = l, first
+	preceded := up.take(cfg.Listen)
+	if !preceded {
+		if up.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+	}
+	listener := up.listener
+	up.listen = listener.Addr().String()
+	if !preceded {
+		up.wait()
 	}
 	defer listener.Close()
 	serve := []func(){func() { first.Serve(listener) }}
+	if preceded { // the predecessor serves until this process can
+		memory.share(1)
+		serve = []func(){up.follow, func() {
+			<-able
+			up.serving()
+			first.Serve(listener)
+		}}
+	}
 	if cfg.Mgmt != "" {
 		door, err := net.Listen("tcp", cfg.Mgmt)
 		if err != nil {
@@ -100,8 +127,12 @@
 	defer speaking.Wait()
 	defer cancel()
 
+	retry := cfg.Limits.Feed.Retry
 	fronts := func(string) core.Front { return platform.Front }
 	var known []core.Event
+	if preceded {
+		known = append(known, core.Predecessor{Present: true})
+	}
 	if sig.Enabled {
 		second, err = m3ua.New(cfg.M3UA(sig.M3UA), l, log)
 		if err != nil {
@@ -116,12 +147,20 @@
 		}
 		known = append(known, second.Servers())
 		ml, err := net.Listen("tcp", sig.M3UA.Listen)
-		if err != nil {
+		if err != nil && !preceded {
 			return fmt.Errorf("m3ua.listen: %w", err)
 		}
-		defer ml.Close()
-		log.Info().Str("m3ua", ml.Addr().String()).Msg("second front")
-		serve = append(serve, func() { second.Serve(ml) })
+		if err == nil {
+			log.Info().Str("m3ua", ml.Addr().String()).Msg("second front")
+		}
+		serve = append(serve, func() {
+			for err != nil { // until the predecessor has gone
+				time.Sleep(retry)
+				ml, err = net.Listen("tcp", sig.M3UA.Listen)
+			}
+			defer ml.Close()
+			second.Serve(ml)
+		})
 	}
 	if sig.Enabled && len(sig.BGP.Peers) > 0 {
 		if speaker, err = bgp.New(sig.BGP, cfg.Limits.BGP(), l.Post, log); err != nil {
@@ -152,7 +191,7 @@
 			log.Warn().Str("name", next.Name).Str("listen", next.Listen).Str("mgmt", next.Mgmt).Msg("name, listen and mgmt change at a restart only")
 		}
 		cfg = next
-		collect(cfg.Limits)
+		memory.configure(cfg.Limits)
 		first.Configure(cfg.Platform())
 		if second != nil { // before the core knows of new classes
 			second.Configure(cfg.M3UA(sig.M3UA))
@@ -174,22 +213,19 @@
 				continue
 			}
 			log.Info().Msg("stopping")
-			first.Stop()
+			if !up.stop() {
+				first.Stop()
+			}
 			l.Post(core.Stop{})
 		}
 	}()
 	log.Info().Str("listen", listener.Addr().String()).Msg("started")
 	l.Run(ctx)
+	up.leave(c)
 	log.Info().Msg("stopped")
 	return nil
 }
 
-// collect sets the garbage collector to the memory there is.
-func collect(l config.Limits) {
-	debug.SetMemoryLimit(l.Memory)
-	debug.SetGCPercent(l.GC)
-}
-
 // signalling reads the file of the second front. Without one there is only the first.
 func signalling() (config.Signalling, error) {
 	path, named := os.LookupEnv("ELMSEAM_SIGNALLING")
--- /dev/null
+++ b/cmd/elmseam/upgrade_test.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// succeed starts a newer process beside p, and waits until it says that it can serve.
+func (p *program) succeed(dir string, env ...string) *program {
+	p.Helper()
+	next := &program{T: p.T, channel: p.channel, config: p.config, logged: make(chan string, 100)}
+	next.run("", append([]string{"TMPDIR=" + dir, "ROUTER_LISTEN=" + p.listen}, env...)...)
+	next.until("/ops/readiness", 200, "")
+	return next
+}
+
+// upgradable starts a program that can be taken over from.
+func upgradable(t *testing.T, dir string, servers ...string) *program {
+	t.Helper()
+	p := newProgram(t, servers...)
+	p.run("", "TMPDIR="+dir)
+	return p
+}
+
+// A newer process takes over: what is open stays open and is answered on the connection it came on, by whichever process
+// has it; a set-up of which only a part has been read goes on in the newer one; callers don't notice, and what stands
+// in the older one is released through the newer one or, when that has been killed, by it. Then comes the next one.
+func TestUpgrade(t *testing.T) {
+	dir, srv := t.TempDir(), listen(t)
+	os.WriteFile(filepath.Join(dir, "elmseam-n1.sock"), nil, 0o600) // left by one that was killed
+	old := upgradable(t, dir, endpoint("s", "in_service", srv))
+	peer := server(t, srv)
+	caller, pieces := dial(t, old.listen), dial(t, old.listen)
+	accepted := func(peer *conn, id string) {
+		fmt.Fprintf(peer, `{"op":"accept","call":%q,"with":{},"desc":"x"}`+"\n", id)
+	}
+	for call := uint64(1); call <= 2; call++ {
+		caller.setUp(call)
+		accepted(peer, peer.line(`"offer"`))
+		caller.frame(9, call)
+	}
+	caller.setUp(3)
+	open := peer.line(`"offer"`)
+	half := setUpText("voice", 4)
+	pieces.Write(half[:20])
+
+	next := old.succeed(dir)
+	fresh := server(t, srv)
+	old.cmd.Process.Signal(syscall.SIGTERM)
+	next.wantTaken(2)
+	accepted(peer, open)
+	caller.frame(9, 3)
+	pieces.Write(half[20:])
+	accepted(fresh, fresh.line(`"offer"`))
+	pieces.frame(9, 4)
+	fmt.Fprintf(peer, `{"op":"end","call":"%016x","with":{},"why":16}`+"\n", 1)
+	caller.frame(12, 1)
+	old.cmd.Process.Kill()
+	next.wantLog("the predecessor has gone")
+	fmt.Fprintf(fresh, `{"op":"end","call":"%016x","with":{},"why":16}`+"\n", 2)
+	caller.frame(12, 2)
+
+	last := next.succeed(dir)
+	next.cmd.Process.Signal(syscall.SIGTERM)
+	last.wantTaken(2)
+	fmt.Fprintf(fresh, `{"op":"end","call":"%016x","with":{},"why":16}`+"\n", 4)
+	pieces.frame(12, 4)
+	if err := next.cmd.Wait(); err != nil { // nothing is owed any more
+		t.Errorf("the process that was taken over from ends with %v", err)
+	}
+}
+
+// wantTaken waits until this process has so many connections of the older one.
+func (p *program) wantTaken(n int) {
+	p.Helper()
+	for range n {
+		p.wantLog("a caller's connection taken over")
+	}
+}
+
+// The older process is killed while it owes an answer: the newer one gives it. The newer one is killed before it was
+// told to take over: the older one serves on, and can be taken over from again.
+func TestUpgradeWithADeath(t *testing.T) {
+	dir, srv := t.TempDir(), listen(t)
+	old := upgradable(t, dir, endpoint("s", "in_service", srv))
+	peer := server(t, srv)
+	failed := old.succeed(dir)
+	failed.cmd.Process.Kill()
+	old.wantLog("the newer process has gone")
+	caller := dial(t, old.listen)
+	caller.setUp(1)
+	peer.line(`"offer"`)
+	accept(t, srv) // from the one that was killed
+	accept(t, srv)
+
+	next := old.succeed(dir)
+	old.cmd.Process.Signal(syscall.SIGTERM)
+	next.wantTaken(1)
+	old.cmd.Process.Kill()
+	if b := caller.frame(12, 1); b[3] != 41 {
+		t.Errorf("release %x, want a failure, as the call may have run", b)
+	}
+}
+
+// A process that speaks another version, or serves another address, gets nothing, and the older one serves on. One that
+// finds no hand-over starts as usual.
+func TestUpgradeRefused(t *testing.T) {
+	dir, srv := t.TempDir(), listen(t)
+	old := upgradable(t, dir, endpoint("s", "in_service", srv))
+	for hello, want := range map[string]string{
+		`{"kind":"hello","version":99}`:                           "version",
+		`{"kind":"hello","version":1,"listen":"127.0.0.1:1"}`:     "served here",
+		`{"kind":"serving","version":1}`:                          "version",
+		fmt.Sprintf(`{"kind":"hello","listen":%q}`, old.listen):   "version",
+		`{"kind":"hello","version":1,"listen":"` + old.listen[:3]: "",
+	} {
+		c, err := net.Dial("unixpacket", filepath.Join(dir, "elmseam-n1.sock"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Write([]byte(hello))
+		b := make([]byte, 1000)
+		if n, _ := c.Read(b); want != "" && !strings.Contains(string(b[:n]), want) {
+			t.Errorf("%s: %s, want %s", hello, b[:n], want)
+		}
+		c.Close()
+	}
+	other := newProgram(t, endpoint("s", "in_service", srv))
+	other.run("", "TMPDIR="+filepath.Join(dir, "none"))
+	other.until("/ops/readiness", 200, "")
+	if !old.test() || !other.test() {
+		t.Error("one of the two doesn't serve")
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -14,6 +14,7 @@
 	"elmseam"
 	"elmseam/internal/core"
 	"elmseam/internal/feed"
+	"elmseam/internal/handover"
 	"elmseam/internal/link"
 	"elmseam/internal/mgmt"
 	"elmseam/internal/platform"
@@ -34,8 +35,10 @@
 	Inbox   int           // events that wait for the core
 	Figures time.Duration // between snapshots of the figures
 	Mgmt    mgmt.Limits
-	Memory  int64 // bytes the garbage collector aims to stay under
-	GC      int   // per cent that the heap may grow by before that
+
+	HandOver handover.Limits
+	Memory   int64 // bytes the garbage collector aims to stay under
+	GC       int   // per cent that the heap may grow by before that
 }
 
 // Config is all that a softswitch is told.
@@ -195,6 +198,8 @@
 			DrainSweep:   20 * time.Millisecond,
 			DrainIdle:    20 * time.Millisecond,
 			Transient:    map[core.Front]bool{platform.Front: true},
+			HandStand:    2000, // they fit into one message
+			HandGrace:    100 * time.Millisecond,
 			StopGrace:    700 * time.Millisecond,
 			StopMost:     max(n.LongestWait, 3*time.Second) + 600*time.Millisecond,
 			Callers:      callers - callers/8, // the rest are on their way in or out
@@ -220,8 +225,11 @@
 		Inbox:   4096,
 		Figures: 50 * time.Millisecond, // they may be 0.5 s old
 		Mgmt:    mgmt.Limits{Callers: 16, Head: 8 << 10, Read: 2 * time.Second, Write: time.Second, Fresh: 2 * time.Second, Drains: 16},
-		Memory:  memory * 6 / 10,
-		GC:      200,
+		HandOver: handover.Limits{
+			Hello: time.Second, Write: time.Second, Packet: 128 << 10, Queue: 4 << 20, Over: 4096,
+		},
+		Memory: memory * 6 / 10,
+		GC:     200,
 	}
 	// Callers that read nothing and set-ups that stay open hold no more than a quarter of the memory each.
 	l.ServerLink = l.Link
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -82,11 +82,12 @@
 
 // caller is the connection of a caller.
 type caller struct {
-	link  Link
-	front Front
-	asked bool // it has brought a set-up
-	stood bool // one of them stood
-	heard Time // of last
+	link   Link
+	front  Front
+	asked  bool // it has brought a set-up
+	stood  bool // one of them stood
+	handed bool // to a successor: its effects go there
+	heard  Time // of last
 }
 
 // over remembers a call that has ended.
@@ -127,6 +128,12 @@
 	drained  Time   // when that began or ended
 	drains   uint32 // how often it did
 	figures  Figures
+	handing  bool        // callers' connections are handed to a successor
+	preceded bool        // a predecessor has calls of callers who are here
+	halved   bool        // which holds as many callers as are here
+	foreign  map[ID]Link // and owes these set-ups an answer
+	stood    map[ID]Link // calls that stand from before it handed their callers on
+	able     bool        // this process could serve, once
 }
 
 // pendingRelease is a release that finds no connection of its caller.
@@ -155,6 +162,8 @@
 		routes:  make(map[string]Route),
 		callers: make(map[Link]*caller),
 		ended:   make(map[ID]Time),
+		foreign: make(map[ID]Link),
+		stood:   make(map[ID]Link),
 	}
 	c.figures.room(len(set.Classes))
 	return c, nil
@@ -212,6 +221,18 @@
 		c.figures.Invalid++
 	case Drain:
 		c.drain(ev.On)
+	case HandOver:
+		c.handOver()
+	case Parked:
+		c.moved(ev.Link)
+	case Predecessor:
+		c.predecessor(ev)
+	case Relayed:
+		c.relayed(ev)
+	case Over:
+		for _, id := range ev.IDs {
+			c.remember(id)
+		}
 	case Sent:
 		c.figures.Sends++
 	case Due:
@@ -267,7 +288,15 @@
 		c.serving = yes
 		c.do(Serving{Yes: yes})
 	}
-	if c.graced && !c.stopped && len(c.calls) == 0 && len(c.pending) == 0 {
+	if !c.able && yes {
+		for _, s := range c.order {
+			c.able = c.able || s.told == elmseam.Ready && len(s.lines) > 0
+		}
+		if c.able {
+			c.do(Able{})
+		}
+	}
+	if c.graced && !c.stopped && len(c.calls) == 0 && len(c.pending) == 0 && !c.keeps() {
 		c.stopped = true
 		c.do(Stopped{})
 	}
@@ -288,6 +317,10 @@
 		c.repeated(k, ev)
 		return
 	}
+	if _, foreign := c.foreign[ev.ID]; foreign { // open with a predecessor
+		c.do(Rejected{To: ev.From, ID: ev.ID, Reason: Unsupported})
+		return
+	}
 	if _, known := c.ended[ev.ID]; known {
 		c.do(Rejected{To: ev.From, ID: ev.ID, Reason: Congested, RetryAfter: c.limits.RetryHint})
 		return
@@ -575,7 +608,16 @@
 	if _, known := c.ended[ev.ID]; known || c.calls[ev.ID] != nil || ev.Reason == Full || ev.Reason == Busy || ev.Reason == Unsent {
 		return
 	}
+	if c.preceded { // it knows whether it is over
+		c.do(ToPredecessor{Event: ev})
+		return
+	}
 	c.remember(ev.ID)
+	if l := c.callers[c.stood[ev.ID]]; l != nil {
+		delete(c.stood, ev.ID)
+		c.release(l.front, l.link, ev.ID, ev.Reason)
+		return
+	}
 	told := make(map[Front]bool)
 	for _, l := range c.links { // whose it was isn't known
 		if !told[l.front] {
@@ -621,6 +663,10 @@
 				best = l
 			}
 		}
+		if best == nil && c.handing && c.limits.Transient[front] {
+			c.do(ToSuccessor{Front: front, Effect: Released{ID: id, Reason: why}})
+			return
+		}
 		if best == nil {
 			c.pending = append(c.pending, &pendingRelease{front, id, why, c.now})
 			return
@@ -651,7 +697,14 @@
 	}
 	switch {
 	case k == nil:
-		if _, known := c.ended[ev.ID]; !known {
+		_, known := c.ended[ev.ID]
+		switch {
+		case known:
+		case c.preceded:
+			delete(c.stood, ev.ID)
+			delete(c.foreign, ev.ID)
+			c.do(ToPredecessor{Event: ev})
+		default:
 			for _, s := range c.order {
 				c.endAt(s, ev.ID)
 			}
@@ -684,7 +737,11 @@
 // callerUp takes in a connection of a caller. Where there are too many, one without an open set-up has to go.
 func (c *Core) callerUp(ev CallerUp) {
 	l := &caller{link: ev.Link, front: ev.Front, heard: c.now}
-	if len(c.links) >= c.limits.Callers {
+	most := c.limits.Callers
+	if c.halved { // descriptors are shared
+		most /= 2
+	}
+	if len(c.links) >= most {
 		victim := c.spare()
 		if victim == nil {
 			victim = l
@@ -698,9 +755,13 @@
 	}
 	c.callers[ev.Link] = l
 	c.links = append(c.links, l)
+	c.adopt(l, ev)
 	if c.takes(l) {
 		c.flush()
 	}
+	if c.handing {
+		c.move(l)
+	}
 }
 
 // spare is the connection that can be missed first: one that has never asked for anything, the oldest of them,
@@ -714,7 +775,7 @@
 	}
 	for _, l := range c.links {
 		switch {
-		case busy[l.link]:
+		case busy[l.link], l.handed:
 		case victim == nil, victim.asked && !l.asked, victim.asked == l.asked && l.heard < victim.heard:
 			victim = l
 		}
@@ -731,6 +792,7 @@
 // callerDown ends a caller's connection. Its set-ups may come again on another one shortly.
 func (c *Core) callerDown(l Link) {
 	c.forgetCaller(l)
+	c.forgetForeign(l)
 	for _, k := range inOrder(c.calls) {
 		if k.From == l && k.stands == nil && !k.answered {
 			k.orphan = true
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -65,6 +65,14 @@
 			said += fmt.Sprintf("released%d@%d ", e.ID, e.To)
 		case Withdraw:
 			said += fmt.Sprintf("withdraw@%d ", e.To)
+		case Move:
+			said += fmt.Sprintf("move@%d ", e.To)
+		case Pass:
+			said += fmt.Sprintf("pass@%d%v%v ", e.To, e.Open, e.Stand)
+		case ToPredecessor:
+			said += "to the older "
+		case ToSuccessor:
+			said += "to the newer "
 		case Part:
 			said += fmt.Sprintf("part@%d ", e.To)
 		case Hangup:
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -19,7 +19,7 @@
 
 // sweep parts from the callers that have nothing here, and looks again in a while as long as the drain lasts.
 func (c *Core) sweep(drain uint32) {
-	if !c.draining || drain != c.drains {
+	if !c.draining || drain != c.drains || c.handing {
 		return
 	}
 	carries := make(map[Link]bool)
--- a/internal/core/ops_test.go
+++ b/internal/core/ops_test.go
@@ -87,3 +87,50 @@
 		t.Errorf("figures with one server that drains %+v", f)
 	}
 }
+
+// A successor keeps account of the set-ups that the older process has open: it passes one answer on for each, on the
+// connection they came on, and answers those that nobody can answer any more. What it doesn't know it asks of the older
+// process as long as that is there, where it would release it at every server otherwise.
+func TestTakenOver(t *testing.T) {
+	r := newRig(t)
+	r.drainable()
+	r.step(Predecessor{Present: true})
+	r.want(r.step(CallerUp{Link: 5, Front: "f", Asked: true, Open: []ID{1, 2, 3}, Stand: []ID{4, 5}}), "")
+	relayed := func(e Effect) string { return r.step(Relayed{Front: "f", Link: 5, Effect: e}) }
+	r.want(relayed(Answered{ID: 1}), "answered1@5 ")
+	r.want(relayed(Answered{ID: 1}), "")
+	r.want(relayed(Rejected{ID: 1}), "")
+	r.want(relayed(Released{ID: 1}), "released1@5 ")
+	r.want(relayed(Released{ID: 1}), "")
+	r.want(r.step(SetUp{ID: 2, From: 5, Left: time.Second, At: r.now}), "rejected2@5 ") // its id is in use
+	r.want(r.step(CallerEnd{ID: 3, From: 5}), "to the older ")
+	r.want(relayed(Rejected{ID: 3}), "")
+	r.want(r.step(ServerEnd{Server: "a", ID: 4, Reason: Normal}), "to the older ")
+	r.want(r.step(Predecessor{}), "rejected2@5 ")
+	r.want(r.step(ServerEnd{Server: "a", ID: 5, Reason: Normal}), "released5@5 ")
+	r.step(Over{IDs: []ID{9}})
+	r.want(r.step(ServerEnd{Server: "a", ID: 9, Reason: Normal}), "")
+}
+
+// A process that is taken over from stops only when no connection is left to hand on and nothing is owed. It names what
+// is open on each, and a release that finds no connection goes to the successor.
+func TestHandOver(t *testing.T) {
+	r := newRig(t)
+	r.drainable()
+	r.c.limits.HandGrace, r.c.limits.HandStand = 100*ms, 10
+	r.setUp(1, 5*time.Second)
+	r.step(ServerAnswer{Server: "a", ID: 1})
+	r.setUp(2, 5*time.Second)
+	r.step(CallerUp{Link: 2, Front: "f"})
+	r.want(r.step(HandOver{}), "move@1 move@2 ")
+	r.want(r.step(HandOver{}), "")
+	r.want(r.step(CallerUp{Link: 3, Front: "f"}), "move@3 ") // it was on its way in
+	r.want(r.step(Parked{Link: 1}), "pass@1[2][1] ")
+	r.want(r.step(Parked{Link: 2}), "pass@2[][] ")
+	r.want(r.step(ServerAnswer{Server: "a", ID: 2}), "answered2@1 ")
+	r.want(r.pass(time.Second), "")
+	r.want(r.step(ServerEnd{Server: "a", ID: 2, Reason: Normal}), "released2@1 ")
+	r.step(CallerDown{Link: 1})
+	r.want(r.step(ServerEnd{Server: "a", ID: 1, Reason: Normal}), "to the newer ")
+	r.want(r.step(Parked{Link: 3}), "pass@3[][] stopped ")
+}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -47,10 +47,14 @@
 type Event interface{ event() }
 
 type (
-	// CallerUp and CallerDown say that a caller's connection begins and ends.
+	// CallerUp and CallerDown say that a caller's connection begins and ends. One that a predecessor has handed on
+	// may have asked for calls already, and that one owes an answer to those open.
 	CallerUp struct {
 		Link  Link
 		Front Front
+		Asked bool
+		Open  []ID
+		Stand []ID // calls that stand
 	}
 	CallerDown struct{ Link Link }
 	// SetUp is a call that a caller asks for.
@@ -146,6 +150,21 @@
 		Server string
 		ID     ID
 	}
+	// HandOver hands the callers on to a successor that serves, and ends this process when nothing is owed.
+	HandOver struct{}
+	// Parked says that a connection is read no further.
+	Parked struct{ Link Link }
+	// Predecessor says whether there is another process that owns calls of callers who come here.
+	// Moving: it hands its callers on by now.
+	Predecessor struct{ Present, Moving bool }
+	// Relayed is what a predecessor has to tell a caller. A Link of 0: any.
+	Relayed struct {
+		Front  Front
+		Link   Link
+		Effect Effect
+	}
+	// Over names calls that have ended elsewhere.
+	Over struct{ IDs []ID }
 	// Due is a timer that has come due.
 	Due struct{ Token Token }
 	// Stop asks for an orderly end.
@@ -170,6 +189,11 @@
 func (Misconfigured) event() {}
 func (Drain) event()         {}
 func (Sent) event()          {}
+func (HandOver) event()      {}
+func (Parked) event()        {}
+func (Predecessor) event()   {}
+func (Relayed) event()       {}
+func (Over) event()          {}
 func (Due) event()           {}
 func (Stop) event()          {}
 
@@ -221,6 +245,23 @@
 	Hangup struct{ To Link }
 	// Part ends a caller's connection with no set-up open on it, so that what was written last can be read.
 	Part struct{ To Link }
+	// Move has a caller's connection read no further; a Parked follows. Pass hands it to the successor, with the
+	// set-ups open on it, and what is for it goes there from then on.
+	Move struct{ To Link }
+	Pass struct {
+		To    Link
+		Open  []ID
+		Stand []ID
+		Asked bool
+	}
+	// ToPredecessor and ToSuccessor are for the other process.
+	ToPredecessor struct{ Event Event }
+	ToSuccessor   struct {
+		Front  Front
+		Effect Effect
+	}
+	// Able says, once, that this process can serve.
+	Able struct{}
 	// Timer asks for a Due.
 	Timer struct {
 		At    Time
@@ -242,20 +283,25 @@
 	}
 )
 
-func (Answered) effect() {}
-func (Rejected) effect() {}
-func (Released) effect() {}
-func (Offer) effect()    {}
-func (End) effect()      {}
-func (Withdraw) effect() {}
-func (Dial) effect()     {}
-func (Hangup) effect()   {}
-func (Part) effect()     {}
-func (Timer) effect()    {}
-func (Serving) effect()  {}
-func (Dropped) effect()  {}
-func (Stopped) effect()  {}
-func (Broken) effect()   {}
+func (Answered) effect()      {}
+func (Rejected) effect()      {}
+func (Released) effect()      {}
+func (Offer) effect()         {}
+func (End) effect()           {}
+func (Withdraw) effect()      {}
+func (Dial) effect()          {}
+func (Hangup) effect()        {}
+func (Part) effect()          {}
+func (Move) effect()          {}
+func (Pass) effect()          {}
+func (ToPredecessor) effect() {}
+func (ToSuccessor) effect()   {}
+func (Able) effect()          {}
+func (Timer) effect()         {}
+func (Serving) effect()       {}
+func (Dropped) effect()       {}
+func (Stopped) effect()       {}
+func (Broken) effect()        {}
 
 // Token says what a timer is for.
 type Token struct {
@@ -295,6 +341,8 @@
 	DrainSweep   time.Duration  // between looks for connections that can be closed
 	DrainIdle    time.Duration  // one that has brought a set-up so short a time ago may bring the next
 	Transient    map[Front]bool // fronts whose callers come and go by connections, and are sent away by closing them
+	HandStand    int            // standing calls that are named with a connection
+	HandGrace    time.Duration  // connections may still turn up for this long after a HandOver
 	StopGrace    time.Duration  // callers may still come for this long after a Stop
 	StopMost     time.Duration  // and standing calls are waited for this long
 	Callers      int            // connections of callers
--- /dev/null
+++ b/internal/handover/handover.go
@@ -0,0 +1,310 @@
+// Package handover connects two processes of the program on one machine while the newer takes over from the older:
+// messages, some with an open file, over a Unix socket. What they mean is decided elsewhere.
+package handover
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"elmseam/internal/core"
+)
+
+// Version is that of the messages. Processes of different versions hand nothing over.
+const Version = 1
+
+// Limits are the sizes and times of a hand-over.
+type Limits struct {
+	Hello  time.Duration // to be answered, or to say who one is
+	Write  time.Duration // a message may take; a peer that takes none for so long is given up
+	Packet int           // the longest message
+	Queue  int           // bytes that may wait for the peer
+	Over   int           // ended calls that are named
+}
+
+// Kind says what a message is.
+type Kind string
+
+// The kinds, and who sends them.
+const (
+	Hello      Kind = "hello"       // new: who it is
+	Listener   Kind = "listener"    // old, with the callers' listener
+	Refused    Kind = "refused"     // old: why not
+	Serving    Kind = "serving"     // new: it serves
+	Moving     Kind = "moving"      // old: it hands its callers on from now on
+	Caller     Kind = "caller"      // old, with a caller's connection
+	Effect     Kind = "effect"      // old, for a caller
+	Over       Kind = "over"        // old: calls that have ended
+	CallerDown Kind = "caller_down" // new: a caller's connection has ended
+	CallerEnd  Kind = "caller_end"  // new, of a call that it does not know
+	ServerEnd  Kind = "server_end"  // new, the same
+)
+
+// Message is what one process tells the other. A field that its kind has no use for is empty.
+type Message struct {
+	Kind    Kind          `json:"kind"`
+	Version int           `json:"version,omitempty"`
+	Listen  string        `json:"listen,omitempty"`
+	Why     string        `json:"why,omitempty"`
+	Link    core.Link     `json:"link,omitempty"` // by the old one's count
+	Front   core.Front    `json:"front,omitempty"`
+	Rest    []byte        `json:"rest,omitempty"` // read from the connection and not yet taken
+	Open    []core.ID     `json:"open,omitempty"`
+	Stand   []core.ID     `json:"stand,omitempty"`
+	Asked   bool          `json:"asked,omitempty"`
+	Effect  string        `json:"effect,omitempty"`
+	ID      core.ID       `json:"id,omitempty"`
+	Desc    []byte        `json:"desc,omitempty"`
+	Reason  core.Reason   `json:"reason,omitempty"`
+	Retry   time.Duration `json:"retry,omitempty"`
+	Server  string        `json:"server,omitempty"`
+	IDs     []core.ID     `json:"ids,omitempty"`
+}
+
+// Path is where the process of a name is found; "" where there is no folder for it.
+func Path(dir, name string) string {
+	if dir == "" {
+		return ""
+	}
+	return filepath.Join(dir, "elmseam-"+strings.ReplaceAll(name, "/", "_")+".sock")
+}
+
+// Peer is the other process.
+type Peer struct {
+	conn   *net.UnixConn
+	limits Limits
+	buf    []byte
+	write  sync.Mutex // held for each message
+
+	mu      sync.Mutex
+	queue   [][]byte
+	bytes   int
+	writing bool
+	closed  bool
+}
+
+func newPeer(conn *net.UnixConn, limits Limits) *Peer {
+	return &Peer{conn: conn, limits: limits, buf: make([]byte, limits.Packet)}
+}
+
+// Close ends the connection.
+func (p *Peer) Close() {
+	p.mu.Lock()
+	p.closed, p.queue = true, nil
+	p.mu.Unlock()
+	p.conn.Close()
+}
+
+// Send queues a message. It never waits; a peer that falls behind too far is given up.
+func (p *Peer) Send(m Message) {
+	text, err := json.Marshal(m)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
+	if p.bytes += len(text); err != nil || len(text) > p.limits.Packet || p.bytes > p.limits.Queue {
+		p.closed, p.queue = true, nil
+		p.conn.Close()
+		return
+	}
+	p.queue = append(p.queue, text)
+	if !p.writing {
+		p.writing = true
+		go p.run()
+	}
+}
+
+// run writes what is queued.
+func (p *Peer) run() {
+	for {
+		p.mu.Lock()
+		if p.closed || len(p.queue) == 0 {
+			p.writing = false
+			p.mu.Unlock()
+			return
+		}
+		text := p.queue[0]
+		p.queue = p.queue[1:]
+		p.bytes -= len(text)
+		p.mu.Unlock()
+		if p.packet(text, nil) != nil {
+			p.Close()
+		}
+	}
+}
+
+// packet writes one message whole.
+func (p *Peer) packet(text, rights []byte) error {
+	p.write.Lock()
+	defer p.write.Unlock()
+	p.conn.SetWriteDeadline(time.Now().Add(p.limits.Write))
+	_, _, err := p.conn.WriteMsgUnix(text, rights, nil)
+	return err
+}
+
+// SendFile sends a message with an open file, and waits until it is with the peer's machine.
+func (p *Peer) SendFile(m Message, of syscall.Conn) error {
+	text, err := json.Marshal(m)
+	if err != nil {
+		return err
+	}
+	if len(text) > p.limits.Packet {
+		return fmt.Errorf("a message of %d bytes", len(text))
+	}
+	raw, err := of.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var sent error
+	// Not by File and its Fd: that would make the file blocking for both processes.
+	if err := raw.Control(func(fd uintptr) { sent = p.packet(text, syscall.UnixRights(int(fd))) }); err != nil {
+		return err
+	}
+	return sent
+}
+
+// Flush waits until what is queued is written, not for long.
+func (p *Peer) Flush() {
+	for until := time.Now().Add(p.limits.Write); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		p.mu.Lock()
+		idle := !p.writing
+		p.mu.Unlock()
+		if idle {
+			return
+		}
+	}
+}
+
+var errCut = errors.New("a message was cut short")
+
+// Receive waits for a message, and the file that comes with it.
+func (p *Peer) Receive() (m Message, file *os.File, err error) {
+	oob := make([]byte, syscall.CmsgSpace(4))
+	n, oobn, flags, _, err := p.conn.ReadMsgUnix(p.buf, oob)
+	if err != nil {
+		return m, nil, err
+	}
+	if file, err = fileIn(oob[:oobn]); err != nil {
+		return m, nil, err
+	}
+	switch {
+	case n == 0 && oobn == 0:
+		err = net.ErrClosed
+	case flags&(syscall.MSG_TRUNC|syscall.MSG_CTRUNC) != 0:
+		err = errCut
+	default:
+		err = json.Unmarshal(p.buf[:n], &m)
+	}
+	if err != nil && file != nil {
+		file.Close()
+		file = nil
+	}
+	return m, file, err
+}
+
+// fileIn is the file that came beside a message, if one did.
+func fileIn(oob []byte) (*os.File, error) {
+	if len(oob) == 0 {
+		return nil, nil
+	}
+	messages, err := syscall.ParseSocketControlMessage(oob)
+	if err != nil || len(messages) != 1 {
+		return nil, fmt.Errorf("%d control messages: %w", len(messages), errCut)
+	}
+	fds, err := syscall.ParseUnixRights(&messages[0])
+	if err != nil || len(fds) != 1 {
+		return nil, fmt.Errorf("%d files: %w", len(fds), errCut)
+	}
+	syscall.CloseOnExec(fds[0])
+	return os.NewFile(uintptr(fds[0]), "handed over"), nil
+}
+
+// Take asks the process that serves an address for its listener. An error says why there is none to be had.
+func Take(path, listen string, limits Limits) (*Peer, net.Listener, error) {
+	if path == "" {
+		return nil, nil, errors.New("no folder for a socket")
+	}
+	conn, err := net.DialTimeout("unixpacket", path, limits.Hello)
+	if err != nil {
+		return nil, nil, err
+	}
+	p := newPeer(conn.(*net.UnixConn), limits)
+	conn.SetReadDeadline(time.Now().Add(limits.Hello))
+	p.Send(Message{Kind: Hello, Version: Version, Listen: listen})
+	m, file, err := p.Receive()
+	if err == nil && (m.Kind != Listener || file == nil) {
+		err = fmt.Errorf("%s: %s", m.Kind, m.Why)
+	}
+	var l net.Listener
+	if file != nil {
+		if err == nil {
+			l, err = net.FileListener(file)
+		}
+		file.Close()
+	}
+	if err != nil {
+		p.Close()
+		return nil, nil, err
+	}
+	conn.SetReadDeadline(time.Time{})
+	return p, l, nil
+}
+
+// Host waits at the path for successors. Whatever has been left there is replaced at once.
+func Host(path string) (*net.UnixListener, error) {
+	fresh := fmt.Sprintf("%s.%d", path, os.Getpid())
+	os.Remove(fresh)
+	l, err := net.ListenUnix("unixpacket", &net.UnixAddr{Name: fresh, Net: "unixpacket"})
+	if err != nil {
+		return nil, err
+	}
+	l.SetUnlinkOnClose(false) // a successor's may stand there by then
+	if err = os.Chmod(fresh, 0o600); err == nil {
+		err = os.Rename(fresh, path)
+	}
+	if err != nil {
+		os.Remove(fresh)
+		l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+// Greet hears who has come, and gives the listener where that is what it wants. Why says that it can't be had.
+func Greet(conn *net.UnixConn, listen, why string, listener syscall.Conn, limits Limits) (*Peer, error) {
+	p := newPeer(conn, limits)
+	conn.SetReadDeadline(time.Now().Add(limits.Hello))
+	m, file, err := p.Receive()
+	if file != nil {
+		file.Close()
+	}
+	if err == nil {
+		switch {
+		case m.Kind != Hello || m.Version != Version:
+			why = fmt.Sprintf("version %d is spoken here", Version)
+		case m.Listen != listen:
+			why = fmt.Sprintf("%s is served here", listen)
+		}
+		if why != "" {
+			p.Send(Message{Kind: Refused, Version: Version, Why: why})
+			p.Flush()
+			err = errors.New(why)
+		} else {
+			err = p.SendFile(Message{Kind: Listener, Version: Version}, listener)
+		}
+	}
+	if err != nil {
+		p.Close()
+		return nil, err
+	}
+	conn.SetReadDeadline(time.Time{})
+	return p, nil
+}
--- a/internal/link/outbox.go
+++ b/internal/link/outbox.go
@@ -174,14 +174,15 @@
 	return batch
 }
 
-// Flush waits until what is queued has been written, or the connection has failed.
-func (o *Outbox) Flush() {
+// Flush waits, not for long, until what is queued has been written, and says whether it was.
+func (o *Outbox) Flush() bool {
 	for until := time.Now().Add(o.limits.Stuck); time.Now().Before(until); time.Sleep(time.Millisecond) {
 		o.mu.Lock()
-		idle := !o.writing
+		idle, closed := !o.writing, o.closed
 		o.mu.Unlock()
-		if idle {
-			return
+		if idle || closed {
+			return !closed
 		}
 	}
+	return false
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -188,7 +188,7 @@
 			case core.Serving:
 				l.log.Info().Bool("serving", e.Yes).Msg("service")
 				l.notify(e)
-			case core.Dropped:
+			case core.Dropped, core.Able, core.ToPredecessor, core.ToSuccessor:
 				l.notify(e)
 			case core.Stopped:
 				stopped = true
@@ -219,6 +219,10 @@
 		return e.To
 	case core.Withdraw:
 		return e.To
+	case core.Move:
+		return e.To
+	case core.Pass:
+		return e.To
 	}
 	return 0
 }
--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -3,6 +3,7 @@
 package platform
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -12,7 +13,9 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -138,13 +141,14 @@
 
 // Platform is the front.
 type Platform struct {
-	told     atomic.Pointer[told]
-	loop     *loop.Loop
-	log      zerolog.Logger
-	loud     zerolog.Logger // of what callers can cause as often as they like
-	stopping atomic.Bool
-	draining atomic.Bool
-	pulse    pulse
+	told      atomic.Pointer[told]
+	loop      *loop.Loop
+	log       zerolog.Logger
+	loud      zerolog.Logger // of what callers can cause as often as they like
+	stopping  atomic.Bool
+	draining  atomic.Bool
+	successor atomic.Pointer[Successor]
+	pulse     pulse
 }
 
 // New makes the front.
@@ -172,22 +176,68 @@
 // Drain makes the front fail tests while it lasts.
 func (p *Platform) Drain(on bool) { p.draining.Store(on) }
 
+// Successor names the process that callers are handed to.
+func (p *Platform) Successor(s Successor) { p.successor.Store(&s) }
+
 // Serve serves callers until the listener is closed.
 func (p *Platform) Serve(l net.Listener) {
 	link.Serve(l, func() int { return p.told.Load().Callers }, p.caller)
 }
 
+// Successor is the process that callers are handed to.
+type Successor interface {
+	// Take is handed a connection, with what was read of it and not yet taken. It may wait.
+	Take(pass core.Pass, rest []byte, conn syscall.Conn) error
+	// Tell passes on what is for a caller whose connection it has. It must not wait.
+	Tell(link core.Link, e core.Effect)
+}
+
 // caller is the sending side of a caller's connection.
 type caller struct {
+	p       *Platform
+	link    core.Link
 	conn    net.Conn
 	out     *link.Outbox
 	linger  time.Duration
 	parting atomic.Bool
+	moving  atomic.Bool
+	pass    chan core.Pass
+	ended   chan struct{} // closed by Close
+
+	mu     sync.Mutex
+	passed bool          // what is for the caller is the successor's to say
+	taken  bool          // and it has the connection
+	held   []core.Effect // until then
+	closed bool
 }
 
-func (c *caller) Close() { c.out.Close() }
+func (p *Platform) newCaller(id core.Link, conn net.Conn, limits link.Limits) *caller {
+	return &caller{
+		p: p, link: id, conn: conn, out: link.NewOutbox(conn, limits), linger: limits.Linger,
+		pass: make(chan core.Pass, 1), ended: make(chan struct{}),
+	}
+}
 
-func (c *caller) Flush() { c.out.Flush() }
+// Close closes the connection at once.
+func (c *caller) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed {
+		c.closed = true
+		close(c.ended)
+	}
+	c.out.Close()
+}
+
+// Flush waits, not for long, until all is with the caller or the successor.
+func (c *caller) Flush() {
+	c.mu.Lock()
+	waits := c.passed && !c.taken && !c.closed
+	c.mu.Unlock()
+	if !waits {
+		c.out.Flush()
+	}
+}
 
 // part ends the connection: the caller is told that there is no more, and what it sends until it has heard that is
 // read, as a connection closed with something unread is reset and takes with it what the caller has not read.
@@ -205,22 +255,77 @@
 // wait sets how long the next bytes may take.
 func (c *caller) wait(d time.Duration) {
 	c.conn.SetReadDeadline(time.Now().Add(d))
-	if c.parting.Load() {
+	switch {
+	case c.moving.Load():
+		c.conn.SetReadDeadline(time.Now())
+	case c.parting.Load():
 		c.conn.SetReadDeadline(time.Now().Add(c.linger))
 	}
 }
 
+// hand passes the connection, of which nothing is read here any more, to the successor. It says whether it did.
+func (c *caller) hand(rest []byte) bool {
+	c.p.loop.Post(core.Parked{Link: c.link})
+	var pass core.Pass
+	select {
+	case pass = <-c.pass:
+	case <-c.ended:
+		return false
+	case <-time.After(c.linger):
+		return false
+	}
+	successor := c.p.successor.Load()
+	conn, ok := c.conn.(syscall.Conn)
+	if !ok || successor == nil || !c.out.Flush() { // a caller that reads nothing costs its own connection
+		return false
+	}
+	if err := (*successor).Take(pass, rest, conn); err != nil {
+		c.p.loud.Warn().Err(err).Msg("a caller's connection can't be handed over")
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range c.held {
+		(*successor).Tell(c.link, e)
+	}
+	c.taken, c.held = true, nil
+	return true
+}
+
+// toSuccessor says whether an effect is the successor's to carry out.
+func (c *caller) toSuccessor(e core.Effect) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if successor := c.p.successor.Load(); c.taken && successor != nil {
+		(*successor).Tell(c.link, e)
+	} else if c.passed {
+		c.held = append(c.held, e)
+	}
+	return c.passed
+}
+
 // Carry writes an effect for a caller.
 func (c *caller) Carry(e core.Effect) []core.Event {
+	if c.toSuccessor(e) {
+		return nil
+	}
 	switch e := e.(type) {
 	case core.Answered:
 		c.out.Post(link.Item{Data: appendFrame(nil, typeAnswer, e.ID, appendParam(nil, paramDesc, e.Desc...))})
 	case core.Rejected:
 		c.out.Post(link.Item{Data: rejection(e.ID, q850.ToCaller(e.Reason), e.RetryAfter)})
-	case core.Part:
-		c.part()
 	case core.Released:
 		c.out.Post(link.Item{Data: appendFrame(nil, typeRelease, e.ID, appendParam(nil, paramCause, q850.ToCaller(e.Reason)))})
+	case core.Part:
+		c.part()
+	case core.Move:
+		c.moving.Store(true)
+		c.conn.SetReadDeadline(time.Now())
+	case core.Pass:
+		c.mu.Lock()
+		c.passed = true
+		c.mu.Unlock()
+		c.pass <- e
 	}
 	return nil
 }
@@ -234,18 +339,50 @@
 	return appendFrame(nil, typeRelease, id, params)
 }
 
-// caller reads a caller's connection to its end. One that brings no whole message in time, or stops within one,
-// is closed, and so is one that is idle for long: it holds a descriptor that others need.
+// caller serves a new connection of a caller.
 func (p *Platform) caller(conn net.Conn) {
-	id, limits := p.loop.NewLink(), p.told.Load().Link
-	out := link.NewOutbox(conn, limits)
-	c := &caller{conn: conn, out: out, linger: limits.Linger}
-	p.loop.Attach(id, c, core.CallerUp{Link: id, Front: Front})
-	defer p.loop.Post(core.CallerDown{Link: id})
+	limits := p.told.Load().Link
+	c := p.newCaller(p.loop.NewLink(), conn, limits)
+	p.loop.Attach(c.link, c, core.CallerUp{Link: c.link, Front: Front})
+	p.read(c, limits, nil, false)
+}
+
+// Adopt serves a connection that a predecessor has handed on, with what that has read and not taken. It posts its
+// CallerUp before it returns, and calls gone when the connection has ended.
+func (p *Platform) Adopt(conn net.Conn, rest []byte, up core.CallerUp, gone func()) {
+	limits := p.told.Load().Link
+	c := p.newCaller(up.Link, conn, limits)
+	p.loop.Attach(c.link, c, up)
+	go func() {
+		defer gone()
+		defer conn.Close()
+		p.read(c, limits, rest, up.Asked)
+	}()
+}
+
+// read takes in a caller's messages until the connection ends here. One that brings no whole message in time, or
+// stops within one, is closed, and so is one that is idle for long: it holds a descriptor that others need.
+func (p *Platform) read(c *caller, limits link.Limits, rest []byte, asked bool) {
+	handed := false
+	defer func() {
+		if !handed {
+			p.loop.Post(core.CallerDown{Link: c.link})
+		}
+	}()
 	in := link.NewBuffer(limits.ReadFirst, limits.Message)
-	for wait := limits.First; ; {
+	for before := bytes.NewReader(rest); before.Len() > 0; {
+		if in.Fill(before) != nil {
+			return
+		}
+	}
+	wait := limits.First
+	if asked && len(rest) == 0 {
+		wait = limits.Idle
+	}
+	for {
 		c.wait(wait)
-		if in.Fill(conn) != nil {
+		if in.Fill(c.conn) != nil {
+			handed = c.moving.Load() && c.hand(in.Bytes())
 			return
 		}
 		at := p.loop.Now()
@@ -255,14 +392,14 @@
 				break
 			}
 			if err == nil {
-				err = p.take(id, out, f, at)
+				err = p.take(c.link, c.out, f, at)
 			}
 			if err != nil {
-				p.loud.Warn().Err(err).Stringer("caller", conn.RemoteAddr()).Msg("caller's connection closed")
+				p.loud.Warn().Err(err).Stringer("caller", c.conn.RemoteAddr()).Msg("caller's connection closed")
 				if f.kind == typeSetUp {
-					out.Post(link.Item{Data: rejection(f.id, q850.InvalidContents, 0)})
+					c.out.Post(link.Item{Data: rejection(f.id, q850.InvalidContents, 0)})
 				}
-				out.Linger(conn)
+				c.out.Linger(c.conn)
 				return
 			}
 			in.Skip(n)
