Close a caller's connection whose message trickles in, 2.5 s after its first byte

Cause: each read began the time for a message anew (platform.read set the deadline before every Fill), so one message could hold a place for hours, a byte every 2 s. Ruled out: connections to servers, whose lines have had a limit on the whole line; the door and M3UA, which have one too. TestSilentCallers fails without it.

--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -252,9 +252,9 @@
 	}()
 }
 
-// wait sets how long the next bytes may take.
-func (c *caller) wait(d time.Duration) {
-	c.conn.SetReadDeadline(time.Now().Add(d))
+// until sets when the next bytes must be here.
+func (c *caller) until(t time.Time) {
+	c.conn.SetReadDeadline(t)
 	switch {
 	case c.moving.Load():
 		c.conn.SetReadDeadline(time.Now())
@@ -361,7 +361,7 @@
 }
 
 // read takes in a caller's messages until the connection ends here. One that brings no whole message in time, or
-// stops within one, is closed, and so is one that is idle for long: it holds a descriptor that others need.
+// stops within one or trickles it, is closed, and so is one that is idle for long: it holds a descriptor that others need.
 func (p *Platform) read(c *caller, limits link.Limits, rest []byte, asked bool) {
 	handed := false
 	defer func() {
@@ -375,12 +375,16 @@
 			return
 		}
 	}
-	wait := limits.First
-	if asked && len(rest) == 0 {
-		wait = limits.Idle
+	var whole time.Time // when the message under way must be, however it trickles in; zero: there is none
+	if !asked || len(rest) > 0 {
+		whole = time.Now().Add(limits.First)
 	}
 	for {
-		c.wait(wait)
+		if whole.IsZero() {
+			c.until(time.Now().Add(limits.Idle))
+		} else {
+			c.until(whole)
+		}
 		if in.Fill(c.conn) != nil {
 			handed = c.moving.Load() && c.hand(in.Bytes())
 			return
@@ -403,10 +407,10 @@
 				return
 			}
 			in.Skip(n)
-			wait = limits.Idle
+			whole = time.Time{}
 		}
-		if len(in.Bytes()) > 0 && wait == limits.Idle {
-			wait = limits.First
+		if len(in.Bytes()) > 0 && whole.IsZero() {
+			whole = time.Now().Add(limits.First)
 		}
 	}
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -273,8 +273,8 @@
 	s.wantFrame(typeRelease, 14, 41)
 }
 
-// A connection that brings no whole message in time is closed, and so is one that stops within a message; one that
-// has asked is kept for longer.
+// A connection that brings no whole message in time is closed, and so is one that stops within a message, or trickles it:
+// each byte began the time anew, and one message could hold a place for hours. One that has asked is kept for longer.
 func TestSilentCallers(t *testing.T) {
 	s := newStory(t)
 	told := *s.front.told.Load()
@@ -288,6 +288,15 @@
 			t.Errorf("%s: %v", name, err)
 		}
 	}
+	trickle := s.dial(s.listener)
+	trickle.Write(test)
+	trickle.Read(make([]byte, 64))
+	_, err := trickle.Write([]byte{0x30, 0}) // a message of 12 KiB
+	for late := time.Now().Add(patience); err == nil; time.Sleep(20 * time.Millisecond) {
+		if _, err = trickle.Write([]byte{0}); time.Now().After(late) {
+			t.Fatal("a message that trickles in for ever is waited for")
+		}
+	}
 	c := s.dial(s.listener)
 	c.Write(test)
 	c.Read(make([]byte, 64))
