Explore the real reducer exhaustively at small sizes, with traces that replay

Need: overlapping failures are where rules break unseen. internal/explore runs core.Core with the real module through everything that can happen to a few calls at a few servers, breadth first, and judges the effects by ten rules that share no code with the core's guards (rules.go). cmd/elmseamctl check and check replay are the command, on cobra; digests are xxh3 of every field there is, by reflection.

Way not taken: copies of states.

Found on the way and at fault in the model alone: a server's start that moved with the clock, an end after an answer that nobody writes. Nothing in the program so far.

--- /dev/null
+++ b/cmd/elmseamctl/main.go
@@ -0,0 +1,46 @@
+// Command elmseamctl is for operators and developers. It checks the reducer that the softswitch runs.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+)
+
+// The exit codes.
+const (
+	exitPassed     = 0
+	exitBroken     = 1 // a rule is broken: a counterexample was found, or plays
+	exitIncomplete = 2 // none was found, and not every state was looked at
+	exitUsage      = 3 // the command, a flag or a file makes no sense
+)
+
+// outcome ends the program with a code other than that of bad usage.
+type outcome int
+
+func (o outcome) Error() string { return fmt.Sprintf("exit code %d", int(o)) }
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	root := &cobra.Command{
+		Use: "elmseamctl", Short: "Tools for operators and developers of elmseam",
+		SilenceUsage: true, SilenceErrors: true,
+		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return errors.New("no command; see --help") },
+	}
+	root.CompletionOptions.DisableDefaultCmd = true
+	root.AddCommand(checkCommand())
+	root.SetArgs(args)
+	err := root.Execute()
+	var o outcome
+	switch {
+	case err == nil:
+		return exitPassed
+	case errors.As(err, &o):
+		return int(o)
+	}
+	fmt.Fprintln(os.Stderr, "elmseamctl:", err)
+	return exitUsage
+}
--- a/controller.go
+++ b/controller.go
@@ -512,6 +512,9 @@
 	return s == nil || s.phase != Ready || s.full || s.told >= 1 && now < s.lapse || s.lines >= 1
 }
 
+// Calls is how many calls are in hand.
+func (c *Controller) Calls() int { return len(c.calls) }
+
 // usable says whether a call may go to a server at all.
 func (c *Controller) usable(s *server, k *call) bool {
 	if s.phase != Ready || s.cell == c.set.OwnCell && c.set.OwnCell >= 0 {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -128,6 +128,7 @@
 	drained  Time   // when that began or ended
 	drains   uint32 // how often it did
 	figures  Figures
+	hook     Hook
 	handing  bool        // callers' connections are handed to a successor
 	preceded bool        // a predecessor has calls of callers who are here
 	halved   bool        // which holds as many callers as are here
@@ -254,7 +255,14 @@
 
 // tell hands the module an event and carries out what it decides.
 func (c *Core) tell(ev elmseam.Event) {
-	for _, a := range c.ctl.Handle(c.now, ev, nil) {
+	if c.hook.Deaf != nil && c.hook.Deaf(ev) {
+		return
+	}
+	actions := c.ctl.Handle(c.now, ev, nil)
+	if c.hook.Decide != nil {
+		actions = c.hook.Decide(ev, actions)
+	}
+	for _, a := range actions {
 		switch a := a.(type) {
 		case elmseam.Send:
 			if k := c.byCID[a.Call]; k != nil {
@@ -412,7 +420,7 @@
 
 // drop forgets a call, but for its id.
 func (c *Core) drop(k *call) {
-	if c.calls[k.ID] != k {
+	if c.calls[k.ID] != k || !c.has(GuardMemory) {
 		return
 	}
 	c.bytes -= k.size
@@ -438,7 +446,7 @@
 // too many, and the server takes new work. Within the release gap it waits.
 func (c *Core) send(k *call, a elmseam.Send) {
 	s := c.byID[a.Server]
-	if k.answered || k.gone || k.out != nil || s == nil {
+	if k.answered || k.gone || k.out != nil && c.has(GuardOut) || s == nil {
 		c.do(Broken{ID: k.ID, Rule: "send of a call that may not be sent"})
 		return
 	}
@@ -446,7 +454,7 @@
 	k.sends++
 	k.out, s.out[k.ID] = at, k
 	switch {
-	case c.now >= k.deadline || k.most > 0 && k.sends > k.most || s.told != elmseam.Ready:
+	case c.now >= k.deadline || k.most > 0 && k.sends > k.most && c.has(GuardMost), s.told != elmseam.Ready && c.has(GuardPhase):
 		c.outcome(k, elmseam.Outcome{Cause: elmseam.CauseNotSent})
 		return
 	case a.Timeout > 0:
@@ -460,7 +468,7 @@
 	s := k.out.server
 	l := c.lineTo(s)
 	switch {
-	case c.now < k.gap:
+	case c.now < k.gap && c.has(GuardGap):
 		c.timer(k.gap, Token{kind: tokenGap, call: k.ID, number: uint32(k.out.number)})
 	case l == nil:
 		c.dial(s)
@@ -538,9 +546,9 @@
 	case k == nil:
 		c.endAt(s, ev.ID)
 		return
-	case k.out.phase != sent:
+	case k.out.phase != sent && c.has(GuardFinal):
 		return // its end is on the way
-	case k.orphan || k.gone || k.answered || c.now > k.deadline+c.limits.AnswerMargin:
+	case (k.orphan || k.gone || k.answered) && c.has(GuardFinal) || c.now > k.deadline+c.limits.AnswerMargin:
 		c.giveUp(k, elmseam.CauseCancelled)
 		return
 	}
@@ -605,7 +613,7 @@
 // stray passes on the release of a call that stood before this program started, or that this program
 // never saw: it is nobody's second answer, as ids of calls that ended here are remembered.
 func (c *Core) stray(ev ServerEnd) {
-	if _, known := c.ended[ev.ID]; known || c.calls[ev.ID] != nil || ev.Reason == Full || ev.Reason == Busy || ev.Reason == Unsent {
+	if _, known := c.ended[ev.ID]; known && c.has(GuardRelease) || c.calls[ev.ID] != nil || ev.Reason == Full || ev.Reason == Busy || ev.Reason == Unsent {
 		return
 	}
 	if c.preceded { // it knows whether it is over
@@ -857,6 +865,9 @@
 
 // deadline gives a call its final answer while its caller still waits. What is out ends first.
 func (c *Core) deadline(k *call) {
+	if !c.has(GuardDeadline) {
+		return
+	}
 	if a := k.out; a != nil {
 		if a.phase == sent {
 			c.do(End{To: a.line.link, ID: k.ID})
--- /dev/null
+++ b/internal/explore/actions.go
@@ -0,0 +1,328 @@
+package explore
+
+import (
+	"fmt"
+	"slices"
+
+	"elmseam/internal/core"
+)
+
+// Kind is something that can happen.
+type Kind uint8
+
+// The kinds. Those from firstFault on are disturbances, of which only so many happen.
+const (
+	setUp Kind = iota // N: the first choice
+	written
+	answer
+	full
+	busy
+	ended // the end of an attempt is written
+	release
+	dialled
+	callerBack // a caller's next connection
+	undrain
+	due // N: which of the timers that are due first
+	reset
+	cross // an answer that crosses the attempt's end
+	late  // an answer to an attempt that is over
+	cut   // a standing call
+	again // a release said twice
+	hangup
+	giveUp
+	repeat
+	callerLost
+	connLost
+	refused
+	drains
+	goes
+	restarts
+	returns
+	reload
+	drain
+	kinds
+)
+
+const firstFault = reset
+
+var kindNames = [kinds]string{"set-up", "written", "answer", "full", "busy", "ended", "release", "dialled", "caller-back", "undrain",
+	"due", "reset", "cross", "late", "cut", "again", "hang-up", "give-up", "repeat", "caller-lost", "conn-lost", "refused",
+	"drains", "goes", "restarts", "returns", "reload", "drain"}
+
+// Action is one thing that happens: to a call or a server, with a number that some kinds have.
+type Action struct {
+	Kind Kind
+	Of   uint8
+	N    uint8
+}
+
+func (a Action) String() string { return fmt.Sprintf("%s %d %d", kindNames[a.Kind], a.Of, a.N) }
+
+// ParseAction reads what String has written.
+func ParseAction(text string) (a Action, err error) {
+	var kind string
+	if n, err := fmt.Sscanf(text, "%s %d %d", &kind, &a.Of, &a.N); err != nil || n != 3 {
+		return a, fmt.Errorf("action %q: %w", text, err)
+	}
+	at := slices.Index(kindNames[:], kind)
+	if at < 0 {
+		return a, fmt.Errorf("action %q: unknown", text)
+	}
+	a.Kind = Kind(at)
+	return a, nil
+}
+
+// due are the timers that are due first, by their places.
+func (w *World) dueFirst() (first []int) {
+	for i, t := range w.Timers {
+		switch {
+		case len(first) == 0 || t.At < w.Timers[first[0]].At:
+			first = append(first[:0], i)
+		case t.At == w.Timers[first[0]].At:
+			first = append(first, i)
+		}
+	}
+	return first
+}
+
+// Actions are all things that can happen next, always in the same order. Like calls come in the order of their
+// numbers, and the first one's first choice is the first server: the others are the same with other names.
+func (w *World) Actions() (all []Action) {
+	add := func(k Kind, of, n int) {
+		if k < firstFault || w.Left > 0 {
+			all = append(all, Action{k, uint8(of), uint8(n)})
+		}
+	}
+	for i := range w.Calls {
+		if w.Calls[i].Started {
+			continue
+		}
+		for s := range w.Servers {
+			if len(w.Callers) > 0 && (i > 0 || s == 0) {
+				add(setUp, i, s)
+			}
+		}
+		break
+	}
+	for i := range w.Calls {
+		w.actionsOf(i, &w.Calls[i], add)
+	}
+	for s := range w.Servers {
+		v := &w.Servers[s]
+		if v.Dials > 0 {
+			add(dialled, s, 0)
+			add(refused, s, 0)
+		}
+		if w.to(s) != 0 {
+			add(connLost, s, 0)
+		}
+		switch v.Phase {
+		case ready:
+			add(drains, s, 0)
+			add(goes, s, 0)
+			add(restarts, s, 0)
+		case draining:
+			add(goes, s, 0)
+			add(returns, s, 0)
+		}
+	}
+	if len(w.Callers) == 0 {
+		add(callerBack, 0, 0)
+	} else {
+		add(callerLost, 0, 0)
+	}
+	if !w.Reloaded && w.Config.Attempts > 1 {
+		add(reload, 0, 0)
+	}
+	if w.Drained {
+		add(undrain, 0, 0)
+	} else {
+		add(drain, 0, 0)
+	}
+	for n := range w.dueFirst() {
+		add(due, 0, n)
+	}
+	return all
+}
+
+// actionsOf are those of one call.
+func (w *World) actionsOf(i int, c *Call, add func(k Kind, of, n int)) {
+	if !c.Started {
+		return
+	}
+	switch c.At {
+	case queued:
+		add(written, i, 0)
+	case out:
+		add(answer, i, 0)
+		add(full, i, 0)
+		add(busy, i, 0)
+		add(reset, i, 0)
+	case ending:
+		add(ended, i, 0)
+		add(cross, i, 0)
+	}
+	if c.Stands && w.to(c.Server) != 0 {
+		add(release, i, 0)
+		add(cut, i, 0)
+	}
+	if c.Late != 0 && w.to(c.Late-1) != 0 {
+		add(late, i, 0)
+	}
+	if c.Again != 0 && w.to(c.Again-1) != 0 {
+		add(again, i, 0)
+	}
+	switch a := &c.Account; {
+	case a.Gone:
+	case a.Finals == 0:
+		if w.callerUp(c.From) {
+			add(giveUp, i, 0)
+		}
+		if !c.Repeated {
+			add(repeat, i, 0)
+		}
+	case a.Stood && a.Released == 0 && len(w.Callers) > 0:
+		add(hangup, i, 0)
+	}
+}
+
+// Apply has something happen. It says no to what can't happen now.
+func (w *World) Apply(a Action) bool {
+	if !slices.Contains(w.Actions(), a) {
+		return false
+	}
+	w.apply(a)
+	return true
+}
+
+func (w *World) apply(a Action) {
+	if a.Kind >= firstFault {
+		w.Left--
+	}
+	n := int(a.Of)
+	switch a.Kind {
+	case due:
+		w.fire(w.dueFirst()[a.N])
+	case dialled:
+		w.connect(n)
+	case refused:
+		w.Servers[n].Dials--
+		w.step(core.ServerDown{Server: name(n)})
+	case connLost:
+		l := w.to(n)
+		w.lose(l)
+		w.step(core.ServerDown{Server: name(n), Link: l})
+	case drains, goes, restarts, returns:
+		w.list(a.Kind, n)
+	case callerBack:
+		w.newCaller()
+	case callerLost:
+		l := w.Callers[0]
+		w.lose(l)
+		w.step(core.CallerDown{Link: l})
+	case reload:
+		w.Reloaded = true
+		w.step(core.Configured{Settings: w.Config.settings(w.Config.Attempts - 1), Limits: w.Config.limits()})
+	case drain, undrain:
+		w.Drained = a.Kind == drain
+		w.step(core.Drain{On: w.Drained})
+	default:
+		w.call(a.Kind, n, int(a.N))
+	}
+}
+
+// fire has a timer come due.
+func (w *World) fire(i int) {
+	t := w.Timers[i]
+	w.Timers = slices.Delete(w.Timers, i, i+1)
+	w.Now = max(w.Now, t.At)
+	w.inTime(w.Now)
+	w.step(core.Due{Token: t.Token})
+}
+
+// list changes the list of servers.
+func (w *World) list(k Kind, s int) {
+	v := &w.Servers[s]
+	switch k {
+	case drains:
+		v.Phase = draining
+	case goes:
+		v.Phase = gone
+		w.die(s)
+	case restarts:
+		v.Birth++
+		v.Began = w.Now
+		v.Dials = 0 // they lead to where nobody is
+		w.die(s)
+	case returns:
+		v.Phase = ready
+	}
+	dials := v.Dials
+	w.step(core.List{Servers: []core.Server{w.entry(s)}})
+	if k == restarts && v.Dials == dials { // the one under way comes up at the old address, or not at all
+		w.step(core.ServerDown{Server: name(s)})
+	}
+}
+
+// call has something happen to a call.
+func (w *World) call(k Kind, i, n int) {
+	c := &w.Calls[i]
+	from, server := w.Callers, name(c.Server)
+	switch k {
+	case setUp:
+		c.Started, c.From, c.Cell, c.Deadline = true, from[len(from)-1], n, w.Now+w.Config.Wait
+		c.Account.Most = w.Config.Attempts
+		if w.Reloaded {
+			c.Account.Most--
+		}
+		w.step(w.setUp(i))
+	case repeat:
+		c.Repeated, c.From = true, w.newCaller()
+		w.step(w.setUp(i))
+	case written:
+		c.At = out
+		w.step(core.Sent{Server: server, ID: id(i)})
+	case answer:
+		c.At, c.Stands = nowhere, true
+		w.attemptOver(i, false)
+		w.step(core.ServerAnswer{Server: server, Link: c.Link, ID: id(i)})
+	case full, busy, reset:
+		c.At = nowhere
+		w.attemptOver(i, k == reset)
+		why := map[Kind]core.Reason{full: core.Full, busy: core.Busy, reset: core.Reset}[k]
+		w.step(core.ServerEnd{Server: server, Link: c.Link, ID: id(i), Reason: why})
+	case ended:
+		c.At, c.Late = nowhere, c.Server+1
+		w.attemptOver(i, true)
+		w.step(core.Written{Server: server, ID: id(i)})
+	case cross:
+		w.step(core.ServerAnswer{Server: server, Link: c.Link, ID: id(i)})
+	case late:
+		s := c.Late - 1
+		c.Late = 0
+		w.step(core.ServerAnswer{Server: name(s), Link: w.to(s), ID: id(i)})
+	case release, cut:
+		c.Stands, c.Again = false, c.Server+1
+		why := core.Normal
+		if k == cut {
+			why = core.Reset
+		}
+		w.step(core.ServerEnd{Server: server, Link: w.to(c.Server), ID: id(i), Reason: why})
+	case again:
+		s := c.Again - 1
+		c.Again = 0
+		w.step(core.ServerEnd{Server: name(s), Link: w.to(s), ID: id(i), Reason: core.Normal})
+	case hangup, giveUp:
+		c.Account.Gone = true
+		at := c.From
+		if k == hangup && !w.callerUp(at) {
+			at = from[0]
+		}
+		w.step(core.CallerEnd{ID: id(i), From: at})
+	}
+}
+
+func (w *World) setUp(i int) core.SetUp {
+	c := &w.Calls[i]
+	return core.SetUp{ID: id(i), From: c.From, Cell: c.Cell, Key: "k", Left: c.Deadline - w.Now, At: w.Now}
+}
--- /dev/null
+++ b/internal/explore/trace.go
@@ -0,0 +1,148 @@
+package explore
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/zeebo/xxh3"
+)
+
+// Version is that of the form of traces.
+const Version = 1
+
+// Trace is a way from the beginning to a rule that is broken.
+type Trace struct {
+	Config  Config
+	Broken  Violation
+	Actions []Action
+}
+
+// head is a trace's first line.
+type head struct {
+	Trace   string `json:"trace"`
+	Version int    `json:"version"`
+	Config  Config `json:"config"`
+	Rule    Rule   `json:"rule"`
+	Detail  string `json:"detail"`
+}
+
+// tail is its last: a trace without it was cut short.
+type tail struct {
+	Actions int    `json:"actions"`
+	Sum     string `json:"sum"` // of all lines before
+}
+
+const kindOfTrace = "elmseam-check"
+
+// Write writes a trace, an action a line.
+func (t *Trace) Write(out io.Writer) error {
+	first, err := json.Marshal(head{kindOfTrace, Version, t.Config, t.Broken.Rule, t.Broken.Detail})
+	if err != nil {
+		return err
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s\n", first)
+	for _, a := range t.Actions {
+		fmt.Fprintf(&b, "%s\n", a)
+	}
+	last, err := json.Marshal(tail{len(t.Actions), fmt.Sprintf("%016x", xxh3.HashString(b.String()))})
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "%s%s\n", b.String(), last)
+	return err
+}
+
+// Errors of a trace that can't be read.
+var (
+	ErrNoTrace = errors.New("not a trace of this program")
+	ErrNewer   = errors.New("a trace of a newer version")
+	ErrDamaged = errors.New("the trace is damaged or cut short")
+)
+
+// ReadTrace reads a trace. One that is damaged, cut short or newer is refused.
+func ReadTrace(in io.Reader) (*Trace, error) {
+	lines := bufio.NewScanner(in)
+	var h head
+	if !lines.Scan() || json.Unmarshal(lines.Bytes(), &h) != nil || h.Trace != kindOfTrace {
+		return nil, ErrNoTrace
+	}
+	switch {
+	case h.Version > Version:
+		return nil, fmt.Errorf("%w: %d, this program reads %d", ErrNewer, h.Version, Version)
+	case h.Version < 1:
+		return nil, ErrNoTrace
+	}
+	if err := h.Config.Check(); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrDamaged, err)
+	}
+	t := &Trace{Config: h.Config, Broken: Violation{h.Rule, h.Detail}}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s\n", lines.Text())
+	for lines.Scan() {
+		var end tail
+		if line := lines.Text(); strings.HasPrefix(line, "{") {
+			if json.Unmarshal(lines.Bytes(), &end) != nil || end.Actions != len(t.Actions) ||
+				end.Sum != fmt.Sprintf("%016x", xxh3.HashString(b.String())) || lines.Scan() {
+				return nil, ErrDamaged
+			}
+			return t, nil
+		}
+		a, err := ParseAction(lines.Text())
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrDamaged, err)
+		}
+		t.Actions = append(t.Actions, a)
+		fmt.Fprintf(&b, "%s\n", lines.Text())
+	}
+	return nil, ErrDamaged
+}
+
+// Play has a trace happen, in a core that may be broken on purpose, and returns the rule that is broken, if one is. Tell,
+// unless nil, hears of each thing as it happens.
+func (t *Trace) Play(cfg Config, tell func(w *World, a Action)) (*Violation, error) {
+	w, err := NewWorld(cfg)
+	if err != nil {
+		return nil, err
+	}
+	for i, a := range t.Actions {
+		if !w.Apply(a) {
+			return nil, fmt.Errorf("action %d, %s, can't happen there", i+1, a)
+		}
+		if tell != nil {
+			tell(w, a)
+		}
+		if w.Seen != nil {
+			return w.Seen, nil
+		}
+	}
+	if !w.Over() && len(w.Actions()) == 0 {
+		w.stuck()
+	}
+	return w.Seen, nil
+}
+
+// Minimise leaves out what the trace doesn't need to break its rule.
+func (t *Trace) Minimise(cfg Config) *Trace {
+	least := *t
+	least.Actions = slices.Clone(t.Actions)
+	for shorter := true; shorter; {
+		shorter = false
+		for n := len(least.Actions) / 2; n >= 1; n /= 2 {
+			for at := 0; at+n <= len(least.Actions); {
+				try := Trace{Config: cfg, Actions: slices.Delete(slices.Clone(least.Actions), at, at+n)}
+				if v, err := try.Play(cfg, nil); err == nil && v != nil && v.Rule == t.Broken.Rule {
+					least.Actions, least.Broken, shorter = try.Actions, *v, true
+				} else {
+					at++
+				}
+			}
+		}
+	}
+	return &least
+}
