Release a call at its server on the next connection where a caller hangs up and there is none

A caller hangs up a call whose server drains and has just lost its connection. core.endAt found no line and dropped the release (servers.go); since nothing stood there any more no new connection was made either, and the server held the line until the call's own end.

Ruled out: the server's release being lost on its side; it comes on the next connection, which is not made here. The core now keeps such releases, 1000 a server at most, and makes a connection for them. The model lets a server's release cross one of ours, and servers speak of calls that are over: the one-release guard was seen broken only through the fault that is mended here.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -192,6 +192,7 @@
 			Lines:        map[core.Front]int{platform.Front: 2},
 			Mute:         100 * time.Millisecond, // any answer takes less where the server isn't pressed
 			Left:         16,
+			Owed:         1000,
 			ServerLost:   5 * time.Second,        // releases are owed 8 s after the end at the latest
 			DrainGrace:   500 * time.Millisecond, // the front asks every 0.1 s and sends new ones for 0.2 s more
 			DrainTake:    1500 * time.Millisecond,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -65,6 +65,7 @@
 	standing  map[ID]*call
 	out       map[ID]*call // attempts out, those that are ending included
 	redialing bool         // a timer runs
+	owed      []ID         // releases that wait for a connection
 }
 
 // left remembers under which id the module knew a server that has gone: one that comes back is the same.
@@ -719,7 +720,7 @@
 		}
 	case k.stands != nil:
 		k.gone = true
-		c.endAt(k.stands, k.ID)
+		c.hangUpAt(k.stands, k.ID)
 		c.released(k, Normal, elmseam.Outcome{Cause: elmseam.CauseCancelled})
 	case ev.From == k.From || k.orphan:
 		c.callerGone(k)
--- a/internal/core/ops_test.go
+++ b/internal/core/ops_test.go
@@ -134,3 +134,21 @@
 	r.want(r.step(ServerEnd{Server: "a", ID: 1, Reason: Normal}), "to the newer ")
 	r.want(r.step(Parked{Link: 3}), "pass@3[][] stopped ")
 }
+
+// A caller hangs up while its call's server has no connection: the server is told on the next one, also where it drains
+// and nothing else would make one. It went on holding a line for nobody. One that is gone, or another process, isn't told.
+func TestHangUpWithoutConnection(t *testing.T) {
+	r := newRig(t)
+	r.c.limits.Owed = 8
+	r.setUp(7, 5*time.Second)
+	r.step(ServerAnswer{Server: "a", ID: 7})
+	r.list(elmseam.Draining, elmseam.Ready)
+	r.step(ServerDown{Server: "a", Link: 10})
+	r.want(r.step(CallerEnd{ID: 7, From: 1}), "")
+	r.pass(time.Second)
+	r.want(r.step(ServerUp{Server: "a", Address: "a:1", Link: 12}), "end7@12 ")
+	r.want(r.step(ServerEnd{Server: "a", ID: 7, Reason: Normal}), "") // crossed: nobody is told
+	if h := r.c.Held(); h != (Held{}) {
+		t.Errorf("%+v is kept", h)
+	}
+}
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -23,6 +23,7 @@
 			// Another process: what stood at the one before is cut. Its connection is of no use.
 			c.cutAll(s)
 			c.hangUp(s)
+			s.owed = nil // of the process that is no more
 		}
 		s.Server, s.source = e, ev.Source
 		changed = append(changed, s)
@@ -145,7 +146,7 @@
 	switch {
 	case s.Phase == elmseam.Ready && !c.cutOff(s):
 		return max(c.limits.Lines[s.Front], 1)
-	case len(s.standing) > 0:
+	case len(s.standing) > 0, len(s.owed) > 0 && s.Phase != elmseam.Gone:
 		return 1
 	}
 	return 0
@@ -188,6 +189,23 @@
 	}
 }
 
+// hangUpAt releases a call that stands at a server, on the next connection if there is none: the server would go on
+// holding a line for a caller who has left.
+func (c *Core) hangUpAt(s *server, id ID) {
+	if len(s.lines) > 0 {
+		c.endAt(s, id)
+		return
+	}
+	if s.Phase == elmseam.Gone {
+		return
+	}
+	s.owed = append(s.owed, id)
+	s.owed = s.owed[max(len(s.owed)-c.limits.Owed, 0):]
+	if !s.redialing {
+		c.dial(s)
+	}
+}
+
 // hangUp ends the connections to a server; what is out there is cut.
 func (c *Core) hangUp(s *server) {
 	lines := s.lines
@@ -212,6 +230,10 @@
 	}
 	s.lines = append(s.lines, &line{link: ev.Link})
 	s.backoff, s.lost = 0, 0
+	for _, id := range s.owed {
+		c.endAt(s, id)
+	}
+	s.owed = nil
 	for _, k := range inOrder(s.out) {
 		if k.out.phase == waiting && c.now >= k.gap {
 			c.retry(k)
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -334,6 +334,7 @@
 	RedialMost   time.Duration
 	Lines        map[Front]int  // connections to a server, by its front; not named: one
 	Mute         time.Duration  // a connection that has brought nothing so long after a set-up is doubtful
+	Owed         int            // releases that wait for a connection to a server, the last ones
 	Left         int            // servers that have gone and are known again when they come back
 	ServerLost   time.Duration  // out of reach for so long, a server's standing calls are taken for cut
 	DrainGrace   time.Duration  // and after a Drain, before connections are closed
--- a/internal/explore/actions.go
+++ b/internal/explore/actions.go
@@ -93,6 +93,12 @@
 			all = append(all, Action{k, uint8(of), uint8(n)})
 		}
 	}
+	if w.done() { // all that is left is what servers say late, or again
+		for i := range w.Calls {
+			w.echoes(i, &w.Calls[i], add)
+		}
+		return all
+	}
 	for i := range w.Calls {
 		if w.Calls[i].Started {
 			continue
@@ -166,12 +172,7 @@
 		add(release, i, 0)
 		add(cut, i, 0)
 	}
-	if c.Late != 0 && w.to(c.Late-1) != 0 {
-		add(late, i, 0)
-	}
-	if c.Again != 0 && w.to(c.Again-1) != 0 {
-		add(again, i, 0)
-	}
+	w.echoes(i, c, add)
 	switch a := &c.Account; {
 	case a.Gone:
 	case a.Finals == 0:
@@ -186,6 +187,16 @@
 	}
 }
 
+// echoes are what a server may say of a call that is over for it.
+func (w *World) echoes(i int, c *Call, add func(k Kind, of, n int)) {
+	if c.Late != 0 && w.to(c.Late-1) != 0 {
+		add(late, i, 0)
+	}
+	if c.Again != 0 && w.to(c.Again-1) != 0 {
+		add(again, i, 0)
+	}
+}
+
 // Apply has something happen. It says no to what can't happen now.
 func (w *World) Apply(a Action) bool {
 	if !slices.Contains(w.Actions(), a) {
--- a/internal/explore/rules.go
+++ b/internal/explore/rules.go
@@ -135,13 +135,21 @@
 	return c.Started && c.At == nowhere && !c.Stands && (a.Gone || a.Finals > 0 && (!a.Stood || a.Released > 0))
 }
 
-// Over says whether every call is over, and judges what is kept then.
-func (w *World) Over() bool {
+// done says whether every call is over.
+func (w *World) done() bool {
 	for i := range w.Calls {
 		if !w.Calls[i].over() {
 			return false
 		}
 	}
+	return true
+}
+
+// Over says whether every call is over, and judges what is kept then.
+func (w *World) Over() bool {
+	if !w.done() {
+		return false
+	}
 	if h := w.Core.Held(); h != (core.Held{}) {
 		w.broken(NoLeak, "every call is over, and %+v is kept", h)
 	}
@@ -151,9 +159,12 @@
 // stuck judges a state in which nothing can happen any more.
 func (w *World) stuck() {
 	for i := range w.Calls {
-		switch c := &w.Calls[i]; {
+		c := &w.Calls[i]
+		switch a := &c.Account; {
 		case c.over() || !c.Started:
-		case c.Account.Stood:
+		case c.Stands && a.Gone:
+			w.broken(OneRelease, "call %d was hung up and stands at its server", i)
+		case a.Stood:
 			w.broken(OneRelease, "call %d is over and never released", i)
 		default:
 			w.broken(NoWait, "call %d waits for ever", i)
--- a/internal/explore/search.go
+++ b/internal/explore/search.go
@@ -147,15 +147,18 @@
 func (s *search) successors(i int) []found {
 	way := s.way(i)
 	w, _ := Replay(s.cfg, way)
-	if w.Over() {
-		return []found{{over: true, broken: w.Seen}}
-	}
 	acts := w.Actions()
-	if len(acts) == 0 {
+	all := make([]found, 0, len(acts)+1)
+	switch over := w.Over(); {
+	case over:
+		all = append(all, found{over: true, broken: w.Seen})
+	case len(acts) == 0:
 		w.stuck()
-		return []found{{broken: w.Seen}}
+		all = append(all, found{broken: w.Seen})
+	}
+	if w.Seen != nil {
+		return all
 	}
-	all := make([]found, 0, len(acts))
 	for n, a := range acts {
 		if n > 0 {
 			w, _ = Replay(s.cfg, way)
@@ -221,10 +224,12 @@
 	for range b.Walks {
 		w, _ := NewWorld(s.cfg)
 		var way []Action
-		for w.Seen == nil && !w.Over() {
+		for w.Seen == nil {
 			acts := w.Actions()
-			if len(acts) == 0 {
-				w.stuck()
+			if over := w.Over(); len(acts) == 0 || w.Seen != nil {
+				if !over {
+					w.stuck()
+				}
 				break
 			}
 			a := acts[rnd.IntN(len(acts))]
--- a/internal/explore/trace.go
+++ b/internal/explore/trace.go
@@ -120,6 +120,9 @@
 		if w.Seen != nil {
 			return w.Seen, nil
 		}
+		if w.Over(); w.Seen != nil {
+			return w.Seen, nil
+		}
 	}
 	if !w.Over() && len(w.Actions()) == 0 {
 		w.stuck()
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -72,7 +72,7 @@
 	Server   int       // of its attempt, or where it stands
 	Stands   bool
 	Late     int // a server, from 1, that may still answer an attempt that is over
-	Again    int // a server, from 1, that may say its release again
+	Again    int // a server, from 1, that may say its release again, or has said it when it hears of ours
 	Repeated bool
 	Account  account
 }
@@ -124,7 +124,7 @@
 func (c Config) limits() core.Limits {
 	const ms = time.Millisecond
 	return core.Limits{
-		AnswerMargin: 15 * ms, Rebind: 100 * ms, RedialLeast: 100 * ms, RedialMost: 500 * ms, Mute: 100 * ms, Left: 4,
+		AnswerMargin: 15 * ms, Rebind: 100 * ms, RedialLeast: 100 * ms, RedialMost: 500 * ms, Mute: 100 * ms, Left: 4, Owed: 8,
 		ServerLost: 5 * time.Second, DrainGrace: 500 * ms, DrainTake: 1500 * ms, DrainSweep: time.Minute, DrainIdle: 20 * ms,
 		Transient: map[core.Front]bool{}, StopGrace: 700 * ms, StopMost: time.Minute,
 		Callers: 8, MaxOpen: 100, OpenBytes: 1 << 20, RetryHint: 100 * ms, Remember: time.Minute, Ended: 100, Routes: 4,
@@ -306,8 +306,8 @@
 		c.At, c.Late = nowhere, c.Server+1
 		w.attemptOver(i, true)
 	case c.Stands && c.Server == to.Server:
-		c.Stands = false
-		if e.Tell { // an answer that comes too late for its caller: the end is written all the same
+		c.Stands, c.Again = false, c.Server+1 // its own release may cross this one
+		if e.Tell {                           // an answer that comes too late for its caller: the end is written all the same
 			c.At, c.Link = ending, e.To
 		}
 	}
@@ -332,8 +332,15 @@
 // die ends a server's process: its connections and what stands there.
 func (w *World) die(s int) {
 	for i := range w.Calls {
-		if c := &w.Calls[i]; c.Stands && c.Server == s {
+		c := &w.Calls[i]
+		if c.Stands && c.Server == s {
 			c.Stands = false
 		}
+		if c.Again == s+1 {
+			c.Again = 0
+		}
+		if c.Late == s+1 {
+			c.Late = 0
+		}
 	}
 }
