--- a/cmd/elmseamctl/check.go
+++ b/cmd/elmseamctl/check.go
@@ -24,7 +24,7 @@
 		Short: "Explore what a few calls can meet, and hold it against the rules",
 		Long: `Explores every state that a few calls at a few servers can come to, by the reducer and the decisions that the
 softswitch itself runs, and holds what they ask of the sockets against the rules. Things happen at the instants at
-which a timer is due, before or after it; timers that are due together come in every order.
+which a timer is due, before or after it, and after a pause; timers that are due together come in every order.
 
 Exit codes: 0 every state was looked at and no rule is broken; 1 a rule is broken; 2 no rule is broken in the states
 that were looked at, and there are more; 3 the command makes no sense.`,
@@ -45,6 +45,7 @@
 	f.IntVar(&cfg.Calls, "calls", 2, "calls")
 	f.IntVar(&cfg.Attempts, "attempts", 4, "attempts that a call may have")
 	f.IntVar(&cfg.Faults, "faults", 1, "disturbances in all: resets, lost connections, changes of the list, give-ups ...")
+	f.IntVar(&cfg.Pauses, "pauses", 1, "times that 120 ms pass with no timer due")
 	f.DurationVar(&cfg.Wait, "wait", time.Second, "how long a caller waits")
 	f.Uint64Var(&cfg.Seed, "seed", 0, "of the decisions, and of the walks")
 	f.IntVar(&b.Depth, "depth", 0, "stop after so many things that happen one after the other (0: at none)")
@@ -65,8 +66,8 @@
 
 // report says what was explored, and what was not.
 func report(out io.Writer, cfg explore.Config, r *explore.Report, path string) error {
-	fmt.Fprintf(out, "%d servers, %d calls, %d attempts, %d faults: %d states, %d steps, %d ends, %v, %d MiB\n",
-		cfg.Servers, cfg.Calls, cfg.Attempts, cfg.Faults, r.States, r.Steps, r.Ends, r.Elapsed.Round(time.Millisecond), r.Memory>>20)
+	fmt.Fprintf(out, "%d servers, %d calls, %d attempts, %d faults, %d pauses: %d states, %d steps, %d ends, %v, %d MiB\n",
+		cfg.Servers, cfg.Calls, cfg.Attempts, cfg.Faults, cfg.Pauses, r.States, r.Steps, r.Ends, r.Elapsed.Round(time.Millisecond), r.Memory>>20)
 	if r.Trace != nil {
 		fmt.Fprintf(out, "BROKEN %v, in %d steps\n", &r.Trace.Broken, len(r.Trace.Actions))
 		if err := write(out, r.Trace, path); err != nil {
--- a/controller.go
+++ b/controller.go
@@ -512,7 +512,9 @@
 	return s == nil || s.phase != Ready || s.full || s.told >= 1 && now < s.lapse || s.lines >= 1
 }
 
-// Calls is how many calls are in hand.
+// Knows says whether a call is in hand, and Calls how many are.
+func (c *Controller) Knows(id CallID) bool { return c.calls[id] != nil }
+
 func (c *Controller) Calls() int { return len(c.calls) }
 
 // usable says whether a call may go to a server at all.
--- a/internal/core/hook.go
+++ b/internal/core/hook.go
@@ -30,6 +30,17 @@
 // has says whether a guard is in its place.
 func (c *Core) has(g Guard) bool { return c.hook.Without&g == 0 }
 
+// Spent says whether a timer can mean nothing any more, as its call is over. No id comes twice.
+func (c *Core) Spent(t Token) bool {
+	switch t.kind {
+	case tokenController:
+		return !c.ctl.Knows(elmseam.CallID(t.number))
+	case tokenDeadline, tokenRebind, tokenTimeout, tokenGap:
+		return c.calls[t.call] == nil
+	}
+	return false
+}
+
 // Held is what a core keeps of calls.
 type Held struct {
 	Calls, Open, Bytes int // in hand, without a final answer, and what they keep
--- a/internal/explore/actions.go
+++ b/internal/explore/actions.go
@@ -22,7 +22,8 @@
 	dialled
 	callerBack // a caller's next connection
 	undrain
-	due // N: which of the timers that are due first
+	due  // N: which of the timers that are due first
+	pass // some time, in which no timer is due
 	reset
 	cross // an answer that crosses the attempt's end
 	late  // an answer to an attempt that is over
@@ -46,7 +47,7 @@
 const firstFault = reset
 
 var kindNames = [kinds]string{"set-up", "written", "answer", "full", "busy", "ended", "release", "dialled", "caller-back", "undrain",
-	"due", "reset", "cross", "late", "cut", "again", "hang-up", "give-up", "repeat", "caller-lost", "conn-lost", "refused",
+	"due", "pass", "reset", "cross", "late", "cut", "again", "hang-up", "give-up", "repeat", "caller-lost", "conn-lost", "refused",
 	"drains", "goes", "restarts", "returns", "reload", "drain"}
 
 // Action is one thing that happens: to a call or a server, with a number that some kinds have.
@@ -145,9 +146,13 @@
 	} else {
 		add(drain, 0, 0)
 	}
-	for n := range w.dueFirst() {
+	first := w.dueFirst()
+	for n := range first {
 		add(due, 0, n)
 	}
+	if w.Pauses > 0 && (len(first) == 0 || w.Timers[first[0]].At > w.Now+pause) {
+		add(pass, 0, 0)
+	}
 	return all
 }
 
@@ -214,6 +219,10 @@
 	switch a.Kind {
 	case due:
 		w.fire(w.dueFirst()[a.N])
+	case pass:
+		w.Pauses--
+		w.Now += pause
+		w.inTime(w.Now)
 	case dialled:
 		w.connect(n)
 	case refused:
--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -33,7 +33,7 @@
 	}{
 		{Config{Servers: 1, Calls: 1, Attempts: 2, Faults: 2}, 1000},
 		{Config{Servers: 2, Calls: 1, Attempts: 4, Faults: 1}, 1000},
-		{Config{Servers: 1, Calls: 2, Attempts: 2, Faults: 0}, 1000},
+		{Config{Servers: 1, Calls: 2, Attempts: 2, Faults: 0, Pauses: 1}, 1000},
 	} {
 		r := explore(t, c.cfg, Bounds{Workers: 4})
 		if r.Trace != nil {
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -16,7 +16,8 @@
 	Servers  int           `json:"servers"`
 	Calls    int           `json:"calls"`
 	Attempts int           `json:"attempts"` // that a call may have
-	Faults   int           `json:"faults"`   // disturbances in all; see Kinds
+	Faults   int           `json:"faults"`   // disturbances in all; see Kind
+	Pauses   int           `json:"pauses"`   // in which time passes without a timer being due
 	Wait     time.Duration `json:"wait"`     // that callers wait
 	Seed     uint64        `json:"seed"`     // of the module
 
@@ -28,7 +29,7 @@
 	for _, f := range []struct {
 		name              string
 		value, least, top int
-	}{{"servers", c.Servers, 1, 4}, {"calls", c.Calls, 1, 8}, {"attempts", c.Attempts, 1, 8}, {"faults", c.Faults, 0, 16}} {
+	}{{"servers", c.Servers, 1, 4}, {"calls", c.Calls, 1, 8}, {"attempts", c.Attempts, 1, 8}, {"faults", c.Faults, 0, 16}, {"pauses", c.Pauses, 0, 16}} {
 		if f.value < f.least || f.value > f.top {
 			return fmt.Errorf("%s: %d, between %d and %d is possible", f.name, f.value, f.least, f.top)
 		}
@@ -42,7 +43,8 @@
 const (
 	releaseGap = 200 * time.Millisecond
 	front      = core.Front("f")
-	horizon    = 2 * time.Second // past the last caller's time: timers that are due later are left alone
+	pause      = 120 * time.Millisecond // over half of the gap, and over the time in which a caller may come again
+	horizon    = 2 * time.Second        // past the last caller's time: timers that are due later are left alone
 )
 
 // Where an attempt is.
@@ -107,6 +109,7 @@
 	Next     core.Link
 	Timers   []timer // as they came
 	Left     int     // faults to come
+	Pauses   int     // and pauses
 	Reloaded bool
 	Drained  bool
 	Seen     *Violation
@@ -141,7 +144,7 @@
 		return nil, err
 	}
 	c.SetHook(cfg.Hook)
-	w := &World{Config: cfg, Core: c, Now: time.Hour, Next: 1, Left: cfg.Faults}
+	w := &World{Config: cfg, Core: c, Now: time.Hour, Next: 1, Left: cfg.Faults, Pauses: cfg.Pauses}
 	w.End = w.Now + cfg.Wait + horizon
 	w.Calls, w.Servers = make([]Call, cfg.Calls), make([]Server, cfg.Servers)
 	w.newCaller()
@@ -236,6 +239,7 @@
 			events = append(events, w.carry(e)...)
 		}
 	}
+	w.Timers = slices.DeleteFunc(w.Timers, func(t timer) bool { return w.Core.Spent(t.Token) })
 }
 
 // carry is the world's side of an effect. What it knows at once it returns, as carriers do.
