M3UA: lift the circuits out of the front, explore them, and mend two ways to mix up calls

Need: the checking is to cover the second front's states too. The circuits to a server are a package of their own now, without messages, connections, clocks and locks (internal/circuits); m3ua/server.go writes what it returns. A model of the server and of what is on its way between the two explores it (explore/line.go): set-ups, answers, releases that cross, lost RELs and RLCs, connections that end, a stall, releases that are overdue.

Found, both in the code as it was: - A server's REL frees a circuit; the connection ends with our RLC on its way. At fault: trunk.broken passed over circuits that were free. They are released again on the next connection now, unless something has shown that the server heard the RLC. - A REL goes out twice as it is overdue, and both are confirmed. The second RLC passed for that of the circuit's next release, and the ANM of that call for the answer to the one after it, with another call's description. At fault: trunk.cleared took any RLC. RLCs are counted now; where one more may come the circuit rests for the time after which a release is overdue. A server that loses one costs no circuit.

What remains possible: messages that stall for two such times (30 s) on a connection that lives, with a REL lost beside.

--- a/cmd/elmseamctl/check.go
+++ b/cmd/elmseamctl/check.go
@@ -41,7 +41,8 @@
 		},
 	}
 	f := cmd.Flags()
-	f.IntVar(&cfg.Servers, "servers", 2, "servers")
+	f.StringVar(&cfg.Model, "model", explore.Calls, "what is explored: calls, or circuits of the second front")
+	f.IntVar(&cfg.Servers, "servers", 2, "servers, or circuits")
 	f.IntVar(&cfg.Calls, "calls", 2, "calls")
 	f.IntVar(&cfg.Attempts, "attempts", 4, "attempts that a call may have")
 	f.IntVar(&cfg.Faults, "faults", 1, "disturbances in all: resets, lost connections, changes of the list, give-ups ...")
@@ -66,8 +67,8 @@
 
 // report says what was explored, and what was not.
 func report(out io.Writer, cfg explore.Config, r *explore.Report, path string) error {
-	fmt.Fprintf(out, "%d servers, %d calls, %d attempts, %d faults, %d pauses: %d states, %d steps, %d ends, %v, %d MiB\n",
-		cfg.Servers, cfg.Calls, cfg.Attempts, cfg.Faults, cfg.Pauses, r.States, r.Steps, r.Ends, r.Elapsed.Round(time.Millisecond), r.Memory>>20)
+	fmt.Fprintf(out, "%s: %d servers, %d calls, %d attempts, %d faults, %d pauses: %d states, %d steps, %d ends, %v, %d MiB\n",
+		cfg.Model, cfg.Servers, cfg.Calls, cfg.Attempts, cfg.Faults, cfg.Pauses, r.States, r.Steps, r.Ends, r.Elapsed.Round(time.Millisecond), r.Memory>>20)
 	if r.Trace != nil {
 		fmt.Fprintf(out, "BROKEN %v, in %d steps\n", &r.Trace.Broken, len(r.Trace.Actions))
 		if err := write(out, r.Trace, path); err != nil {
@@ -115,12 +116,9 @@
 		return fmt.Errorf("%s: %w", path, err)
 	}
 	n := 0
-	var from time.Duration
-	v, err := t.Play(t.Config, func(w *explore.World, a explore.Action) {
-		if n++; n == 1 {
-			from = w.Now
-		}
-		fmt.Fprintf(out, "%3d %8v  %s\n", n, w.Now-from, a)
+	v, err := t.Play(t.Config, func(a explore.Action, at time.Duration) {
+		n++
+		fmt.Fprintf(out, "%3d %8v  %s\n", n, at, a)
 	})
 	switch {
 	case err != nil:
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -712,6 +712,7 @@
 		case c.preceded:
 			delete(c.stood, ev.ID)
 			delete(c.foreign, ev.ID)
+			c.remember(ev.ID) // what the older process says of it may cross this
 			c.do(ToPredecessor{Event: ev})
 		default:
 			for _, s := range c.order {
--- a/internal/core/ops_test.go
+++ b/internal/core/ops_test.go
@@ -105,6 +105,7 @@
 	r.want(r.step(SetUp{ID: 2, From: 5, Left: time.Second, At: r.now}), "rejected2@5 ") // its id is in use
 	r.want(r.step(CallerEnd{ID: 3, From: 5}), "to the older ")
 	r.want(relayed(Rejected{ID: 3}), "")
+	r.want(relayed(Released{ID: 3}), "") // it crossed: the caller has left
 	r.want(r.step(ServerEnd{Server: "a", ID: 4, Reason: Normal}), "to the older ")
 	r.want(r.step(Predecessor{}), "rejected2@5 ")
 	r.want(r.step(ServerEnd{Server: "a", ID: 5, Reason: Normal}), "released5@5 ")
--- a/internal/explore/actions.go
+++ b/internal/explore/actions.go
@@ -41,6 +41,18 @@
 	returns
 	reload
 	drain
+	// Of the circuits.
+	seize     // an IAM goes out
+	clear     // a call is released here
+	toServer  // the next message reaches the server
+	toUs      // or us
+	farAnswer // the server answers
+	farRelease
+	overdue // a release has not been confirmed for long
+	deaf    // the server loses a REL
+	mute    // or its RLC
+	down    // the connection ends
+	up      // and another comes up
 	kinds
 )
 
@@ -48,7 +60,8 @@
 
 var kindNames = [kinds]string{"set-up", "written", "answer", "full", "busy", "ended", "release", "dialled", "caller-back", "undrain",
 	"due", "pass", "reset", "cross", "late", "cut", "again", "hang-up", "give-up", "repeat", "caller-lost", "conn-lost", "refused",
-	"drains", "goes", "restarts", "returns", "reload", "drain"}
+	"drains", "goes", "restarts", "returns", "reload", "drain",
+	"seize", "clear", "to-server", "to-us", "far-answer", "far-release", "overdue", "deaf", "mute", "down", "up"}
 
 // Action is one thing that happens: to a call or a server, with a number that some kinds have.
 type Action struct {
--- a/internal/explore/digest.go
+++ b/internal/explore/digest.go
@@ -9,23 +9,9 @@
 	"sync"
 	"unsafe"
 
-	"github.com/zeebo/xxh3"
-
 	"elmseam/internal/core"
 )
 
-// Digest is a canonical digest of a world: of the core, the module and all around them, every field that there is, so
-// that a field that is added later counts by itself. Two worlds with one digest go on alike. It follows pointers once
-// and takes maps in the order of their keys. Only what the last step has left lying is passed over.
-func (w *World) Digest() xxh3.Uint128 {
-	d := digests.Get().(*digest)
-	defer digests.Put(d)
-	d.b, d.seen = d.b[:0], d.seen[:0]
-	v := reflect.ValueOf(w).Elem()
-	d.value(v)
-	return xxh3.Hash128(d.b)
-}
-
 var digests = sync.Pool{New: func() any { return new(digest) }}
 
 // digest writes values down.
--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"elmseam"
+	"elmseam/internal/circuits"
 	"elmseam/internal/core"
 )
 
@@ -139,6 +140,27 @@
 	}
 }
 
+// Calls on circuits are kept apart in every state that releases that cross, are lost or stalled, and connections that
+// break lead to; and each rule is seen to break without its guard.
+func TestCircuitsKeepCallsApart(t *testing.T) {
+	for _, cfg := range []Config{{Servers: 1, Calls: 3, Faults: 3, Pauses: 1}, {Servers: 2, Calls: 3, Faults: 1}} {
+		cfg.Model, cfg.Attempts = Circuits, 1
+		if r := explore(t, cfg, Bounds{}); !r.Complete || r.Trace != nil || r.States < 1000 {
+			t.Errorf("%+v: %+v", cfg, r)
+		}
+	}
+	for _, c := range []struct {
+		rule   Rule
+		guard  circuits.Guard
+		faults int
+	}{{OneCall, circuits.GuardConfirm, 1}, {NoMixUp, circuits.GuardCount, 0}, {ComeBack, circuits.GuardOverdue, 1}} {
+		cfg := Config{Model: Circuits, Servers: 1, Calls: 3, Attempts: 1, Faults: c.faults, Pauses: 1, Without: c.guard}
+		if r := explore(t, cfg, Bounds{}); r.Trace == nil || r.Trace.Broken.Rule != c.rule {
+			t.Errorf("%s: not seen broken without its guard: %+v", c.rule, r.Trace)
+		}
+	}
+}
+
 // An exploration that was cut short by any bound says so, and samples what lies beyond where it is asked to.
 func TestCutShort(t *testing.T) {
 	big := Config{Servers: 2, Calls: 3, Attempts: 4, Faults: 3}
@@ -209,12 +231,12 @@
 
 // What a state costs: to be made again from the beginning, and its digest.
 func BenchmarkReplay(b *testing.B) {
-	benchmark(b, func(_ *World, cfg Config, way []Action) { Replay(cfg, way) })
+	benchmark(b, func(_ Model, cfg Config, way []Action) { Replay(cfg, way) })
 }
 
-func BenchmarkDigest(b *testing.B) { benchmark(b, func(w *World, _ Config, _ []Action) { w.Digest() }) }
+func BenchmarkDigest(b *testing.B) { benchmark(b, func(w Model, _ Config, _ []Action) { w.Digest() }) }
 
-func benchmark(b *testing.B, do func(*World, Config, []Action)) {
+func benchmark(b *testing.B, do func(Model, Config, []Action)) {
 	cfg := Config{Servers: 2, Calls: 3, Attempts: 4, Faults: 2, Wait: time.Second}
 	way := []Action{{Kind: setUp}, {Kind: setUp, Of: 1, N: 1}, {Kind: written}, {Kind: written, Of: 1}, {Kind: answer},
 		{Kind: busy, Of: 1}, {Kind: setUp, Of: 2}, {Kind: connLost}, {Kind: dialled}, {Kind: release}}
--- /dev/null
+++ b/internal/explore/model.go
@@ -0,0 +1,53 @@
+package explore
+
+import (
+	"reflect"
+	"time"
+
+	"github.com/zeebo/xxh3"
+)
+
+// Model is something whose states are explored.
+type Model interface {
+	Actions() []Action     // all things that can happen next, always in the same order
+	Apply(Action) bool     // has one happen, and says no to what can't
+	Over() bool            // nothing is left to happen that matters
+	Digest() xxh3.Uint128  // two with one digest go on alike
+	apply(Action)          // has one of Actions happen
+	stuck()                // judges a state in which nothing can happen
+	violation() *Violation // the first rule that was broken
+	clock() time.Duration
+}
+
+// The models.
+const (
+	Calls    = "calls"    // the core and the decision module
+	Circuits = "circuits" // the second front's circuits to a server
+)
+
+// New is where the exploration of a model begins.
+func New(cfg Config) (Model, error) {
+	if err := cfg.Check(); err != nil {
+		return nil, err
+	}
+	if cfg.Model == Circuits {
+		return newLine(cfg), nil
+	}
+	return NewWorld(cfg)
+}
+
+// Digest is that of the core, the module and all around them.
+func (w *World) Digest() xxh3.Uint128  { return digestOf(w) }
+func (w *World) violation() *Violation { return w.Seen }
+func (w *World) clock() time.Duration  { return w.Now }
+
+// digestOf is a canonical digest of a model: every field that there is, so that one that is added later counts by
+// itself. It follows pointers once and takes maps in the order of their keys. Only what the last step of the core has
+// left lying is passed over.
+func digestOf(model any) xxh3.Uint128 {
+	d := digests.Get().(*digest)
+	defer digests.Put(d)
+	d.b, d.seen = d.b[:0], d.seen[:0]
+	d.value(reflect.ValueOf(model).Elem())
+	return xxh3.Hash128(d.b)
+}
--- a/internal/explore/search.go
+++ b/internal/explore/search.go
@@ -63,7 +63,7 @@
 // docs/CHECKING.md for what that costs.
 func Run(ctx context.Context, cfg Config, b Bounds) (*Report, error) {
 	began := time.Now()
-	w, err := NewWorld(cfg)
+	w, err := New(cfg)
 	if err != nil {
 		return nil, err
 	}
@@ -151,12 +151,12 @@
 	all := make([]found, 0, len(acts)+1)
 	switch over := w.Over(); {
 	case over:
-		all = append(all, found{over: true, broken: w.Seen})
+		all = append(all, found{over: true, broken: w.violation()})
 	case len(acts) == 0:
 		w.stuck()
-		all = append(all, found{broken: w.Seen})
+		all = append(all, found{broken: w.violation()})
 	}
-	if w.Seen != nil {
+	if w.violation() != nil {
 		return all
 	}
 	for n, a := range acts {
@@ -164,7 +164,7 @@
 			w, _ = Replay(s.cfg, way)
 		}
 		w.apply(a)
-		f := found{acted: true, act: a, broken: w.Seen}
+		f := found{acted: true, act: a, broken: w.violation()}
 		if f.broken == nil {
 			f.digest = w.Digest()
 		}
@@ -222,11 +222,11 @@
 func (s *search) walks(b Bounds) {
 	rnd := rand.New(rand.NewPCG(b.Seed, 1))
 	for range b.Walks {
-		w, _ := NewWorld(s.cfg)
+		w, _ := New(s.cfg)
 		var way []Action
-		for w.Seen == nil {
+		for w.violation() == nil {
 			acts := w.Actions()
-			if over := w.Over(); len(acts) == 0 || w.Seen != nil {
+			if over := w.Over(); len(acts) == 0 || w.violation() != nil {
 				if !over {
 					w.stuck()
 				}
@@ -238,22 +238,22 @@
 			s.rep.Steps++
 		}
 		s.rep.Walks++
-		if w.Seen != nil {
-			s.rep.Trace = &Trace{Config: s.cfg, Broken: *w.Seen, Actions: way}
+		if v := w.violation(); v != nil {
+			s.rep.Trace = &Trace{Config: s.cfg, Broken: *v, Actions: way}
 			return
 		}
 	}
 }
 
 // Replay has things happen from the beginning. It stops at the first that can't happen, and says how many did.
-func Replay(cfg Config, way []Action) (*World, int) {
-	w, err := NewWorld(cfg)
+func Replay(cfg Config, way []Action) (Model, int) {
+	w, err := New(cfg)
 	if err != nil {
 		panic(err) // the configuration was checked when the search began
 	}
 	for i, a := range way {
 		w.apply(a)
-		if w.Seen != nil {
+		if w.violation() != nil {
 			return w, i + 1
 		}
 	}
--- a/internal/explore/trace.go
+++ b/internal/explore/trace.go
@@ -8,6 +8,7 @@
 	"io"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/zeebo/xxh3"
 )
@@ -105,29 +106,27 @@
 
 // Play has a trace happen, in a core that may be broken on purpose, and returns the rule that is broken, if one is. Tell,
 // unless nil, hears of each thing as it happens.
-func (t *Trace) Play(cfg Config, tell func(w *World, a Action)) (*Violation, error) {
-	w, err := NewWorld(cfg)
+func (t *Trace) Play(cfg Config, tell func(a Action, at time.Duration)) (*Violation, error) {
+	w, err := New(cfg)
 	if err != nil {
 		return nil, err
 	}
+	began := w.clock()
 	for i, a := range t.Actions {
 		if !w.Apply(a) {
 			return nil, fmt.Errorf("action %d, %s, can't happen there", i+1, a)
 		}
 		if tell != nil {
-			tell(w, a)
+			tell(a, w.clock()-began)
 		}
-		if w.Seen != nil {
-			return w.Seen, nil
-		}
-		if w.Over(); w.Seen != nil {
-			return w.Seen, nil
+		if w.Over(); w.violation() != nil {
+			return w.violation(), nil
 		}
 	}
 	if !w.Over() && len(w.Actions()) == 0 {
 		w.stuck()
 	}
-	return w.Seen, nil
+	return w.violation(), nil
 }
 
 // Minimise leaves out what the trace doesn't need to break its rule.
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -8,20 +8,23 @@
 	"time"
 
 	"elmseam"
+	"elmseam/internal/circuits"
 	"elmseam/internal/core"
 )
 
 // Config says what is explored.
 type Config struct {
-	Servers  int           `json:"servers"`
+	Model    string        `json:"model,omitempty"` // Calls, if empty
+	Servers  int           `json:"servers"`         // or circuits
 	Calls    int           `json:"calls"`
 	Attempts int           `json:"attempts"` // that a call may have
 	Faults   int           `json:"faults"`   // disturbances in all; see Kind
-	Pauses   int           `json:"pauses"`   // in which time passes without a timer being due
+	Pauses   int           `json:"pauses"`   // in which time passes without a timer being due, or the server stalls
 	Wait     time.Duration `json:"wait"`     // that callers wait
 	Seed     uint64        `json:"seed"`     // of the module
 
-	Hook core.Hook `json:"-"` // breaks the core on purpose
+	Hook    core.Hook      `json:"-"` // breaks the core on purpose
+	Without circuits.Guard `json:"-"` // and the circuits
 }
 
 // Check names the first figure that is out of range.
@@ -34,6 +37,9 @@
 			return fmt.Errorf("%s: %d, between %d and %d is possible", f.name, f.value, f.least, f.top)
 		}
 	}
+	if c.Model != "" && c.Model != Calls && c.Model != Circuits {
+		return fmt.Errorf("model: %q, there are %s and %s", c.Model, Calls, Circuits)
+	}
 	if c.Wait < 100*time.Millisecond || c.Wait > time.Minute {
 		return fmt.Errorf("wait: %v", c.Wait)
 	}
--- a/internal/m3ua/m3ua_test.go
+++ b/internal/m3ua/m3ua_test.go
@@ -462,8 +462,8 @@
 	m, address := softswitch(t, guard, fileOf("hlr", 201, sl))
 	s := mustAccept(t, sl)
 	m.trunks["hlr"].mu.Lock()
-	for i := range m.trunks["hlr"].state[1:] { // the others are in use
-		m.trunks["hlr"].state[1+i] = standing
+	for id := core.ID(1); m.trunks["hlr"].Free() > 1; id++ { // the others are in use
+		m.trunks["hlr"].Take(id)
 	}
 	m.trunks["hlr"].mu.Unlock()
 	c := client(t, address)
@@ -728,24 +728,3 @@
 		parseISUP(b)
 	})
 }
-
-// A server's release crosses ours: the circuit is free when both are confirmed, not before, and a late RLC
-// frees no circuit that a new call has taken.
-func TestReleasesCross(t *testing.T) {
-	tr := newTrunk(circuit{ownPC, 201, 0}, 1)
-	tr.take(1)
-	tr.move(1, releasing, calling)
-	if _, there := tr.cleared(0, calling, standing); there {
-		t.Error("the server's release frees a circuit whose release by us is on its way")
-	}
-	if _, ok := tr.take(2); ok {
-		t.Error("the circuit is taken before the server has confirmed")
-	}
-	tr.cleared(0, releasing)
-	if _, ok := tr.take(2); !ok {
-		t.Error("the circuit is not free after the confirmation")
-	}
-	if tr.cleared(0, releasing); len(tr.circuits) != 1 {
-		t.Error("a late confirmation frees the circuit of a new call")
-	}
-}
--- a/internal/m3ua/server.go
+++ b/internal/m3ua/server.go
@@ -3,146 +3,30 @@
 import (
 	"errors"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
 	"elmseam"
+	"elmseam/internal/circuits"
 	"elmseam/internal/core"
 	"elmseam/internal/link"
 	"elmseam/internal/q850"
 )
 
-// trunk is the circuits to one server. They outlive the connection: a call that stands keeps its circuit,
-// and one that was released is not used again before the server has said so.
+// trunk is the circuits to one server, under a lock: the loop and the connection both change them.
 type trunk struct {
-	mu       sync.Mutex
-	base     circuit
-	next     int
-	ids      []core.ID // by circuit
-	state    []use
-	since    []time.Time // of the release, while it is not confirmed
-	swept    time.Time   // when that was last looked at
-	circuits map[core.ID]uint16
+	base circuit
+	mu   sync.Mutex
+	*circuits.Circuits
 }
 
-type use uint8
+func newTrunk(base circuit, n int) *trunk { return &trunk{base: base, Circuits: circuits.New(n)} }
 
-const (
-	free use = iota
-	calling
-	standing
-	releasing // until the server's RLC
-)
-
-func newTrunk(base circuit, n int) *trunk {
-	return &trunk{base: base, ids: make([]core.ID, n), state: make([]use, n), since: make([]time.Time, n), circuits: make(map[core.ID]uint16)}
-}
-
-// take finds a free circuit for a call.
-func (t *trunk) take(id core.ID) (cic uint16, ok bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for range t.state {
-		i := t.next
-		if t.next++; t.next == len(t.state) {
-			t.next = 0
-		}
-		if t.state[i] == free {
-			t.state[i], t.ids[i], t.circuits[id] = calling, id, uint16(i)
-			return uint16(i), true
-		}
-	}
-	return 0, false
-}
-
-// move changes a call's circuit from one of some states to another and says which circuit that is.
-func (t *trunk) move(id core.ID, to use, from ...use) (cic uint16, ok bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	cic, there := t.circuits[id]
-	for _, f := range from {
-		if there && t.state[cic] == f {
-			t.set(cic, to)
-			return cic, true
-		}
-	}
-	return 0, false
-}
-
-// set must be called with the lock held.
-func (t *trunk) set(cic uint16, to use) {
-	if t.state[cic] = to; to == releasing {
-		t.since[cic] = time.Now()
-	}
-	if to == free || to == releasing {
-		if t.circuits[t.ids[cic]] == cic {
-			delete(t.circuits, t.ids[cic])
-		}
-	}
-}
-
-// call is the call on a circuit, if it is in one of the states.
-func (t *trunk) call(cic uint16, states ...use) (core.ID, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if int(cic) >= len(t.state) {
-		return 0, false
-	}
-	for _, s := range states {
-		if t.state[cic] == s {
-			return t.ids[cic], true
-		}
-	}
-	return 0, false
-}
-
-// cleared frees a circuit if it is in one of the states, and says which call was on it. A release that crosses
-// ours leaves the circuit in use until the server has heard of ours too.
-func (t *trunk) cleared(cic uint16, from ...use) (core.ID, bool) {
+// do changes the circuits.
+func (t *trunk) do(change func(now time.Time)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if int(cic) >= len(t.state) || !slices.Contains(from, t.state[cic]) {
-		return 0, false
-	}
-	id := t.ids[cic]
-	t.set(cic, free)
-	return id, true
-}
-
-// broken gives the set-ups up that were open on a connection, and returns all circuits whose release the
-// server has not confirmed.
-func (t *trunk) broken() (unconfirmed []uint16) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for i, s := range t.state {
-		if s == calling {
-			t.set(uint16(i), releasing)
-		}
-		if t.state[i] == releasing {
-			unconfirmed = append(unconfirmed, uint16(i))
-		}
-	}
-	return unconfirmed
-}
-
-// overdue are the circuits whose release the server has not confirmed for so long: it may have lost that, or never
-// answered, and a circuit would be lost for good with each. They are to be released again.
-func (t *trunk) overdue(after time.Duration) (cics []uint16) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := time.Now()
-	if now.Sub(t.swept) < after {
-		return nil
-	}
-	t.swept = now
-	for i, s := range t.state {
-		if s == releasing && now.Sub(t.since[i]) >= after {
-			t.since[i] = now
-			cics = append(cics, uint16(i))
-		}
-	}
-	return cics
+	change(time.Now())
 }
 
 // server is a connection to a server, as an ASP of its.
@@ -187,7 +71,7 @@
 		err = errLate
 	}
 	m.log.Info().Err(err).Str("server", e.Server).Msg("association with server ended")
-	t.broken()
+	t.do(t.Lost)
 	m.loop.Post(core.ServerDown{Server: e.Server, Link: s.link})
 	s.out.Flush() // what is wrong with its messages
 }
@@ -242,9 +126,11 @@
 	}
 	s.active, s.link = true, s.m.loop.NewLink()
 	close(s.up)
-	for _, cic := range s.trunk.broken() {
-		s.write(cic, call{kind: isupREL, cause: q850.NormalClearing}, nil)
-	}
+	s.trunk.do(func(now time.Time) {
+		for _, cic := range s.trunk.Unconfirmed(now) {
+			s.write(cic, call{kind: isupREL, cause: q850.NormalClearing}, nil)
+		}
+	})
 	s.m.loop.Attach(s.link, s, core.ServerUp{Server: s.name, Address: address, Link: s.link})
 	s.m.loop.Post(core.ServerPaused{Server: s.name})
 }
@@ -298,20 +184,26 @@
 	switch k.kind {
 	case isupACM:
 	case isupANM:
-		if id, there := s.trunk.call(ci.cic, calling); there {
-			s.trunk.move(id, standing, calling)
+		var id core.ID
+		var there bool
+		s.trunk.do(func(time.Time) { id, there = s.trunk.Answered(ci.cic) })
+		if there {
 			s.m.loop.Post(core.ServerAnswer{Server: s.name, Link: s.link, ID: id, Desc: k.desc})
 		}
 	case isupREL, isupRSC: // a circuit reset has no cause: the call on it is cut
-		id, there := s.trunk.cleared(ci.cic, calling, standing)
-		s.write(ci.cic, call{kind: isupRLC}, nil)
+		var id core.ID
+		var there bool
+		s.trunk.do(func(time.Time) {
+			id, there = s.trunk.Released(ci.cic)
+			s.write(ci.cic, call{kind: isupRLC}, nil)
+		})
 		if there {
 			s.m.loop.Post(core.ServerEnd{
 				Server: s.name, Link: s.link, ID: id, Reason: q850.FromServer(k.cause), Refusal: q850.RefusalOf(k.cause),
 			})
 		}
 	case isupRLC:
-		s.trunk.cleared(ci.cic, releasing)
+		s.trunk.do(func(now time.Time) { s.trunk.Confirmed(ci.cic, now) })
 	default:
 		return &protocolError{errUnexpected, "an ISUP message that servers don't send", false}
 	}
@@ -343,14 +235,19 @@
 		if s.out.TakeBack(uint64(e.ID)) {
 			return s.notSent(e.ID)
 		}
-		cic, there := s.trunk.move(e.ID, releasing, calling, standing)
 		written := core.Written{Server: s.name, ID: e.ID}
-		switch {
-		case there && e.Tell:
-			s.write(cic, call{kind: isupREL, cause: q850.NormalClearing}, func() { s.m.loop.Post(written) })
-		case there:
-			s.write(cic, call{kind: isupREL, cause: q850.NormalClearing}, nil)
-		case e.Tell: // released by the server meanwhile
+		var done func()
+		if e.Tell {
+			done = func() { s.m.loop.Post(written) }
+		}
+		there := false
+		s.trunk.do(func(now time.Time) {
+			var cic uint16
+			if cic, there = s.trunk.End(e.ID, now); there {
+				s.write(cic, call{kind: isupREL, cause: q850.NormalClearing}, done)
+			}
+		})
+		if !there && e.Tell { // released by the server meanwhile
 			return []core.Event{written}
 		}
 	case core.Withdraw:
@@ -366,14 +263,16 @@
 // offer writes a set-up. A class or a number that has no form here is not sent, and neither is a call for
 // which no circuit is free.
 func (s *server) offer(e core.Offer) []core.Event {
-	for _, cic := range s.trunk.overdue(s.m.told.Load().Confirm) {
-		s.write(cic, call{kind: isupREL, cause: q850.NormalClearing}, nil)
-	}
 	category, known := s.m.category(e.Class)
 	cic, ok := uint16(0), false
-	if known {
-		cic, ok = s.trunk.take(e.ID)
-	}
+	s.trunk.do(func(now time.Time) {
+		for _, cic := range s.trunk.Overdue(now, s.m.told.Load().Confirm) {
+			s.write(cic, call{kind: isupREL, cause: q850.NormalClearing}, nil)
+		}
+		if known {
+			cic, ok = s.trunk.Take(e.ID)
+		}
+	})
 	if !ok {
 		return []core.Event{core.NotSent{Server: s.name, ID: e.ID}}
 	}
@@ -401,6 +300,6 @@
 
 // notSent frees the circuit of a set-up that never left.
 func (s *server) notSent(id core.ID) []core.Event {
-	s.trunk.move(id, free, calling)
+	s.trunk.do(func(time.Time) { s.trunk.NotSent(id) })
 	return []core.Event{core.NotSent{Server: s.name, ID: id}}
 }
