--- a/cmd/elmseam/upgrade_test.go
+++ b/cmd/elmseam/upgrade_test.go
@@ -1,13 +1,20 @@
 package main
 
 import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // succeed starts a newer process beside p, and waits until it says that it can serve.
@@ -137,3 +144,115 @@
 		t.Error("one of the two doesn't serve")
 	}
 }
+
+// Under load, a few callers ask over and over, each on a connection of its own and in pieces, while one process after
+// another takes over. Every set-up gets one answer, every call that stands one release, and no connection ends: what a
+// caller would notice is a connection that closes, a second answer, or none.
+func TestUpgradeUnderLoad(t *testing.T) {
+	dir, srv := t.TempDir(), listen(t)
+	go func() { // a server that answers at once and releases a little later
+		for {
+			c, err := srv.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				var mu sync.Mutex
+				say := func(format string, id string) {
+					mu.Lock()
+					defer mu.Unlock()
+					fmt.Fprintf(c, format+"\n", id)
+				}
+				for lines := bufio.NewScanner(c); lines.Scan(); {
+					var l struct{ Op, Call string }
+					if json.Unmarshal(lines.Bytes(), &l); l.Op == "offer" {
+						say(`{"op":"accept","call":%q,"with":{},"desc":"x"}`, l.Call)
+						time.AfterFunc(20*time.Millisecond, func() { say(`{"op":"end","call":%q,"with":{},"why":16}`, l.Call) })
+					}
+				}
+			}()
+		}
+	}()
+	p := upgradable(t, dir, endpoint("s", "in_service", srv))
+	p.until("/ops/readiness", 200, "")
+	const callers = 8
+	var asked, stood atomic.Int64
+	stop := make(chan struct{})
+	var open sync.WaitGroup
+	for n := range callers {
+		c := dial(t, p.listen)
+		open.Go(func() {
+			if err := converse(c, uint64(n+1)<<32, stop, &asked, &stood); err != nil {
+				t.Errorf("caller %d: %v", n, err)
+			}
+		})
+	}
+	for range 3 {
+		for from := asked.Load(); asked.Load() < from+50; {
+			time.Sleep(time.Millisecond)
+		}
+		next := p.succeed(dir)
+		p.cmd.Process.Signal(syscall.SIGTERM)
+		if err := p.cmd.Wait(); err != nil {
+			t.Errorf("the process that was taken over from ends with %v", err)
+		}
+		p = next
+	}
+	close(stop)
+	open.Wait()
+	if asked.Load() < 150 || stood.Load() < asked.Load()/2 {
+		t.Errorf("%d asked, %d stood: the test has not met its case", asked.Load(), stood.Load())
+	}
+}
+
+// converse asks for one call after the other, in two pieces each, and reads what it is told of them.
+func converse(c *conn, id uint64, stop chan struct{}, asked, stood *atomic.Int64) error {
+	read := func() (kind byte, of uint64, err error) {
+		var head [2]byte
+		if _, err := io.ReadFull(c.r, head[:]); err != nil {
+			return 0, 0, err
+		}
+		b := make([]byte, binary.BigEndian.Uint16(head[:]))
+		if _, err := io.ReadFull(c.r, b); err != nil {
+			return 0, 0, err
+		}
+		return b[0], binary.BigEndian.Uint64(b[1:]), nil
+	}
+	standing := make(map[uint64]bool)
+	for done := false; !done || len(standing) > 0; {
+		if !done {
+			id++
+			text := setUpText("voice", id)
+			c.Write(text[:len(text)/2])
+			time.Sleep(time.Duration(id%3) * time.Millisecond)
+			c.Write(text[len(text)/2:])
+			asked.Add(1)
+		}
+		for answered := done; ; {
+			kind, of, err := read()
+			switch {
+			case err != nil:
+				return err
+			case of == id && !answered && kind == 9:
+				answered, standing[of] = true, true
+				stood.Add(1)
+			case of == id && !answered && kind == 12:
+				answered = true
+			case kind == 12 && standing[of]:
+				delete(standing, of)
+			default:
+				return fmt.Errorf("message of type %d for call %x, which has been answered", kind, of)
+			}
+			if answered && (!done || len(standing) == 0) {
+				break
+			}
+		}
+		select {
+		case <-stop:
+			done = true
+		default:
+		}
+	}
+	return nil
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -199,7 +199,7 @@
 			DrainSweep:   20 * time.Millisecond,
 			DrainIdle:    20 * time.Millisecond,
 			Transient:    map[core.Front]bool{platform.Front: true},
-			HandStand:    2000, // they fit into one message
+			HandStand:    4000, // they fit into one message
 			HandGrace:    100 * time.Millisecond,
 			StopGrace:    700 * time.Millisecond,
 			StopMost:     max(n.LongestWait, 3*time.Second) + 600*time.Millisecond,
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -38,13 +38,16 @@
 	l.handed = true
 	var open, stand []ID
 	for _, k := range inOrder(c.calls) {
-		if k.From == link && !k.answered && !k.gone {
+		switch {
+		case k.From != link || k.gone:
+		case !k.answered:
 			open = append(open, k.ID)
-		}
-		if k.From == link && k.stands != nil && len(stand) < c.limits.HandStand {
+		case k.stands != nil:
 			stand = append(stand, k.ID)
 		}
 	}
+	// They have to fit into one message. An answer that is owed goes before a release that finds another way.
+	stand = stand[:min(len(stand), max(c.limits.HandStand-len(open), 0))]
 	c.do(Pass{To: link, Open: open, Stand: stand, Asked: l.asked})
 }
 
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -342,7 +342,7 @@
 	DrainSweep   time.Duration  // between looks for connections that can be closed
 	DrainIdle    time.Duration  // one that has brought a set-up so short a time ago may bring the next
 	Transient    map[Front]bool // fronts whose callers come and go by connections, and are sent away by closing them
-	HandStand    int            // standing calls that are named with a connection
+	HandStand    int            // calls that are named with a connection, open ones first
 	HandGrace    time.Duration  // connections may still turn up for this long after a HandOver
 	StopGrace    time.Duration  // callers may still come for this long after a Stop
 	StopMost     time.Duration  // and standing calls are waited for this long
