Fleet lab: softswitches as processes, stand-ins round them, a judge from outside

The operators want proof from tests that start several processes of the program and inject faults between them; nothing could do that but the upgrade test.

internal/lab starts N processes of bin/elmseam, each on its own loopback host, with stand-in activation servers, a command channel and callers that have a listener for each softswitch, so the lab knows who sent what. Peer datagrams pass a relay of the lab's (partition, one way, loss, delay, doubling, reordering). Faults: kill -9 and restart, SIGTERM, SIGSTOP/SIGCONT, the whole fleet at once, reset or stall of the links to a server, a slowed server, drain and gone on the channel. The judge has no I/O and reads no clock; it holds the fleet to one final answer per set-up, one attempt out, the most attempts, the release gap, the drain grace and, since only the lab sees every softswitch, the fleet-wide cold-server budget. The lab measures its own lag and judges no step where it lagged.

elmseamctl lab run SCENARIO, exit 0 held, 1 broken, 2 bad scenario, 3 lab failed.

--- a/cmd/elmseamctl/main.go
+++ b/cmd/elmseamctl/main.go
@@ -31,7 +31,7 @@
 		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return errors.New("no command; see --help") },
 	}
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(checkCommand())
+	root.AddCommand(checkCommand(), labCommand())
 	root.SetArgs(args)
 	err := root.Execute()
 	var o outcome
--- /dev/null
+++ b/internal/lab/fleet.go
@@ -0,0 +1,213 @@
+package lab
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// member is one softswitch process of the fleet, always under the same name and addresses.
+type member struct {
+	place                int
+	name                 string
+	listen, mgmt, peer   string
+	dir                  string
+	mu                   sync.Mutex
+	cmd                  *exec.Cmd
+	exited               chan struct{}
+	troubles             [][2]time.Duration // spans in which a fault of the lab stood in its way; an open one ends at -1
+	ready                bool               // at the last sample
+	starts               int
+	answered, sends      int64 // from its door at the last sample, since its last start
+	answeredAll, sendAll int64 // of earlier lives
+}
+
+// freePort asks the system for a free port on a host, for a program that will listen there itself.
+func freePort(network, host string) (string, error) {
+	switch network {
+	case "udp":
+		c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(host)})
+		if err != nil {
+			return "", err
+		}
+		defer c.Close()
+		return c.LocalAddr().String(), nil
+	}
+	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// start runs the program with a configuration written anew, so that it knows the list as it is now. The child is
+// in a process group of its own and dies with the lab's thread that started it.
+func (m *member) start(binary string, config []byte) error {
+	path := filepath.Join(m.dir, "config.json")
+	if err := os.WriteFile(path, config, 0o600); err != nil {
+		return err
+	}
+	signalling := filepath.Join(m.dir, "signalling.toml") // the second front stays off
+	if err := os.WriteFile(signalling, []byte("enabled = false\n"), 0o600); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(m.dir, "log.jsonl"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(binary)
+	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+path, "ROUTER_NAME=", "ROUTER_LISTEN=", "ROUTER_MGMT=", "TMPDIR=",
+		"ELMSEAM_SIGNALLING="+signalling)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		log.Close()
+		return err
+	}
+	exited := make(chan struct{})
+	go func() { cmd.Wait(); log.Close(); close(exited) }()
+	m.mu.Lock()
+	m.cmd, m.exited = cmd, exited
+	m.starts++
+	m.answeredAll += m.answered
+	m.sendAll += m.sends
+	m.answered, m.sends = 0, 0
+	m.mu.Unlock()
+	return nil
+}
+
+// signal sends a signal to the member's process group; it says whether there was one.
+func (m *member) signal(sig syscall.Signal) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cmd == nil || m.cmd.Process == nil {
+		return false
+	}
+	select {
+	case <-m.exited:
+		return false
+	default:
+	}
+	return syscall.Kill(-m.cmd.Process.Pid, sig) == nil
+}
+
+// stop kills the member and waits for its end, at most a while.
+func (m *member) stop(sig syscall.Signal, wait time.Duration) {
+	m.signal(syscall.SIGCONT)
+	m.signal(sig)
+	m.mu.Lock()
+	exited := m.exited
+	m.mu.Unlock()
+	if exited == nil {
+		return
+	}
+	select {
+	case <-exited:
+	case <-time.After(wait):
+		m.signal(syscall.SIGKILL)
+		<-exited
+	}
+}
+
+func (m *member) running() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.exited == nil {
+		return false
+	}
+	select {
+	case <-m.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// trouble opens or closes a span in which the member is hindered by the lab.
+func (m *member) trouble(at time.Duration, open bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := len(m.troubles)
+	switch {
+	case open && (n == 0 || m.troubles[n-1][1] >= 0):
+		m.troubles = append(m.troubles, [2]time.Duration{at, -1})
+	case !open && n > 0 && m.troubles[n-1][1] < 0:
+		m.troubles[n-1][1] = at
+	}
+}
+
+// hindered says whether a span of trouble meets [from, to].
+func (m *member) hindered(from, to time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, t := range m.troubles {
+		if t[0] <= to && (t[1] < 0 || t[1] >= from) {
+			return true
+		}
+	}
+	return false
+}
+
+var door = &http.Client{Timeout: 300 * time.Millisecond}
+
+// sample reads the member's door: readiness, and the figures of answered set-ups and sends.
+func (m *member) sample() {
+	ready := false
+	if r, err := door.Get("http://" + m.mgmt + "/ops/readiness"); err == nil {
+		io.Copy(io.Discard, r.Body)
+		r.Body.Close()
+		ready = r.StatusCode == http.StatusOK
+	}
+	var answered, sends int64
+	got := false
+	if r, err := door.Get("http://" + m.mgmt + "/ops/stats"); err == nil {
+		text, _ := io.ReadAll(io.LimitReader(r.Body, 64<<10))
+		r.Body.Close()
+		for _, l := range strings.Split(string(text), "\n") {
+			k, v, _ := strings.Cut(l, "=")
+			var n int64
+			fmt.Sscan(v, &n)
+			switch {
+			case strings.HasPrefix(k, "app.transactions.") && strings.HasSuffix(k, ".answered"):
+				answered += n
+				got = true
+			case k == "app.sends":
+				sends = n
+			}
+		}
+	}
+	m.mu.Lock()
+	m.ready = ready
+	if got {
+		m.answered, m.sends = answered, sends
+	}
+	m.mu.Unlock()
+}
+
+func (m *member) isReady() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ready
+}
+
+// config is the configuration a member is started with (DEPLOY, "What a softswitch is told").
+func config(m *member, seed uint64, channel string, known map[string]any, peers []string, all string, settings json.RawMessage) []byte {
+	c := map[string]any{"name": m.name, "listen": m.listen, "mgmt": m.mgmt, "seed": fmt.Sprintf("%016x", seed),
+		"limits":  map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"channel": channel, "known": known, "settings": settings}
+	if peers != nil {
+		c["peer_listen"], c["peers"], c["peers_all"] = m.peer, peers, all
+	}
+	b, _ := json.Marshal(c)
+	return b
+}
--- /dev/null
+++ b/internal/lab/judge.go
@@ -0,0 +1,277 @@
+package lab
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"time"
+)
+
+// Rules are the figures the judge holds a whole fleet to. They come from the settings that the softswitches are given
+// (WIRE section 9, PROTOCOL "The rules on sockets"); every time limit is extended by Slack.
+type Rules struct {
+	MaxAttempts int           // attempts of one call, all softswitches together
+	ReleaseGap  time.Duration // family-info.release-guard-us: after a cancel or reset, before the call is sent again
+	DrainGrace  time.Duration // obligations.drain-grace-us: nothing new to a draining or gone server after it
+	TipMultiple float64       // obligations.tip-multiple
+	TipWindow   time.Duration // obligations.tip-after-us: the window of the cold-server budget
+	ColdFrom    float64       // obligations.cold-from: the share of its capacity a server starts at
+	Ramp        time.Duration // obligations.ramp-time-us: warm after this
+	Slack       time.Duration // 50 ms on sockets
+	ColdSlack   int           // attempts over the budget that chance may bring
+}
+
+// How an attempt ended, as its server saw it.
+type Ending int
+
+const (
+	Answered  Ending = iota // the server answered: the call stands
+	Refused                 // the server refused it
+	Cancelled               // the softswitch gave it up: the release gap applies
+	Reset                   // its connection ended under it: the release gap applies
+)
+
+// Breach is a broken invariant: its first moment, how often it was seen, and what was seen first.
+type Breach struct {
+	Rule   string
+	First  time.Duration // since the start of the run
+	Count  int
+	Detail string
+}
+
+// Second is one row of the per-second table.
+type Second struct {
+	Offered, Served, Refused, Lost, Excused int
+	Arrivals                                map[string]int // attempts that reached each server
+	Blind                                   bool           // the lab lagged: timing was not judged
+}
+
+// Judge holds what the lab sees of the fleet from outside against the rules. It does no I/O and reads no clock: every
+// event carries its time, as an offset from the start of the run. Events must come in the order of their times
+// within one call and one server; the runner feeds them under one lock.
+type Judge struct {
+	rules   Rules
+	setups  map[uint64]*setup
+	calls   map[uint64]*callState // by the id that servers see, which is the set-up's
+	servers map[string]*serverState
+	breach  map[string]*Breach
+	seconds []Second
+	blind   [][2]time.Duration // spans in which the lab itself lagged
+}
+
+type setup struct {
+	sent, giveUp time.Duration
+	finals       int
+	settled      bool // judged, answered or excused
+}
+
+type callState struct {
+	out      string        // server with an attempt out; "" none
+	attempts int           // in all
+	gapFrom  time.Duration // end of the last attempt that calls for the release gap; -1 none
+}
+
+type serverState struct {
+	retired  time.Duration // since it drains or is gone; -1 not
+	started  time.Duration // cold start; -1 warm from the beginning
+	capacity float64       // set-ups a second when warm
+	arrivals []time.Duration
+}
+
+// NewJudge makes a judge for these rules.
+func NewJudge(r Rules) *Judge {
+	return &Judge{rules: r, setups: make(map[uint64]*setup), calls: make(map[uint64]*callState),
+		servers: make(map[string]*serverState), breach: make(map[string]*Breach)}
+}
+
+func (j *Judge) second(at time.Duration) *Second {
+	i := max(0, int(at/time.Second))
+	for len(j.seconds) <= i {
+		j.seconds = append(j.seconds, Second{Arrivals: make(map[string]int)})
+	}
+	return &j.seconds[i]
+}
+
+func (j *Judge) broke(rule string, at time.Duration, format string, args ...any) {
+	if j.isBlind(at) {
+		return
+	}
+	b := j.breach[rule]
+	if b == nil {
+		b = &Breach{Rule: rule, First: at, Detail: fmt.Sprintf(format, args...)}
+		j.breach[rule] = b
+	}
+	b.Count++
+}
+
+// Blind marks a span in which the lab lagged: no timing rule is judged inside it.
+func (j *Judge) Blind(from, to time.Duration) {
+	j.blind = append(j.blind, [2]time.Duration{from, to})
+	for s := from / time.Second; s <= to/time.Second; s++ {
+		j.second(s * time.Second).Blind = true
+	}
+}
+
+func (j *Judge) isBlind(at time.Duration) bool {
+	for _, b := range j.blind {
+		if at >= b[0]-j.rules.Slack && at <= b[1]+j.rules.Slack {
+			return true
+		}
+	}
+	return false
+}
+
+// Server names a server. started is the moment of a cold start, or negative for one warm from the beginning.
+func (j *Judge) Server(name string, capacity float64, started time.Duration) {
+	j.servers[name] = &serverState{retired: -1, started: started, capacity: capacity}
+}
+
+// Retire says that a server has been told draining or gone, at the moment the last softswitch was told.
+func (j *Judge) Retire(name string, at time.Duration) {
+	if s := j.servers[name]; s != nil && s.retired < 0 {
+		s.retired = at
+	}
+}
+
+// SetUp is a caller's set-up, written whole, that its caller waits for until giveUp.
+func (j *Judge) SetUp(at time.Duration, id uint64, giveUp time.Duration) {
+	j.setups[id] = &setup{sent: at, giveUp: giveUp}
+	j.second(at).Offered++
+}
+
+// Final is a final answer to a set-up: served says it stands, else it was refused.
+func (j *Judge) Final(at time.Duration, id uint64, served bool) {
+	s := j.setups[id]
+	if s == nil {
+		j.broke("answer to no set-up", at, "call %016x", id)
+		return
+	}
+	s.finals++
+	if s.finals == 2 {
+		j.broke("two final answers", at, "call %016x", id)
+		return
+	}
+	if s.settled && !served {
+		return // the refusal of one given up, crossing
+	}
+	s.settled = true
+	if served {
+		j.second(at).Served++
+	} else {
+		j.second(at).Refused++
+	}
+}
+
+// Unanswered says that a set-up's caller gave up without a final answer, or lost its connection. excused says that
+// a fault the lab made (a kill, a pause, a stop) stood in its way; such a set-up is counted, not judged.
+func (j *Judge) Unanswered(at time.Duration, id uint64, excused bool) {
+	s := j.setups[id]
+	if s == nil || s.settled {
+		return
+	}
+	s.settled = true
+	if excused {
+		j.second(at).Excused++
+		return
+	}
+	j.second(at).Lost++
+	if at+j.rules.Slack < s.giveUp {
+		j.broke("set-up lost", at, "call %016x: its connection ended with no answer", id)
+	} else {
+		j.broke("no final answer before give-up", at, "call %016x sent at %v", id, s.sent)
+	}
+}
+
+// Attempt says that an attempt of a call reached a server whole.
+func (j *Judge) Attempt(at time.Duration, server string, id uint64) {
+	c := j.calls[id]
+	if c == nil {
+		c = &callState{gapFrom: -1}
+		j.calls[id] = c
+	}
+	if c.out != "" {
+		j.broke("two attempts out", at, "call %016x at %s and %s", id, c.out, server)
+	}
+	c.attempts++
+	if c.attempts == j.rules.MaxAttempts+1 {
+		j.broke("too many attempts", at, "call %016x: %d", id, c.attempts)
+	}
+	if c.gapFrom >= 0 && at+j.rules.Slack < c.gapFrom+j.rules.ReleaseGap {
+		j.broke("release gap", at, "call %016x again after %v", id, at-c.gapFrom)
+	}
+	c.out = server
+	j.second(at).Arrivals[server]++
+	s := j.servers[server]
+	if s == nil {
+		j.broke("unknown server", at, "%s", server)
+		return
+	}
+	if s.retired >= 0 && at > s.retired+j.rules.DrainGrace+j.rules.Slack {
+		j.broke("new attempt at a retired server", at, "call %016x at %s, %v after it was told", id, server, at-s.retired)
+	}
+	j.cold(at, server, s)
+}
+
+// cold holds a just-started server to its budget over every window: tip-multiple x present capacity x window.
+func (j *Judge) cold(at time.Duration, name string, s *serverState) {
+	if s.started < 0 || at-s.started > j.rules.Ramp+j.rules.TipWindow {
+		s.arrivals = nil
+		return
+	}
+	s.arrivals = append(s.arrivals, at)
+	from := at - j.rules.TipWindow
+	i := sort.Search(len(s.arrivals), func(i int) bool { return s.arrivals[i] > from })
+	s.arrivals = slices.Delete(s.arrivals, 0, i)
+	budget := j.rules.TipMultiple * j.Capacity(name, at) * j.rules.TipWindow.Seconds()
+	if n := len(s.arrivals); float64(n) > budget+float64(j.rules.ColdSlack) {
+		j.broke("cold server pushed over", at, "%s: %d attempts in %v, budget %.1f", name, n, j.rules.TipWindow, budget)
+	}
+}
+
+// Capacity is what a server can do at a moment, in set-ups a second: it grows in a straight line from cold-from of
+// its capacity at its start to all of it after the ramp. The lab's stand-ins warm up that way.
+func (j *Judge) Capacity(name string, at time.Duration) float64 {
+	s := j.servers[name]
+	if s == nil {
+		return 0
+	}
+	if s.started < 0 || at-s.started >= j.rules.Ramp || j.rules.Ramp <= 0 {
+		return s.capacity
+	}
+	share := j.rules.ColdFrom + (1-j.rules.ColdFrom)*float64(max(0, at-s.started))/float64(j.rules.Ramp)
+	return s.capacity * share
+}
+
+// Ended says that an attempt ended at its server, and how.
+func (j *Judge) Ended(at time.Duration, server string, id uint64, how Ending) {
+	c := j.calls[id]
+	if c == nil || c.out != server {
+		return
+	}
+	c.out = ""
+	if how == Cancelled || how == Reset {
+		c.gapFrom = at
+	}
+}
+
+// Close judges what is still open at the end of a run: a set-up unanswered past its give-up is a breach.
+func (j *Judge) Close(at time.Duration) {
+	for id, s := range j.setups {
+		if !s.settled && at > s.giveUp+j.rules.Slack {
+			j.Unanswered(s.giveUp, id, false)
+		}
+	}
+}
+
+// Breaches are the broken invariants, first seen first.
+func (j *Judge) Breaches() []Breach {
+	var out []Breach
+	for _, b := range j.breach {
+		out = append(out, *b)
+	}
+	slices.SortFunc(out, func(a, b Breach) int { return int(a.First - b.First) })
+	return out
+}
+
+// Seconds are the rows of the per-second table.
+func (j *Judge) Seconds() []Second { return j.seconds }
--- /dev/null
+++ b/internal/lab/run.go
@@ -0,0 +1,635 @@
+package lab
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// Settings are the lab's own settings for the softswitches, where a scenario names none: one class, four attempts,
+// the release gap, the drain grace and the cold-server budget of the deployment.
+const Settings = `{"request-classes":[{"name":"voice","effect":"free","gain":1,"objective-us":1000000,"hard-limit-us":3000000}],
+ "family-info":{"own-number":-1,"release-guard-us":200000,"retransmit-us":500000},
+ "limits":{"max-attempts":4,"max-open":100,"connect-timeout-us":500000,"retry-after":true,"max-retry-after-us":2000000,"cancel":true},
+ "load-report":{"columns":["spare","total","cut_by"],"via":"inline"},
+ "obligations":{"cold-from":0.3,"ramp-time-us":14000000,"tip-multiple":2.5,"tip-after-us":1000000,"drain-grace-us":250000}}`
+
+// Options are how a run is made, apart from the scenario.
+type Options struct {
+	Binary string // the softswitch program
+	Out    string // folder for the table, the verdict and each softswitch's configuration and log
+	Log    zerolog.Logger
+}
+
+// Result is what a run saw.
+type Result struct {
+	Scenario   string         `json:"scenario"`
+	Held       bool           `json:"held"`
+	Breaches   []Breach       `json:"breaches"`
+	Offered    int            `json:"offered"`
+	Served     int            `json:"served"`
+	Refused    int            `json:"refused"`
+	Lost       int            `json:"lost"`
+	Excused    int            `json:"excused"`
+	Unsent     int            `json:"unsent"` // set-ups no softswitch could be reached for
+	LagMax     time.Duration  `json:"lag_max_ns"`
+	BlindSpans int            `json:"blind_spans"`
+	DoorServed int64          `json:"door_served"` // the softswitches' own count, all lives
+	Datagrams  map[string]int `json:"datagrams"`
+	Starts     map[string]int `json:"starts"`
+	seconds    []Second
+	servers    []string
+}
+
+// rulesOf reads the rules' figures from the settings.
+func rulesOf(settings []byte) (Rules, error) {
+	var s struct {
+		Family struct {
+			Release float64 `json:"release-guard-us"`
+		} `json:"family-info"`
+		Limits struct {
+			Attempts int `json:"max-attempts"`
+		} `json:"limits"`
+		Duties struct {
+			ColdFrom float64 `json:"cold-from"`
+			Ramp     float64 `json:"ramp-time-us"`
+			Multiple float64 `json:"tip-multiple"`
+			After    float64 `json:"tip-after-us"`
+			Grace    float64 `json:"drain-grace-us"`
+		} `json:"obligations"`
+	}
+	if err := json.Unmarshal(settings, &s); err != nil {
+		return Rules{}, fmt.Errorf("settings: %w", err)
+	}
+	us := func(v float64) time.Duration { return time.Duration(v * float64(time.Microsecond)) }
+	r := Rules{MaxAttempts: s.Limits.Attempts, ReleaseGap: us(s.Family.Release), DrainGrace: us(s.Duties.Grace),
+		TipMultiple: s.Duties.Multiple, TipWindow: us(s.Duties.After), ColdFrom: s.Duties.ColdFrom, Ramp: us(s.Duties.Ramp),
+		Slack: 50 * time.Millisecond, ColdSlack: 3}
+	if r.DrainGrace == 0 {
+		r.DrainGrace = 250 * time.Millisecond
+	}
+	if r.MaxAttempts <= 0 || r.TipMultiple <= 0 || r.TipWindow <= 0 {
+		return r, errors.New("settings: limits.max-attempts and obligations.tip-multiple, tip-after-us are needed")
+	}
+	return r, nil
+}
+
+// ErrLab is an error of the lab itself, not of the fleet.
+var ErrLab = errors.New("lab failed")
+
+// runner is one run: the world round the fleet.
+type runner struct {
+	s       *Scenario
+	o       Options
+	mu      sync.Mutex // over the judge and the counts
+	judge   *Judge
+	begin   time.Time
+	members []*member
+	servers map[string]*standIn
+	order   []string
+	channel *channel
+	relay   *Relay
+	setting json.RawMessage
+	setups  map[uint64]int // set-up → softswitch
+	unsent  int
+	lagMax  time.Duration
+	blinds  int
+	rand    *rand.Rand
+	conns   [][]*callerConn
+	connMu  sync.Mutex
+}
+
+func (r *runner) now() time.Duration { return time.Since(r.begin) }
+
+func (r *runner) attempt(server string, id uint64) {
+	r.mu.Lock()
+	r.judge.Attempt(r.now(), server, id)
+	r.mu.Unlock()
+}
+
+func (r *runner) ended(server string, id uint64, how Ending) {
+	r.mu.Lock()
+	r.judge.Ended(r.now(), server, id, how)
+	r.mu.Unlock()
+}
+
+func (r *runner) capacity(server string) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.judge.Capacity(server, r.now())
+}
+
+func (r *runner) sent(id uint64, to int, giveUp time.Duration) {
+	r.mu.Lock()
+	r.setups[id] = to
+	r.judge.SetUp(r.now(), id, giveUp)
+	r.mu.Unlock()
+}
+
+func (r *runner) final(id uint64, served bool, desc string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if served && !madeBy(desc, id) {
+		r.judge.broke("answer made by no server", r.now(), "call %016x: %q", id, desc)
+	}
+	r.judge.Final(r.now(), id, served)
+}
+
+func (r *runner) unanswered(id uint64, to int) {
+	now := r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sent := now - r.s.GiveUp.Duration
+	r.judge.Unanswered(now, id, r.members[to].hindered(sent-time.Second, now))
+}
+
+// Run plays a scenario against real processes of the program. The error is ErrLab's where the lab itself failed;
+// a fleet that broke an invariant is a Result that has not held.
+func Run(s *Scenario, o Options) (*Result, error) {
+	settings := s.Settings
+	if settings == "" {
+		settings = Settings
+	}
+	rules, err := rulesOf([]byte(settings))
+	if err != nil {
+		return nil, err
+	}
+	if err := os.MkdirAll(o.Out, 0o755); err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrLab, err)
+	}
+	r := &runner{s: s, o: o, judge: NewJudge(rules), servers: make(map[string]*standIn), setting: json.RawMessage(settings),
+		setups: make(map[uint64]int), rand: rand.New(rand.NewPCG(s.Seed, 0x63616c6c))}
+	r.begin = time.Now()
+	defer r.teardown()
+	if err := r.build(); err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrLab, err)
+	}
+	if err := r.play(); err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrLab, err)
+	}
+	return r.result(), nil
+}
+
+func host(block, i int) string { return fmt.Sprintf("127.0.%d.%d", block, i+1) }
+
+// build starts the stand-ins, the channel, the relay and the softswitches, and waits until every softswitch is ready.
+func (r *runner) build() error {
+	n := r.s.Softswitches
+	var hosts [4][]string
+	for i := range n {
+		for b := range hosts {
+			hosts[b] = append(hosts[b], host(b+1, i))
+		}
+	}
+	for _, v := range r.s.Servers {
+		start := time.Duration(-1)
+		if v.Start.Duration > 0 {
+			start = v.Start.Duration
+		}
+		r.judge.Server(v.Name, v.Capacity, start)
+		si, err := newStandIn(v, r, hosts[1])
+		if err != nil {
+			return err
+		}
+		r.servers[v.Name] = si
+		r.order = append(r.order, v.Name)
+	}
+	var err error
+	if r.channel, err = newChannel(hosts[2], func(name string, from int) string { return r.servers[name].address(from) }); err != nil {
+		return err
+	}
+	var first []listChange
+	for _, v := range r.s.Servers {
+		if v.Start.Duration == 0 {
+			first = append(first, listChange{name: v.Name, status: "in_service"})
+		}
+	}
+	r.channel.tell(true, first...)
+	for i := range n {
+		m := &member{place: i, name: Name(i), dir: filepath.Join(r.o.Out, Name(i))}
+		if err := os.MkdirAll(m.dir, 0o755); err != nil {
+			return err
+		}
+		for _, p := range []struct {
+			to      *string
+			network string
+		}{{&m.listen, "tcp"}, {&m.mgmt, "tcp"}, {&m.peer, "udp"}} {
+			if *p.to, err = freePort(p.network, hosts[0][i]); err != nil {
+				return err
+			}
+		}
+		r.members = append(r.members, m)
+	}
+	var real []*net.UDPAddr
+	for _, m := range r.members {
+		a, err := net.ResolveUDPAddr("udp", m.peer)
+		if err != nil {
+			return err
+		}
+		real = append(real, a)
+	}
+	if r.relay, err = NewRelay(hosts[3], "127.0.4.250", real, r.s.Seed); err != nil {
+		return err
+	}
+	for _, m := range r.members {
+		if err := r.launch(m); err != nil {
+			return err
+		}
+	}
+	return r.waitReady(r.members)
+}
+
+// launch starts a member with a configuration of now.
+func (r *runner) launch(m *member) error {
+	var peers []string
+	all := ""
+	if r.s.Peers {
+		peers, all = r.relay.Faces(), r.relay.All()
+	}
+	seed := r.rand.Uint64()
+	return m.start(r.o.Binary, config(m, seed, r.channel.listeners[m.place].Addr().String(), r.channel.known(m.place), peers, all, r.setting))
+}
+
+func (r *runner) waitReady(ms []*member) error {
+	deadline := time.Now().Add(r.s.Start.Duration)
+	for _, m := range ms {
+		for m.sample(); !m.isReady(); m.sample() {
+			if !m.running() {
+				return fmt.Errorf("%s ended at its start; its log is %s", m.name, filepath.Join(m.dir, "log.jsonl"))
+			}
+			if time.Now().After(deadline) {
+				return fmt.Errorf("%s not ready within %v", m.name, r.s.Start)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// play drives the load, the faults and the samples until the end of the run.
+func (r *runner) play() error {
+	r.mu.Lock()
+	r.begin = time.Now()
+	r.mu.Unlock()
+	r.conns = make([][]*callerConn, len(r.members))
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Add(2)
+	go func() { defer wg.Done(); r.sampler(stop) }()
+	go func() { defer wg.Done(); r.faults(stop) }()
+	r.load()
+	time.Sleep(r.s.Quiet.Duration + r.s.GiveUp.Duration)
+	close(stop)
+	wg.Wait()
+	for _, m := range r.members {
+		m.sample()
+	}
+	r.mu.Lock()
+	r.judge.Close(r.now())
+	r.mu.Unlock()
+	return nil
+}
+
+// load sends set-ups at the scenario's rate, to the softswitches that are ready, in turn; it measures its own lag
+// and tells the judge where it lagged so that no timing is judged there.
+func (r *runner) load() {
+	const tick = 5 * time.Millisecond
+	owed, turn, class := 0.0, 0, 0
+	next := time.Duration(0)
+	for next < r.s.Duration.Duration {
+		now := r.now()
+		if lag := now - next; lag > r.s.Lag.Duration {
+			r.mu.Lock()
+			r.judge.Blind(next, now)
+			r.blinds++
+			r.mu.Unlock()
+		}
+		if lag := now - next; lag > r.lagMax {
+			r.lagMax = lag
+		}
+		owed += r.s.Rate(next) * tick.Seconds()
+		for ; owed >= 1; owed-- {
+			if !r.send(&turn, r.s.Classes[class%len(r.s.Classes)]) {
+				r.mu.Lock()
+				r.unsent++
+				r.mu.Unlock()
+			}
+			class++
+		}
+		next += tick
+		if d := next - r.now(); d > 0 {
+			time.Sleep(d)
+		}
+	}
+}
+
+// send sends one set-up to the next ready softswitch, on one of its callers' connections.
+func (r *runner) send(turn *int, class string) bool {
+	for range len(r.members) {
+		i := *turn % len(r.members)
+		*turn++
+		m := r.members[i]
+		if !m.isReady() {
+			continue
+		}
+		c := r.conn(i, *turn%r.s.Callers)
+		if c == nil {
+			continue
+		}
+		if c.setUp(r.rand.Uint64()|1, class, r.s.GiveUp.Duration) == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// conn is a caller's connection to a softswitch, dialled anew where the last one has ended.
+func (r *runner) conn(i, k int) *callerConn {
+	r.connMu.Lock()
+	defer r.connMu.Unlock()
+	for len(r.conns[i]) < r.s.Callers {
+		r.conns[i] = append(r.conns[i], nil)
+	}
+	c := r.conns[i][k]
+	if c != nil {
+		select {
+		case <-c.done:
+			c = nil
+		default:
+			return c
+		}
+	}
+	c, err := dialCaller(r.members[i].listen, i, r)
+	if err != nil {
+		return nil
+	}
+	r.conns[i][k] = c
+	return c
+}
+
+// sampler reads every door at the scenario's pace and keeps, for each second, who was ready.
+func (r *runner) sampler(stop chan struct{}) {
+	t := time.NewTicker(r.s.Sample.Duration)
+	defer t.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-t.C:
+		}
+		var wg sync.WaitGroup
+		for _, m := range r.members {
+			wg.Add(1)
+			go func() { defer wg.Done(); m.sample() }()
+		}
+		wg.Wait()
+	}
+}
+
+// faults plays the schedule.
+func (r *runner) faults(stop chan struct{}) {
+	var later sync.WaitGroup
+	defer later.Wait()
+	wait := func(d time.Duration) bool {
+		select {
+		case <-stop:
+			return false
+		case <-time.After(d):
+			return true
+		}
+	}
+	type event struct {
+		at time.Duration
+		do func()
+	}
+	var plan []event
+	for _, f := range r.s.Faults {
+		plan = append(plan, event{f.At.Duration, func() { r.inject(f, stop, &later) }})
+	}
+	for _, v := range r.s.Servers {
+		if v.Start.Duration > 0 {
+			plan = append(plan, event{v.Start.Duration, func() {
+				r.channel.tell(false, listChange{name: v.Name, status: "in_service", since: time.Now().UnixMilli()})
+			}})
+		}
+	}
+	sort.SliceStable(plan, func(i, j int) bool { return plan[i].at < plan[j].at })
+	for _, e := range plan {
+		if !wait(e.at - r.now()) {
+			return
+		}
+		e.do()
+	}
+}
+
+func (r *runner) targets(names []string) []*member {
+	var out []*member
+	for _, n := range names {
+		out = append(out, r.members[r.s.names[n]])
+	}
+	return out
+}
+
+// inject makes one fault, and undoes it after its time where it has one.
+func (r *runner) inject(f Fault, stop chan struct{}, later *sync.WaitGroup) {
+	after := func(d time.Duration, undo func()) {
+		if d <= 0 {
+			return
+		}
+		later.Add(1)
+		go func() {
+			defer later.Done()
+			select {
+			case <-stop:
+			case <-time.After(d):
+			}
+			undo()
+		}()
+	}
+	r.o.Log.Info().Str("kind", f.Kind).Strs("target", f.Target).Str("server", f.Server).Dur("at", r.now()).Msg("fault")
+	places := map[int]bool{}
+	for _, m := range r.targets(f.Target) {
+		places[m.place] = true
+	}
+	switch f.Kind {
+	case "kill", "term", "restart":
+		ms := r.targets(f.Target)
+		sig := syscall.SIGKILL
+		if f.Kind == "term" {
+			sig = syscall.SIGTERM
+		}
+		if f.Kind == "restart" {
+			ms = r.members
+		}
+		for _, m := range ms {
+			m.trouble(r.now(), true)
+			go m.stop(sig, 5*time.Second)
+		}
+		after(f.For.Duration, func() {
+			for _, m := range ms {
+				m.stop(syscall.SIGKILL, time.Second)
+				if err := r.launch(m); err != nil {
+					r.o.Log.Error().Err(err).Str("softswitch", m.name).Msg("restart")
+					continue
+				}
+			}
+			r.waitReady(ms)
+			for _, m := range ms {
+				m.trouble(r.now(), false)
+			}
+		})
+	case "pause":
+		for _, m := range r.targets(f.Target) {
+			m.trouble(r.now(), true)
+			m.signal(syscall.SIGSTOP)
+			after(f.For.Duration, func() {
+				m.signal(syscall.SIGCONT)
+				r.waitReady([]*member{m})
+				m.trouble(r.now(), false)
+			})
+		}
+	case "partition", "loss", "duplicate", "delay", "reorder":
+		w := Weather{}
+		switch f.Kind {
+		case "partition":
+			w.Groups, w.OneWay = map[int]int{}, f.OneWay
+			for g, names := range f.Groups {
+				for _, n := range names {
+					w.Groups[r.s.names[n]] = g
+				}
+			}
+		case "loss":
+			w.Loss = f.Share
+		case "duplicate":
+			w.Duplicate = f.Share
+		case "delay":
+			w.Delay = f.By.Duration
+		case "reorder":
+			w.Reorder = f.By.Duration
+		}
+		r.relay.Set(w)
+		after(f.For.Duration, func() { r.relay.Set(Weather{}) })
+	case "reset":
+		r.servers[f.Server].cut(places, false)
+	case "stall":
+		v := r.servers[f.Server]
+		var from []int
+		for p := range places {
+			from = append(from, p)
+		}
+		v.stall(from, true)
+		after(f.For.Duration, func() { v.stall(from, false) })
+	case "slow":
+		v := r.servers[f.Server]
+		v.slowBy(f.Factor)
+		after(f.For.Duration, func() { v.slowBy(1) })
+	case "drain", "gone":
+		status := map[string]string{"drain": "terminating", "gone": "terminated"}[f.Kind]
+		r.mu.Lock()
+		r.judge.Retire(f.Server, r.now())
+		r.mu.Unlock()
+		r.channel.tell(false, listChange{name: f.Server, status: status})
+		if f.Kind == "gone" {
+			r.servers[f.Server].cut(nil, true)
+		}
+	}
+}
+
+func (r *runner) teardown() {
+	r.connMu.Lock()
+	for _, cs := range r.conns {
+		for _, c := range cs {
+			if c != nil {
+				c.close()
+			}
+		}
+	}
+	r.connMu.Unlock()
+	var wg sync.WaitGroup
+	for _, m := range r.members {
+		wg.Add(1)
+		go func() { defer wg.Done(); m.stop(syscall.SIGKILL, time.Second) }()
+	}
+	wg.Wait()
+	for _, v := range r.servers {
+		v.close()
+	}
+	if r.channel != nil {
+		r.channel.close()
+	}
+	if r.relay != nil {
+		r.relay.Close()
+	}
+}
+
+func (r *runner) result() *Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	res := &Result{Scenario: r.s.Name, Breaches: r.judge.Breaches(), Unsent: r.unsent, LagMax: r.lagMax, BlindSpans: r.blinds,
+		seconds: r.judge.Seconds(), servers: r.order, Starts: map[string]int{}}
+	for _, s := range res.seconds {
+		res.Offered += s.Offered
+		res.Served += s.Served
+		res.Refused += s.Refused
+		res.Lost += s.Lost
+		res.Excused += s.Excused
+	}
+	restarted := false
+	for _, m := range r.members {
+		res.DoorServed += m.answeredAll + m.answered
+		res.Starts[m.name] = m.starts
+		restarted = restarted || m.starts > 1
+	}
+	c := &r.relay.Count
+	res.Datagrams = map[string]int{"passed": int(c.Passed.Load()), "dropped": int(c.Dropped.Load()),
+		"doubled": int(c.Doubled.Load()), "strangers": int(c.Strangers.Load()), "oversized": int(c.Oversized.Load()),
+		"bytes": int(c.Bytes.Load())}
+	if c.Oversized.Load() > 0 {
+		res.Breaches = append(res.Breaches, Breach{Rule: "datagram over 256 bytes", Count: int(c.Oversized.Load())})
+	}
+	// The doors count what they answered; with no restart the lab must agree with them within the tolerance.
+	if diff := float64(res.DoorServed - int64(res.Served)); !restarted &&
+		abs(diff) > r.s.Tolerance*float64(max(res.Served, 1))+2 {
+		res.Breaches = append(res.Breaches, Breach{Rule: "counts disagree with the doors", Count: 1,
+			Detail: fmt.Sprintf("lab %d served, doors %d", res.Served, res.DoorServed)})
+	}
+	res.Held = len(res.Breaches) == 0
+	return res
+}
+
+func abs(f float64) float64 {
+	if f < 0 {
+		return -f
+	}
+	return f
+}
+
+// WriteTable writes the per-second table as CSV: offered, served, refused, lost, excused, whether the lab lagged,
+// and for each server the attempts that reached it against its capacity.
+func (res *Result) WriteTable(path string) error {
+	var b strings.Builder
+	b.WriteString("second,offered,served,refused,lost,excused,blind")
+	for _, s := range res.servers {
+		fmt.Fprintf(&b, ",load:%s", s)
+	}
+	b.WriteString("\n")
+	for i, s := range res.seconds {
+		fmt.Fprintf(&b, "%d,%d,%d,%d,%d,%d,%t", i, s.Offered, s.Served, s.Refused, s.Lost, s.Excused, s.Blind)
+		for _, name := range res.servers {
+			fmt.Fprintf(&b, ",%d", s.Arrivals[name])
+		}
+		b.WriteString("\n")
+	}
+	return os.WriteFile(path, []byte(b.String()), 0o644)
+}
--- /dev/null
+++ b/internal/lab/scenario.go
@@ -0,0 +1,293 @@
+// Package lab is the project's emulator of the world round a fleet of softswitches: it starts several processes of
+// the program, plays stand-in activation servers, a command channel and callers round them, relays the datagrams
+// between them, injects faults by a timed schedule, and holds what it sees from outside against the rules.
+//
+// The judge (judge.go) and the scenario (this file) do no I/O; the rest of the package does sockets and processes.
+package lab
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Scenario is one experiment, read from a TOML file. Times are Go durations ("1500ms"); rates are set-ups a second.
+type Scenario struct {
+	Name         string        `toml:"name"`
+	Duration     Duration      `toml:"duration"`     // of the load; the run ends when the last give-up has passed
+	Seed         uint64        `toml:"seed"`         // of every random choice the lab makes
+	Softswitches int           `toml:"softswitches"` // named n1..nN
+	GiveUp       Duration      `toml:"give_up"`      // how long a caller waits for its answer
+	Classes      []string      `toml:"classes"`      // the set-ups' classes, in turn; by default "voice"
+	Settings     string        `toml:"settings"`     // the settings object as JSON; the lab's own by default
+	Servers      []Server      `toml:"server"`       // the stand-in activation servers
+	Load         []Step        `toml:"load"`         // the callers' rate, a step function of time
+	Faults       []Fault       `toml:"fault"`        // the schedule
+	Sample       Duration      `toml:"sample"`       // between samples of the softswitches' doors; 250ms by default
+	Lag          Duration      `toml:"lag"`          // the lab's own lag past which a step is not judged; 20ms
+	Callers      int           `toml:"callers"`      // connections of callers to each softswitch; 2 by default
+	Start        Duration      `toml:"start"`        // how long a softswitch may take to become ready; 10s
+	Quiet        Duration      `toml:"quiet"`        // after the load, before the run ends; the give-up by default
+	Peers        bool          `toml:"peers"`        // whether the softswitches are told their peers
+	Random       []RandomFault `toml:"random_fault"` // faults drawn from the seed
+	Tolerance    float64       `toml:"tolerance"`    // share by which the lab's counts may differ from the doors'
+	Capacity     float64       `toml:"-"`            // filled: all servers' capacity
+	names        map[string]int
+}
+
+// Server is a stand-in activation server.
+type Server struct {
+	Name     string   `toml:"name"`
+	Capacity float64  `toml:"capacity"` // set-ups a second when warm
+	Lines    int      `toml:"lines"`    // calls that may stand at once
+	Hold     Duration `toml:"hold"`     // how long an answered call stands
+	Queue    Duration `toml:"queue"`    // the longest wait for its processor before it refuses as swamped
+	Start    Duration `toml:"start"`    // a late, cold start; 0 is there and warm from the beginning
+}
+
+// Step is the callers' rate from a moment on.
+type Step struct {
+	At   Duration `toml:"at"`
+	Rate float64  `toml:"rate"`
+}
+
+// Fault is one entry of the schedule. Which fields count depends on the kind:
+//
+//	kill, term         target softswitches; restarted under the same name and address after For (0: never)
+//	pause              target softswitches stopped (SIGSTOP) for For
+//	restart            every softswitch killed at once, all restarted after For
+//	partition          datagrams between Groups dropped for For; OneWay drops only from the first group to the others
+//	loss, duplicate    datagrams dropped or doubled with chance Share for For
+//	delay, reorder     datagrams held By (reorder: a random share of By, so they pass each other) for For
+//	reset, stall       the connections between target softswitches and Server reset, or left silent for For
+//	slow               Server works Factor times slower for For
+//	drain, gone        Server told draining or gone on the command channel
+type Fault struct {
+	At     Duration   `toml:"at"`
+	Kind   string     `toml:"kind"`
+	Target []string   `toml:"target"`
+	Server string     `toml:"server"`
+	For    Duration   `toml:"for"`
+	Groups [][]string `toml:"groups"`
+	OneWay bool       `toml:"one_way"`
+	Share  float64    `toml:"share"`
+	By     Duration   `toml:"by"`
+	Factor float64    `toml:"factor"`
+}
+
+// RandomFault draws Count faults of a kind at moments in [From, To) on targets chosen from the seed.
+type RandomFault struct {
+	Kind     string   `toml:"kind"`
+	Count    int      `toml:"count"`
+	From, To Duration `toml:"from"`
+	For      Duration `toml:"for"`
+}
+
+// Duration is a time.Duration written as text.
+type Duration struct{ time.Duration }
+
+// UnmarshalText reads "1500ms" and the like.
+func (d *Duration) UnmarshalText(b []byte) (err error) {
+	d.Duration, err = time.ParseDuration(string(b))
+	return err
+}
+
+var kinds = []string{"kill", "term", "pause", "restart", "partition", "loss", "duplicate", "delay", "reorder",
+	"reset", "stall", "slow", "drain", "gone"}
+
+// Limits bound what a scenario may ask for, so that every run is bounded in count and time.
+var Limits = struct {
+	Softswitches, Servers, Faults int
+	Duration                      time.Duration
+	Rate                          float64
+}{Softswitches: 16, Servers: 32, Faults: 256, Duration: 10 * time.Minute, Rate: 20000}
+
+// ReadScenario reads and checks a scenario file. An error is one line that names the field.
+func ReadScenario(path string) (*Scenario, error) {
+	var s Scenario
+	meta, err := toml.DecodeFile(path, &s)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if un := meta.Undecoded(); len(un) > 0 {
+		return nil, fmt.Errorf("%s: unknown field", un[0])
+	}
+	return &s, s.Check()
+}
+
+// Check fills defaults and checks every field; the error names the first that makes no sense.
+func (s *Scenario) Check() error {
+	def := func(d *Duration, v time.Duration) {
+		if d.Duration == 0 {
+			d.Duration = v
+		}
+	}
+	def(&s.GiveUp, 1500*time.Millisecond)
+	def(&s.Sample, 250*time.Millisecond)
+	def(&s.Lag, 20*time.Millisecond)
+	def(&s.Start, 10*time.Second)
+	def(&s.Quiet, s.GiveUp.Duration)
+	if s.Callers == 0 {
+		s.Callers = 2
+	}
+	if len(s.Classes) == 0 {
+		s.Classes = []string{"voice"}
+	}
+	if s.Tolerance == 0 {
+		s.Tolerance = 0.02
+	}
+	switch {
+	case s.Name == "":
+		return fmt.Errorf("name: missing")
+	case s.Duration.Duration <= 0 || s.Duration.Duration > Limits.Duration:
+		return fmt.Errorf("duration: %v, not in (0, %v]", s.Duration, Limits.Duration)
+	case s.Softswitches < 1 || s.Softswitches > Limits.Softswitches:
+		return fmt.Errorf("softswitches: %d, not in [1, %d]", s.Softswitches, Limits.Softswitches)
+	case s.GiveUp.Duration < 100*time.Millisecond || s.GiveUp.Duration > time.Minute:
+		return fmt.Errorf("give_up: %v, not in [100ms, 1m]", s.GiveUp)
+	case len(s.Servers) == 0 || len(s.Servers) > Limits.Servers:
+		return fmt.Errorf("server: %d of them, not in [1, %d]", len(s.Servers), Limits.Servers)
+	case s.Callers < 1 || s.Callers > 64:
+		return fmt.Errorf("callers: %d, not in [1, 64]", s.Callers)
+	case s.Sample.Duration < 10*time.Millisecond:
+		return fmt.Errorf("sample: %v, under 10ms", s.Sample)
+	case s.Tolerance < 0 || s.Tolerance > 1:
+		return fmt.Errorf("tolerance: %v, not in [0, 1]", s.Tolerance)
+	}
+	s.names = make(map[string]int)
+	for i := range s.Softswitches {
+		s.names[Name(i)] = i
+	}
+	seen := map[string]bool{}
+	s.Capacity = 0
+	for i := range s.Servers {
+		v := &s.Servers[i]
+		def(&v.Hold, time.Second)
+		def(&v.Queue, 300*time.Millisecond)
+		if v.Lines == 0 {
+			v.Lines = 256
+		}
+		field := fmt.Sprintf("server[%d]", i)
+		switch {
+		case v.Name == "" || seen[v.Name]:
+			return fmt.Errorf("%s.name: %q missing or twice", field, v.Name)
+		case v.Capacity <= 0 || v.Capacity > Limits.Rate:
+			return fmt.Errorf("%s.capacity: %v, not in (0, %v]", field, v.Capacity, Limits.Rate)
+		case v.Lines < 1 || v.Lines > 100000:
+			return fmt.Errorf("%s.lines: %d", field, v.Lines)
+		case v.Start.Duration < 0:
+			return fmt.Errorf("%s.start: %v", field, v.Start)
+		}
+		seen[v.Name] = true
+		s.Capacity += v.Capacity
+	}
+	if len(s.Load) == 0 {
+		return fmt.Errorf("load: missing")
+	}
+	for i, l := range s.Load {
+		if l.Rate < 0 || l.Rate > Limits.Rate || (i > 0 && l.At.Duration < s.Load[i-1].At.Duration) {
+			return fmt.Errorf("load[%d]: rate %v or time %v out of order", i, l.Rate, l.At)
+		}
+	}
+	if err := s.draw(); err != nil {
+		return err
+	}
+	if len(s.Faults) > Limits.Faults {
+		return fmt.Errorf("fault: %d of them, over %d", len(s.Faults), Limits.Faults)
+	}
+	for i, f := range s.Faults {
+		if err := s.checkFault(f, seen); err != nil {
+			return fmt.Errorf("fault[%d].%w", i, err)
+		}
+	}
+	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return int(a.At.Duration - b.At.Duration) })
+	return nil
+}
+
+func (s *Scenario) checkFault(f Fault, servers map[string]bool) error {
+	if !slices.Contains(kinds, f.Kind) {
+		return fmt.Errorf("kind: %q is none of %v", f.Kind, kinds)
+	}
+	if f.At.Duration < 0 || f.At.Duration > s.Duration.Duration {
+		return fmt.Errorf("at: %v, not within the run", f.At)
+	}
+	for _, t := range f.Target {
+		if _, ok := s.names[t]; !ok {
+			return fmt.Errorf("target: no softswitch %q", t)
+		}
+	}
+	for _, g := range f.Groups {
+		for _, t := range g {
+			if _, ok := s.names[t]; !ok {
+				return fmt.Errorf("groups: no softswitch %q", t)
+			}
+		}
+	}
+	switch f.Kind {
+	case "kill", "term", "pause":
+		if len(f.Target) == 0 {
+			return fmt.Errorf("target: missing")
+		}
+	case "partition":
+		if len(f.Groups) < 2 {
+			return fmt.Errorf("groups: %d, at least two", len(f.Groups))
+		}
+	case "loss", "duplicate":
+		if f.Share <= 0 || f.Share > 1 {
+			return fmt.Errorf("share: %v, not in (0, 1]", f.Share)
+		}
+	case "delay", "reorder":
+		if f.By.Duration <= 0 || f.By.Duration > time.Minute {
+			return fmt.Errorf("by: %v, not in (0, 1m]", f.By)
+		}
+	case "reset", "stall", "slow", "drain", "gone":
+		if !servers[f.Server] {
+			return fmt.Errorf("server: no server %q", f.Server)
+		}
+		if f.Kind == "slow" && (f.Factor < 1 || f.Factor > 1000) {
+			return fmt.Errorf("factor: %v, not in [1, 1000]", f.Factor)
+		}
+	}
+	if f.For.Duration < 0 {
+		return fmt.Errorf("for: %v", f.For)
+	}
+	return nil
+}
+
+// draw turns the random faults into timed ones, the same for the same seed.
+func (s *Scenario) draw() error {
+	r := rand.New(rand.NewPCG(s.Seed, 0x6c6162))
+	for i, d := range s.Random {
+		switch {
+		case !slices.Contains([]string{"kill", "term", "pause"}, d.Kind):
+			return fmt.Errorf("random_fault[%d].kind: %q, only kill, term and pause are drawn", i, d.Kind)
+		case d.Count < 1 || d.Count > 64:
+			return fmt.Errorf("random_fault[%d].count: %d, not in [1, 64]", i, d.Count)
+		case d.To.Duration <= d.From.Duration || d.To.Duration > s.Duration.Duration:
+			return fmt.Errorf("random_fault[%d].to: %v, not after from and within the run", i, d.To)
+		}
+		for range d.Count {
+			at := d.From.Duration + time.Duration(r.Int64N(int64(d.To.Duration-d.From.Duration)))
+			s.Faults = append(s.Faults, Fault{At: Duration{at}, Kind: d.Kind, For: d.For,
+				Target: []string{Name(r.IntN(s.Softswitches))}})
+		}
+	}
+	return nil
+}
+
+// Name is the name of the softswitch at a place, from 0.
+func Name(i int) string { return fmt.Sprintf("n%d", i+1) }
+
+// Rate is the callers' rate at a moment.
+func (s *Scenario) Rate(at time.Duration) float64 {
+	rate := 0.0
+	for _, l := range s.Load {
+		if l.At.Duration <= at {
+			rate = l.Rate
+		}
+	}
+	return rate
+}
