Lab: seven scenarios, and stories that see every invariant broken and held

Needed: proof that each of the lab's invariants can fail, and that a fleet under faults is judged without timing luck.

The judge is told each rule's breaking story and its lawful twin, with no process started. Two stories start processes of the program: a fleet of three that is killed, paused, cut apart and reset must hold, agree with its doors and leave no process behind; a fleet misled on purpose by the lab's own world (drains the channel keeps back, servers weaker and colder than the channel says) must be caught. The stand-ins' warm-up and the judge's budget are now one function.

Scenarios under lab/scenarios: calm, kill-and-return, pause-beyond-give-up, partition-3-2, one-way, loss-30, fleet-restart.

--- a/internal/lab/judge.go
+++ b/internal/lab/judge.go
@@ -228,18 +228,23 @@
 	}
 }
 
-// Capacity is what a server can do at a moment, in set-ups a second: it grows in a straight line from cold-from of
-// its capacity at its start to all of it after the ramp. The lab's stand-ins warm up that way.
+// Capacity is what a server can do at a moment, in set-ups a second, as the judge holds it to.
 func (j *Judge) Capacity(name string, at time.Duration) float64 {
 	s := j.servers[name]
 	if s == nil {
 		return 0
 	}
-	if s.started < 0 || at-s.started >= j.rules.Ramp || j.rules.Ramp <= 0 {
-		return s.capacity
+	return j.rules.Warmth(s.capacity, s.started, at)
+}
+
+// Warmth is what a server of a capacity that started at a moment (negative: warm from the beginning) can do at
+// another: it grows in a straight line from cold-from of its capacity to all of it after the ramp. The lab's
+// stand-ins warm up that way; WIRE leaves the way open.
+func (r Rules) Warmth(capacity float64, started, at time.Duration) float64 {
+	if started < 0 || at-started >= r.Ramp || r.Ramp <= 0 {
+		return capacity
 	}
-	share := j.rules.ColdFrom + (1-j.rules.ColdFrom)*float64(max(0, at-s.started))/float64(j.rules.Ramp)
-	return s.capacity * share
+	return capacity * (r.ColdFrom + (1-r.ColdFrom)*float64(max(0, at-started))/float64(r.Ramp))
 }
 
 // Ended says that an attempt ended at its server, and how.
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,265 @@
+package lab
+
+import (
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+var testRules = Rules{MaxAttempts: 4, ReleaseGap: 200 * time.Millisecond, DrainGrace: 250 * time.Millisecond,
+	TipMultiple: 2.5, TipWindow: time.Second, ColdFrom: 0.3, Ramp: 14 * time.Second, Slack: 50 * time.Millisecond, ColdSlack: 3}
+
+const ms = time.Millisecond
+
+func rules(j *Judge) []string {
+	var out []string
+	for _, b := range j.Breaches() {
+		out = append(out, b.Rule)
+	}
+	return out
+}
+
+// Each invariant is seen broken by a story that breaks it, and held by its twin that doesn't.
+func TestJudgeCatchesEachRule(t *testing.T) {
+	for _, c := range []struct {
+		name, want string
+		story      func(j *Judge)
+	}{
+		{"two answers", "two final answers", func(j *Judge) {
+			j.SetUp(0, 1, 1500*ms)
+			j.Final(10*ms, 1, true)
+			j.Final(20*ms, 1, false)
+		}},
+		{"none before give-up", "no final answer before give-up", func(j *Judge) {
+			j.SetUp(0, 1, 1500*ms)
+			j.Unanswered(1500*ms, 1, false)
+		}},
+		{"none at the end", "no final answer before give-up", func(j *Judge) {
+			j.SetUp(0, 1, 1500*ms)
+			j.Close(2 * time.Second)
+		}},
+		{"lost with its connection", "set-up lost", func(j *Judge) {
+			j.SetUp(0, 1, 1500*ms)
+			j.Unanswered(100*ms, 1, false)
+		}},
+		{"two out", "two attempts out", func(j *Judge) {
+			j.Attempt(0, "a", 1)
+			j.Attempt(5*ms, "b", 1)
+		}},
+		{"five attempts", "too many attempts", func(j *Judge) {
+			for i := range 5 {
+				at := time.Duration(i) * 10 * ms
+				j.Attempt(at, "a", 1)
+				j.Ended(at+ms, "a", 1, Refused)
+			}
+		}},
+		{"again too soon", "release gap", func(j *Judge) {
+			j.Attempt(0, "a", 1)
+			j.Ended(10*ms, "a", 1, Reset)
+			j.Attempt(100*ms, "b", 1)
+		}},
+		{"to a drained server", "new attempt at a retired server", func(j *Judge) {
+			j.Retire("a", 0)
+			j.Attempt(400*ms, "a", 1)
+		}},
+		{"a cold server flooded", "cold server pushed over", func(j *Judge) {
+			j.Server("c", 100, 0) // 30 a second at first: a budget of 75 in a second
+			for i := range 90 {
+				j.Attempt(time.Duration(i)*10*ms, "c", uint64(i+10))
+			}
+		}},
+	} {
+		j := NewJudge(testRules)
+		j.Server("a", 100, -1)
+		j.Server("b", 100, -1)
+		c.story(j)
+		if got := rules(j); len(got) != 1 || got[0] != c.want {
+			t.Errorf("%s: broken %v, want %q", c.name, got, c.want)
+		}
+	}
+}
+
+func TestJudgeHoldsTheLawful(t *testing.T) {
+	j := NewJudge(testRules)
+	j.Server("a", 100, -1)
+	j.Server("c", 100, 0)
+	j.SetUp(0, 1, 1500*ms)
+	j.Attempt(0, "a", 1)
+	j.Ended(10*ms, "a", 1, Reset)
+	j.Attempt(260*ms, "a", 1) // after the gap
+	j.Ended(270*ms, "a", 1, Answered)
+	j.Final(271*ms, 1, true)
+	j.SetUp(0, 2, 1500*ms)
+	j.Unanswered(300*ms, 2, true) // excused: a fault of the lab's stood in its way
+	j.Retire("a", 300*ms)
+	j.Attempt(590*ms, "a", 3) // within the grace and its slack
+	for i := range 70 {       // within the cold budget, with the slack for chance
+		j.Attempt(time.Duration(i)*10*ms, "c", uint64(i+10))
+	}
+	j.Close(3 * time.Second)
+	if got := rules(j); len(got) > 0 {
+		t.Fatalf("broken %v", got)
+	}
+	if s := j.Seconds()[0]; s.Offered != 2 || s.Served != 1 || s.Excused != 1 || s.Arrivals["c"] != 70 {
+		t.Fatalf("second 0: %+v", s)
+	}
+}
+
+// Where the lab lagged, a lateness is its own, not the fleet's.
+func TestJudgeBlindWhereTheLabLagged(t *testing.T) {
+	j := NewJudge(testRules)
+	j.SetUp(0, 1, 1500*ms)
+	j.Blind(1400*ms, 1600*ms)
+	j.Unanswered(1500*ms, 1, false)
+	if got := rules(j); len(got) > 0 {
+		t.Fatalf("broken %v", got)
+	}
+}
+
+func TestWeather(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	w := Weather{Groups: map[int]int{0: 0, 1: 0, 2: 1}, OneWay: true}
+	if !w.Decide(0, 2, r).Drop || w.Decide(2, 0, r).Drop || w.Decide(0, 1, r).Drop {
+		t.Fatal("a one-way cut drops only from the first group to the others")
+	}
+	w.OneWay = false
+	if !w.Decide(2, 0, r).Drop {
+		t.Fatal("a cut both ways drops back too")
+	}
+	w = Weather{Loss: 0.3, Duplicate: 0.5, Reorder: 10 * ms}
+	lost, doubled := 0, 0
+	for range 10000 {
+		f := w.Decide(0, 1, r)
+		if f.Drop {
+			lost++
+		} else if len(f.Delays) == 2 {
+			doubled++
+		}
+	}
+	if lost < 2800 || lost > 3200 || doubled < 3300 || doubled > 3700 {
+		t.Fatalf("lost %d, doubled %d of 10000", lost, doubled)
+	}
+}
+
+func TestScenarioChecks(t *testing.T) {
+	dir := t.TempDir()
+	for _, c := range []struct{ text, field string }{
+		{"name = \"x\"\nduration = \"5s\"\nsoftswitches = 2\n[[server]]\nname = \"s\"\ncapacity = 10\n[[load]]\nrate = 1\n" +
+			"[[fault]]\nkind = \"kill\"\ntarget = [\"n3\"]\n", "fault[0].target"},
+		{"name = \"x\"\nduration = \"5s\"\nsoftswitches = 2\nwho = 1\n", "who"},
+		{"name = \"x\"\nduration = \"5s\"\nsoftswitches = 99\n", "softswitches"},
+		{"name = \"x\"\nduration = \"5s\"\nsoftswitches = 2\n[[server]]\nname = \"s\"\ncapacity = 10\n[[load]]\nrate = 1\n" +
+			"[[fault]]\nkind = \"flood\"\n", "fault[0].kind"},
+	} {
+		path := filepath.Join(dir, "s.toml")
+		os.WriteFile(path, []byte(c.text), 0o600)
+		_, err := ReadScenario(path)
+		if err == nil || !strings.HasPrefix(err.Error(), c.field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v, want one line naming %s", c.text, err, c.field)
+		}
+	}
+	for _, name := range []string{"calm", "kill-and-return", "pause-beyond-give-up", "partition-3-2", "one-way", "loss-30", "fleet-restart"} {
+		if _, err := ReadScenario(filepath.Join("..", "..", "lab", "scenarios", name+".toml")); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// program builds the softswitch once for the stories that start processes of it.
+func program(t *testing.T) string {
+	t.Helper()
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	bin := filepath.Join(t.TempDir(), "elmseam")
+	if out, err := exec.Command("go", "build", "-o", bin, "elmseam/cmd/elmseam").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return bin
+}
+
+func short(name string, faults ...Fault) *Scenario {
+	return &Scenario{Name: name, Duration: Duration{4 * time.Second}, Seed: 1, Softswitches: 3, Peers: true,
+		GiveUp:  Duration{time.Second},
+		Servers: []Server{{Name: "s1", Capacity: 400}, {Name: "s2", Capacity: 400}},
+		Load:    []Step{{Rate: 120}}, Faults: faults}
+}
+
+// A fleet that the lab kills, pauses and cuts apart keeps every rule; the lab accounts for what the faults cost,
+// agrees with the doors, and leaves no process behind.
+func TestFleetUnderFaults(t *testing.T) {
+	bin := program(t)
+	s := short("faults",
+		Fault{At: Duration{time.Second}, Kind: "kill", Target: []string{"n2"}, For: Duration{time.Second}},
+		Fault{At: Duration{time.Second}, Kind: "partition", Groups: [][]string{{"n1"}, {"n2", "n3"}}, For: Duration{2 * time.Second}},
+		Fault{At: Duration{1500 * ms}, Kind: "pause", Target: []string{"n3"}, For: Duration{1500 * ms}},
+		Fault{At: Duration{2 * time.Second}, Kind: "reset", Target: []string{"n1"}, Server: "s1"})
+	if err := s.Check(); err != nil {
+		t.Fatal(err)
+	}
+	out := t.TempDir()
+	res, err := Run(s, Options{Binary: bin, Out: out})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !res.Held || res.Served < res.Offered/2 || res.Starts["n2"] != 2 {
+		t.Fatalf("held %v, breaches %+v; served %d of %d; starts %v", res.Held, res.Breaches, res.Served, res.Offered, res.Starts)
+	}
+	if err := res.WriteTable(filepath.Join(out, "seconds.csv")); err != nil {
+		t.Fatal(err)
+	}
+	noneLeft(t, out)
+}
+
+// noneLeft fails where a softswitch that the lab started is still there.
+func noneLeft(t *testing.T, out string) {
+	t.Helper()
+	entries, _ := os.ReadDir("/proc")
+	for _, e := range entries {
+		env, err := os.ReadFile(filepath.Join("/proc", e.Name(), "environ"))
+		if pid, _ := strconv.Atoi(e.Name()); err == nil && strings.Contains(string(env), "ROUTER_CONFIG="+out) {
+			syscall.Kill(pid, syscall.SIGKILL)
+			t.Errorf("process %d outlived the lab", pid)
+		}
+	}
+}
+
+// The judge catches a fleet that its world misled: drains that the channel kept back, and servers weaker and colder
+// than the channel said. Both are the lab's faults on purpose; what is seen is that the judge sees them.
+func TestFleetMisled(t *testing.T) {
+	bin := program(t)
+	for _, c := range []struct {
+		how, want string
+		s         *Scenario
+	}{
+		{"unheard drains", "new attempt at a retired server",
+			short("unheard", Fault{At: Duration{time.Second}, Kind: "drain", Server: "s1"}, Fault{At: Duration{time.Second}, Kind: "drain", Server: "s2"})},
+		{"weak cold servers", "cold server pushed over", func() *Scenario {
+			s := short("untold")
+			s.Servers = []Server{{Name: "s1", Capacity: 100, Start: Duration{time.Second}}}
+			s.Load = []Step{{Rate: 300}}
+			return s
+		}()},
+	} {
+		if err := c.s.Check(); err != nil {
+			t.Fatal(err)
+		}
+		res, err := Run(c.s, Options{Binary: bin, Out: t.TempDir(), Break: c.how})
+		if err != nil {
+			t.Fatal(err)
+		}
+		found := false
+		for _, b := range res.Breaches {
+			found = found || b.Rule == c.want
+		}
+		if res.Held || !found {
+			t.Errorf("%s: breaches %+v, want %q; seconds %+v", c.how, res.Breaches, c.want, res.seconds)
+		}
+	}
+}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -30,6 +30,11 @@
 	Binary string // the softswitch program
 	Out    string // folder for the table, the verdict and each softswitch's configuration and log
 	Log    zerolog.Logger
+
+	// Break makes the lab's own world lie, so that tests see the judge catch a fleet that was misled: "unheard
+	// drains" tells the judge of a drain that the channel keeps back; "weak cold servers" holds a server to a tenth of
+	// its capacity, cold from the beginning, at the judge, while the channel lists it warm and it serves at all of it.
+	Break string
 }
 
 // Result is what a run saw.
@@ -124,10 +129,14 @@
 	r.mu.Unlock()
 }
 
+// capacity is what a stand-in can do now: cold from its start, warm after the ramp.
 func (r *runner) capacity(server string) float64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.judge.Capacity(server, r.now())
+	v := r.servers[server]
+	started := time.Duration(-1)
+	if v.Start.Duration > 0 {
+		started = v.Start.Duration
+	}
+	return r.judge.rules.Warmth(v.Capacity, started, r.now())
 }
 
 func (r *runner) sent(id uint64, to int, giveUp time.Duration) {
@@ -197,7 +206,11 @@
 		if v.Start.Duration > 0 {
 			start = v.Start.Duration
 		}
-		r.judge.Server(v.Name, v.Capacity, start)
+		judged := v.Capacity
+		if r.o.Break == "weak cold servers" {
+			start, judged = 0, v.Capacity/10
+		}
+		r.judge.Server(v.Name, judged, start)
 		si, err := newStandIn(v, r, hosts[1])
 		if err != nil {
 			return err
@@ -211,7 +224,7 @@
 	}
 	var first []listChange
 	for _, v := range r.s.Servers {
-		if v.Start.Duration == 0 {
+		if v.Start.Duration == 0 || r.o.Break == "weak cold servers" {
 			first = append(first, listChange{name: v.Name, status: "in_service"})
 		}
 	}
@@ -418,7 +431,7 @@
 		plan = append(plan, event{f.At.Duration, func() { r.inject(f, stop, &later) }})
 	}
 	for _, v := range r.s.Servers {
-		if v.Start.Duration > 0 {
+		if v.Start.Duration > 0 && r.o.Break != "weak cold servers" {
 			plan = append(plan, event{v.Start.Duration, func() {
 				r.channel.tell(false, listChange{name: v.Name, status: "in_service", since: time.Now().UnixMilli()})
 			}})
@@ -539,7 +552,9 @@
 		r.mu.Lock()
 		r.judge.Retire(f.Server, r.now())
 		r.mu.Unlock()
-		r.channel.tell(false, listChange{name: f.Server, status: status})
+		if r.o.Break != "unheard drains" {
+			r.channel.tell(false, listChange{name: f.Server, status: status})
+		}
 		if f.Kind == "gone" {
 			r.servers[f.Server].cut(nil, true)
 		}
