--- a/cmd/elmseamctl/lab.go
+++ b/cmd/elmseamctl/lab.go
@@ -49,7 +49,8 @@
 			}
 			text, _ := json.MarshalIndent(res, "", "  ")
 			if err := errors.Join(os.WriteFile(filepath.Join(out, "verdict.json"), text, 0o644),
-				res.WriteTable(filepath.Join(out, "seconds.csv"))); err != nil {
+				res.WriteTable(filepath.Join(out, "seconds.csv")),
+				res.WritePlots(filepath.Join(out, "load.png"), filepath.Join(out, "answers.png"))); err != nil {
 				fmt.Fprintln(os.Stderr, "elmseamctl:", err)
 				return outcome(labFailed)
 			}
--- a/internal/lab/judge.go
+++ b/internal/lab/judge.go
@@ -241,7 +241,10 @@
 // another: it grows in a straight line from cold-from of its capacity to all of it after the ramp. The lab's
 // stand-ins warm up that way; WIRE leaves the way open.
 func (r Rules) Warmth(capacity float64, started, at time.Duration) float64 {
-	if started < 0 || at-started >= r.Ramp || r.Ramp <= 0 {
+	switch {
+	case started >= 0 && at < started:
+		return 0 // not there yet
+	case started < 0 || at-started >= r.Ramp || r.Ramp <= 0:
 		return capacity
 	}
 	return capacity * (r.ColdFrom + (1-r.ColdFrom)*float64(max(0, at-started))/float64(r.Ramp))
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -53,8 +53,11 @@
 	DoorServed int64          `json:"door_served"` // the softswitches' own count, all lives
 	Datagrams  map[string]int `json:"datagrams"`
 	Starts     map[string]int `json:"starts"`
+	Marks      []Mark         `json:"faults"`
 	seconds    []Second
 	servers    []string
+	ready      [][]bool    // by second, by softswitch: ready at the second's last sample
+	capacity   [][]float64 // by second, by server: what it could do
 }
 
 // rulesOf reads the rules' figures from the settings.
@@ -108,6 +111,8 @@
 	setting json.RawMessage
 	setups  map[uint64]int // set-up → softswitch
 	unsent  int
+	marks   []Mark
+	ready   [][]bool
 	lagMax  time.Duration
 	blinds  int
 	rand    *rand.Rand
@@ -129,14 +134,14 @@
 	r.mu.Unlock()
 }
 
-// capacity is what a stand-in can do now: cold from its start, warm after the ramp.
-func (r *runner) capacity(server string) float64 {
+// capacity is what a stand-in can do at a moment: cold from its start, warm after the ramp.
+func (r *runner) capacity(server string, at time.Duration) float64 {
 	v := r.servers[server]
 	started := time.Duration(-1)
 	if v.Start.Duration > 0 {
 		started = v.Start.Duration
 	}
-	return r.judge.rules.Warmth(v.Capacity, started, r.now())
+	return r.judge.rules.Warmth(v.Capacity, started, at)
 }
 
 func (r *runner) sent(id uint64, to int, giveUp time.Duration) {
@@ -407,6 +412,15 @@
 			go func() { defer wg.Done(); m.sample() }()
 		}
 		wg.Wait()
+		second := int(r.now() / time.Second)
+		r.mu.Lock()
+		for len(r.ready) <= second {
+			r.ready = append(r.ready, make([]bool, len(r.members)))
+		}
+		for i, m := range r.members {
+			r.ready[second][i] = m.isReady()
+		}
+		r.mu.Unlock()
 	}
 }
 
@@ -470,6 +484,9 @@
 			undo()
 		}()
 	}
+	r.mu.Lock()
+	r.marks = append(r.marks, Mark{At: r.now().Seconds(), Kind: f.Kind, What: fmt.Sprint(f.Target, f.Groups, f.Server)})
+	r.mu.Unlock()
 	r.o.Log.Info().Str("kind", f.Kind).Strs("target", f.Target).Str("server", f.Server).Dur("at", r.now()).Msg("fault")
 	places := map[int]bool{}
 	for _, m := range r.targets(f.Target) {
@@ -592,7 +609,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	res := &Result{Scenario: r.s.Name, Breaches: r.judge.Breaches(), Unsent: r.unsent, LagMax: r.lagMax, BlindSpans: r.blinds,
-		seconds: r.judge.Seconds(), servers: r.order, Starts: map[string]int{}}
+		seconds: r.judge.Seconds(), servers: r.order, Starts: map[string]int{}, Marks: r.marks,
+		ready: r.ready}
+	for i := range res.seconds {
+		var row []float64
+		for _, name := range r.order {
+			row = append(row, r.capacity(name, time.Duration(i)*time.Second))
+		}
+		res.capacity = append(res.capacity, row)
+	}
 	for _, s := range res.seconds {
 		res.Offered += s.Offered
 		res.Served += s.Served
@@ -631,18 +656,29 @@
 }
 
 // WriteTable writes the per-second table as CSV: offered, served, refused, lost, excused, whether the lab lagged,
-// and for each server the attempts that reached it against its capacity.
+// for each server the attempts that reached it and its capacity, and for each softswitch whether it was ready.
 func (res *Result) WriteTable(path string) error {
 	var b strings.Builder
 	b.WriteString("second,offered,served,refused,lost,excused,blind")
 	for _, s := range res.servers {
-		fmt.Fprintf(&b, ",load:%s", s)
+		fmt.Fprintf(&b, ",load:%s,capacity:%s", s, s)
+	}
+	n := 0
+	if len(res.ready) > 0 {
+		n = len(res.ready[0])
+	}
+	for i := range n {
+		fmt.Fprintf(&b, ",ready:%s", Name(i))
 	}
 	b.WriteString("\n")
 	for i, s := range res.seconds {
 		fmt.Fprintf(&b, "%d,%d,%d,%d,%d,%d,%t", i, s.Offered, s.Served, s.Refused, s.Lost, s.Excused, s.Blind)
-		for _, name := range res.servers {
-			fmt.Fprintf(&b, ",%d", s.Arrivals[name])
+		for k, name := range res.servers {
+			fmt.Fprintf(&b, ",%d,%.0f", s.Arrivals[name], res.capacity[i][k])
+		}
+		for k := range n {
+			ready := i < len(res.ready) && res.ready[i][k]
+			fmt.Fprintf(&b, ",%d", map[bool]int{true: 1}[ready])
 		}
 		b.WriteString("\n")
 	}
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -15,7 +15,7 @@
 	now() time.Duration
 	attempt(server string, id uint64)
 	ended(server string, id uint64, how Ending)
-	capacity(server string) float64
+	capacity(server string, at time.Duration) float64
 }
 
 // standIn is an activation server as PROTOCOL describes it, with a listener for each softswitch, so that it knows
@@ -155,7 +155,7 @@
 		v.mu.Unlock()
 		return
 	}
-	work := time.Duration(float64(time.Second) * v.slow / max(v.obs.capacity(v.Name), 1e-3))
+	work := time.Duration(float64(time.Second) * v.slow / max(v.obs.capacity(v.Name, now), 1e-3))
 	start := max(now, v.busyUntil)
 	full := v.standing >= v.Lines
 	swamped := start-now > v.Queue.Duration
