Lab: stop cleanly when interrupted, and give a softswitch new ports where its own were taken

A port picked for a softswitch and taken by another program before it listened there ended it at its start; it now gets new ones, at most three times, tested by handing n1 a port that the test holds.

--- a/cmd/elmseamctl/lab.go
+++ b/cmd/elmseamctl/lab.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
@@ -38,7 +40,16 @@
 				out = filepath.Join(os.TempDir(), "elmseam-lab-"+s.Name)
 			}
 			log := zerolog.New(os.Stderr).With().Timestamp().Str("scenario", s.Name).Logger()
-			res, err := lab.Run(s, lab.Options{Binary: binary, Out: out, Log: log})
+			interrupted := make(chan os.Signal, 1)
+			signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+			defer signal.Stop(interrupted)
+			stop := make(chan struct{})
+			go func() {
+				if _, ok := <-interrupted; ok {
+					close(stop)
+				}
+			}()
+			res, err := lab.Run(s, lab.Options{Binary: binary, Out: out, Log: log, Stop: stop})
 			if errors.Is(err, lab.ErrLab) {
 				fmt.Fprintln(os.Stderr, "elmseamctl:", err)
 				return outcome(labFailed)
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -192,7 +193,7 @@
 }
 
 // A fleet that the lab kills, pauses and cuts apart keeps every rule; the lab accounts for what the faults cost,
-// agrees with the doors, and leaves no process behind.
+// agrees with the doors, gets past a port taken under it, and leaves no process behind.
 func TestFleetUnderFaults(t *testing.T) {
 	bin := program(t)
 	s := short("faults",
@@ -204,11 +205,30 @@
 		t.Fatal(err)
 	}
 	out := t.TempDir()
-	res, err := Run(s, Options{Binary: bin, Out: out})
+	rules, err := rulesOf([]byte(Settings))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !res.Held || res.Served < res.Offered/2 || res.Starts["n2"] != 2 {
+	r := newRunner(s, Options{Binary: bin, Out: out}, rules, Settings)
+	// The first port handed to n1 is taken by another program before n1 listens there: it gets new ones.
+	taken, err := net.Listen("tcp", "127.0.1.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	first := true
+	r.pick = func(network, host string) (string, error) {
+		if first && network == "tcp" {
+			first = false
+			return taken.Addr().String(), nil
+		}
+		return freePort(network, host)
+	}
+	res, err := r.run()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !res.Held || res.Served < res.Offered/2 || res.Starts["n2"] != 2 || res.Starts["n1"] != 2 {
 		t.Fatalf("held %v, breaches %+v; served %d of %d; starts %v", res.Held, res.Breaches, res.Served, res.Offered, res.Starts)
 	}
 	if err := res.WriteTable(filepath.Join(out, "seconds.csv")); err != nil {
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -35,6 +35,10 @@
 	// drains" tells the judge of a drain that the channel keeps back; "weak cold servers" holds a server to a tenth of
 	// its capacity, cold from the beginning, at the judge, while the channel lists it warm and it serves at all of it.
 	Break string
+
+	// Stop, where it is closed, ends the run early: every process and socket of the lab is closed all the same,
+	// and Run returns ErrLab.
+	Stop <-chan struct{}
 }
 
 // Result is what a run saw.
@@ -116,6 +120,7 @@
 	lagMax  time.Duration
 	blinds  int
 	rand    *rand.Rand
+	pick    func(network, host string) (string, error) // a free port; freePort but in tests
 	conns   [][]*callerConn
 	connMu  sync.Mutex
 }
@@ -185,11 +190,18 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := os.MkdirAll(o.Out, 0o755); err != nil {
+	return newRunner(s, o, rules, settings).run()
+}
+
+func newRunner(s *Scenario, o Options, rules Rules, settings string) *runner {
+	return &runner{s: s, o: o, judge: NewJudge(rules), servers: make(map[string]*standIn), setting: json.RawMessage(settings),
+		setups: make(map[uint64]int), pick: freePort, rand: rand.New(rand.NewPCG(s.Seed, 0x63616c6c))}
+}
+
+func (r *runner) run() (*Result, error) {
+	if err := os.MkdirAll(r.o.Out, 0o755); err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrLab, err)
 	}
-	r := &runner{s: s, o: o, judge: NewJudge(rules), servers: make(map[string]*standIn), setting: json.RawMessage(settings),
-		setups: make(map[uint64]int), rand: rand.New(rand.NewPCG(s.Seed, 0x63616c6c))}
 	r.begin = time.Now()
 	defer r.teardown()
 	if err := r.build(); err != nil {
@@ -249,7 +261,7 @@
 			to      *string
 			network string
 		}{{&m.listen, "tcp"}, {&m.mgmt, "tcp"}, {&m.peer, "udp"}} {
-			if *p.to, err = freePort(p.network, hosts[0][i]); err != nil {
+			if *p.to, err = r.pick(p.network, hosts[0][i]); err != nil {
 				return err
 			}
 		}
@@ -271,7 +283,33 @@
 			return err
 		}
 	}
-	return r.waitReady(r.members)
+	// A port that another program took since it was picked ends a softswitch at its start: it gets new ones,
+	// at most three times, before it is known to any peer or caller.
+	for try := 0; ; try++ {
+		err := r.waitReady(r.members)
+		var ended *endedAtStart
+		if !errors.As(err, &ended) || try == 3 {
+			return err
+		}
+		m := ended.m
+		if m.listen, err = r.pick("tcp", hosts[0][m.place]); err != nil {
+			return err
+		}
+		if m.mgmt, err = r.pick("tcp", hosts[0][m.place]); err != nil {
+			return err
+		}
+		r.o.Log.Warn().Str("softswitch", m.name).Msg("ended at its start; new ports")
+		if err := r.launch(m); err != nil {
+			return err
+		}
+	}
+}
+
+// endedAtStart is a softswitch whose process ended before it was ready.
+type endedAtStart struct{ m *member }
+
+func (e *endedAtStart) Error() string {
+	return fmt.Sprintf("%s ended at its start; its log is %s", e.m.name, filepath.Join(e.m.dir, "log.jsonl"))
 }
 
 // launch starts a member with a configuration of now.
@@ -290,7 +328,7 @@
 	for _, m := range ms {
 		for m.sample(); !m.isReady(); m.sample() {
 			if !m.running() {
-				return fmt.Errorf("%s ended at its start; its log is %s", m.name, filepath.Join(m.dir, "log.jsonl"))
+				return &endedAtStart{m}
 			}
 			if time.Now().After(deadline) {
 				return fmt.Errorf("%s not ready within %v", m.name, r.s.Start)
@@ -313,9 +351,17 @@
 	go func() { defer wg.Done(); r.sampler(stop) }()
 	go func() { defer wg.Done(); r.faults(stop) }()
 	r.load()
-	time.Sleep(r.s.Quiet.Duration + r.s.GiveUp.Duration)
+	select {
+	case <-time.After(r.s.Quiet.Duration + r.s.GiveUp.Duration):
+	case <-r.o.Stop:
+	}
 	close(stop)
 	wg.Wait()
+	select {
+	case <-r.o.Stop:
+		return errors.New("stopped from outside")
+	default:
+	}
 	for _, m := range r.members {
 		m.sample()
 	}
@@ -332,6 +378,11 @@
 	owed, turn, class := 0.0, 0, 0
 	next := time.Duration(0)
 	for next < r.s.Duration.Duration {
+		select {
+		case <-r.o.Stop:
+			return
+		default:
+		}
 		now := r.now()
 		if lag := now - next; lag > r.s.Lag.Duration {
 			r.mu.Lock()
