--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -283,3 +284,42 @@
 		}
 	}
 }
+
+// The plan overlaps the network's faults: the weather at each moment is all of them that stand then.
+func TestPlanOverlapsTheWeather(t *testing.T) {
+	s := short("plan",
+		Fault{At: Duration{time.Second}, Kind: "loss", Share: 0.5, For: Duration{2 * time.Second}},
+		Fault{At: Duration{2 * time.Second}, Kind: "loss", Share: 0.5, For: Duration{2 * time.Second}},
+		Fault{At: Duration{2 * time.Second}, Kind: "partition", Groups: [][]string{{"n1"}, {"n2", "n3"}}, OneWay: true},
+		Fault{At: Duration{time.Second}, Kind: "kill", Target: []string{"n2"}, For: Duration{500 * ms}},
+		Fault{At: Duration{time.Second}, Kind: "restart"})
+	s.Servers = append(s.Servers, Server{Name: "late", Capacity: 10, Start: Duration{3 * time.Second}})
+	if err := s.Check(); err != nil {
+		t.Fatal(err)
+	}
+	var weather []string
+	var acts []Act
+	for _, a := range Plan(s, true) {
+		acts = append(acts, a.Act)
+		if a.Act == ActWeather {
+			weather = append(weather, fmt.Sprintf("%v loss %.2f cut %v", a.At, a.Weather.Loss, a.Weather.Groups))
+		}
+		if a.Act == ActKill && a.Fault == 4 && len(a.Places) != 3 {
+			t.Errorf("a restart kills %v, want every softswitch", a.Places)
+		}
+	}
+	want := []string{"1s loss 0.50 cut map[]", "2s loss 0.75 cut map[0:0 1:1 2:1]", "3s loss 0.50 cut map[0:0 1:1 2:1]",
+		"4s loss 0.00 cut map[0:0 1:1 2:1]"}
+	if fmt.Sprint(weather) != fmt.Sprint(want) {
+		t.Errorf("weather %q, want %q", weather, want)
+	}
+	wantActs := []Act{ActWeather, ActKill, ActKill, ActLaunch, ActWeather, ActTell, ActWeather, ActWeather}
+	if fmt.Sprint(acts) != fmt.Sprint(wantActs) {
+		t.Errorf("acts %v, want %v", acts, wantActs)
+	}
+	for _, a := range Plan(s, false) {
+		if a.Act == ActTell {
+			t.Error("a late start told where the lab keeps it back")
+		}
+	}
+}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -8,7 +8,6 @@
 	"net"
 	"os"
 	"path/filepath"
-	"sort"
 	"strings"
 	"sync"
 	"syscall"
@@ -481,94 +480,59 @@
 	}
 }
 
-// faults plays the schedule.
+// faults plays the plan. What waits for softswitches to be ready runs beside it, so that no step is late for it.
 func (r *runner) faults(stop chan struct{}) {
 	var later sync.WaitGroup
 	defer later.Wait()
-	wait := func(d time.Duration) bool {
+	for _, a := range Plan(r.s, r.o.Break != "weak cold servers") {
 		select {
 		case <-stop:
-			return false
-		case <-time.After(d):
-			return true
-		}
-	}
-	type event struct {
-		at time.Duration
-		do func()
-	}
-	var plan []event
-	for _, f := range r.s.Faults {
-		plan = append(plan, event{f.At.Duration, func() { r.inject(f, stop, &later) }})
-	}
-	for _, v := range r.s.Servers {
-		if v.Start.Duration > 0 && r.o.Break != "weak cold servers" {
-			plan = append(plan, event{v.Start.Duration, func() {
-				r.channel.tell(false, listChange{name: v.Name, status: "in_service", since: time.Now().UnixMilli()})
-			}})
-		}
-	}
-	sort.SliceStable(plan, func(i, j int) bool { return plan[i].at < plan[j].at })
-	for _, e := range plan {
-		if !wait(e.at - r.now()) {
 			return
+		case <-time.After(a.At - r.now()):
 		}
-		e.do()
+		r.act(a, &later)
 	}
 }
 
-func (r *runner) targets(names []string) []*member {
+func (r *runner) at(places []int) []*member {
 	var out []*member
-	for _, n := range names {
-		out = append(out, r.members[r.s.names[n]])
+	for _, p := range places {
+		out = append(out, r.members[p])
 	}
 	return out
 }
 
-// inject makes one fault, and undoes it after its time where it has one.
-func (r *runner) inject(f Fault, stop chan struct{}, later *sync.WaitGroup) {
-	after := func(d time.Duration, undo func()) {
-		if d <= 0 {
-			return
-		}
+// act does one step of the plan.
+func (r *runner) act(a Action, later *sync.WaitGroup) {
+	now := r.now()
+	if a.Fault >= 0 {
+		f := r.s.Faults[a.Fault]
+		r.mu.Lock()
+		r.marks = append(r.marks, Mark{At: now.Seconds(), Kind: f.Kind, What: fmt.Sprint(f.Target, f.Groups, f.Server)})
+		r.mu.Unlock()
+	}
+	r.o.Log.Info().Int("act", int(a.Act)).Ints("places", a.Places).Str("server", a.Server).Dur("at", now).Msg("step")
+	ms := r.at(a.Places)
+	beside := func(do func()) {
 		later.Add(1)
-		go func() {
-			defer later.Done()
-			select {
-			case <-stop:
-			case <-time.After(d):
-			}
-			undo()
-		}()
+		go func() { defer later.Done(); do() }()
 	}
-	r.mu.Lock()
-	r.marks = append(r.marks, Mark{At: r.now().Seconds(), Kind: f.Kind, What: fmt.Sprint(f.Target, f.Groups, f.Server)})
-	r.mu.Unlock()
-	r.o.Log.Info().Str("kind", f.Kind).Strs("target", f.Target).Str("server", f.Server).Dur("at", r.now()).Msg("fault")
-	places := map[int]bool{}
-	for _, m := range r.targets(f.Target) {
-		places[m.place] = true
-	}
-	switch f.Kind {
-	case "kill", "term", "restart":
-		ms := r.targets(f.Target)
+	switch a.Act {
+	case ActKill:
 		sig := syscall.SIGKILL
-		if f.Kind == "term" {
+		if a.Term {
 			sig = syscall.SIGTERM
 		}
-		if f.Kind == "restart" {
-			ms = r.members
-		}
 		for _, m := range ms {
-			m.trouble(r.now(), true)
-			go m.stop(sig, 5*time.Second)
+			m.trouble(now, true)
+			beside(func() { m.stop(sig, 5*time.Second) })
 		}
-		after(f.For.Duration, func() {
+	case ActLaunch:
+		beside(func() {
 			for _, m := range ms {
 				m.stop(syscall.SIGKILL, time.Second)
 				if err := r.launch(m); err != nil {
 					r.o.Log.Error().Err(err).Str("softswitch", m.name).Msg("restart")
-					continue
 				}
 			}
 			r.waitReady(ms)
@@ -576,61 +540,48 @@
 				m.trouble(r.now(), false)
 			}
 		})
-	case "pause":
-		for _, m := range r.targets(f.Target) {
-			m.trouble(r.now(), true)
+	case ActPause:
+		for _, m := range ms {
+			m.trouble(now, true)
 			m.signal(syscall.SIGSTOP)
-			after(f.For.Duration, func() {
-				m.signal(syscall.SIGCONT)
-				r.waitReady([]*member{m})
+		}
+	case ActResume:
+		for _, m := range ms {
+			m.signal(syscall.SIGCONT)
+		}
+		beside(func() {
+			r.waitReady(ms)
+			for _, m := range ms {
 				m.trouble(r.now(), false)
-			})
-		}
-	case "partition", "loss", "duplicate", "delay", "reorder":
-		w := Weather{}
-		switch f.Kind {
-		case "partition":
-			w.Groups, w.OneWay = map[int]int{}, f.OneWay
-			for g, names := range f.Groups {
-				for _, n := range names {
-					w.Groups[r.s.names[n]] = g
-				}
 			}
-		case "loss":
-			w.Loss = f.Share
-		case "duplicate":
-			w.Duplicate = f.Share
-		case "delay":
-			w.Delay = f.By.Duration
-		case "reorder":
-			w.Reorder = f.By.Duration
-		}
-		r.relay.Set(w)
-		after(f.For.Duration, func() { r.relay.Set(Weather{}) })
-	case "reset":
-		r.servers[f.Server].cut(places, false)
-	case "stall":
-		v := r.servers[f.Server]
-		var from []int
-		for p := range places {
-			from = append(from, p)
-		}
-		v.stall(from, true)
-		after(f.For.Duration, func() { v.stall(from, false) })
-	case "slow":
-		v := r.servers[f.Server]
-		v.slowBy(f.Factor)
-		after(f.For.Duration, func() { v.slowBy(1) })
-	case "drain", "gone":
-		status := map[string]string{"drain": "terminating", "gone": "terminated"}[f.Kind]
-		r.mu.Lock()
-		r.judge.Retire(f.Server, r.now())
-		r.mu.Unlock()
-		if r.o.Break != "unheard drains" {
-			r.channel.tell(false, listChange{name: f.Server, status: status})
+		})
+	case ActWeather:
+		r.relay.Set(a.Weather)
+	case ActReset:
+		places := map[int]bool{}
+		for _, p := range a.Places {
+			places[p] = true
+		}
+		r.servers[a.Server].cut(places, false)
+	case ActStall:
+		r.servers[a.Server].stall(a.Places, a.Stall)
+	case ActSlow:
+		r.servers[a.Server].slowBy(a.Factor)
+	case ActTell:
+		if a.Retire {
+			r.mu.Lock()
+			r.judge.Retire(a.Server, now)
+			r.mu.Unlock()
+		}
+		if !a.Retire || r.o.Break != "unheard drains" {
+			var since int64
+			if a.Status == "in_service" {
+				since = time.Now().UnixMilli()
+			}
+			r.channel.tell(false, listChange{name: a.Server, status: a.Status, since: since})
 		}
-		if f.Kind == "gone" {
-			r.servers[f.Server].cut(nil, true)
+		if a.Status == "terminated" {
+			r.servers[a.Server].cut(nil, true)
 		}
 	}
 }
