--- a/internal/lab/channel.go
+++ b/internal/lab/channel.go
@@ -35,13 +35,9 @@
 
 func newChannel(hosts []string, address func(string, int) string) (*channel, error) {
 	ch := &channel{wake: make(chan struct{}), address: address, done: make(chan struct{})}
-	for _, h := range hosts {
-		l, err := net.Listen("tcp", net.JoinHostPort(h, "0"))
-		if err != nil {
-			ch.close()
-			return nil, err
-		}
-		ch.listeners = append(ch.listeners, l)
+	var err error
+	if ch.listeners, err = listenEach(hosts); err != nil {
+		return nil, err
 	}
 	for i, l := range ch.listeners {
 		ch.wg.Add(1)
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -50,6 +50,22 @@
 	return l.Addr().String(), nil
 }
 
+// listenEach opens a TCP listener on a free port of each host, one for each softswitch; all or none.
+func listenEach(hosts []string) ([]net.Listener, error) {
+	var out []net.Listener
+	for _, h := range hosts {
+		l, err := net.Listen("tcp", net.JoinHostPort(h, "0"))
+		if err != nil {
+			for _, o := range out {
+				o.Close()
+			}
+			return nil, err
+		}
+		out = append(out, l)
+	}
+	return out, nil
+}
+
 // start runs the program with a configuration written anew, so that it knows the list as it is now. The child is
 // in a process group of its own and dies with the lab's thread that started it.
 func (m *member) start(binary string, config []byte) error {
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -50,13 +50,9 @@
 
 func newStandIn(s Server, obs observer, hosts []string) (*standIn, error) {
 	v := &standIn{Server: s, obs: obs, conns: make(map[*serverConn]bool), slow: 1, stalled: make(map[int]bool)}
-	for _, h := range hosts {
-		l, err := net.Listen("tcp", net.JoinHostPort(h, "0"))
-		if err != nil {
-			v.close()
-			return nil, err
-		}
-		v.listeners = append(v.listeners, l)
+	var err error
+	if v.listeners, err = listenEach(hosts); err != nil {
+		return nil, err
 	}
 	for i, l := range v.listeners {
 		v.wg.Add(1)
