elmseamctl: test the lab's exit codes for a bad scenario and a missing program

A scenario that makes no sense must end with 2 and one line; a lab that cannot start its softswitches with 3, not a panic.

--- a/cmd/elmseamctl/main_test.go
+++ b/cmd/elmseamctl/main_test.go
@@ -21,15 +21,18 @@
 		args []string
 		want int
 	}{
-		"complete":    {small, exitPassed},
-		"incomplete":  {append(small[:len(small):len(small)], "--depth=2", "--walks=3"), exitIncomplete},
-		"no command":  {nil, exitUsage},
-		"no flag":     {[]string{"check", "--servants=1"}, exitUsage},
-		"too many":    {[]string{"check", "--servers=99"}, exitUsage},
-		"an argument": {[]string{"check", "all"}, exitUsage},
-		"no file":     {[]string{"check", "replay", filepath.Join(dir, "none")}, exitUsage},
-		"no trace":    {[]string{"check", "replay", file("text", "nothing\n")}, exitUsage},
-		"help":        {[]string{"check", "--help"}, exitPassed},
+		"complete":     {small, exitPassed},
+		"incomplete":   {append(small[:len(small):len(small)], "--depth=2", "--walks=3"), exitIncomplete},
+		"no command":   {nil, exitUsage},
+		"no flag":      {[]string{"check", "--servants=1"}, exitUsage},
+		"too many":     {[]string{"check", "--servers=99"}, exitUsage},
+		"an argument":  {[]string{"check", "all"}, exitUsage},
+		"no file":      {[]string{"check", "replay", filepath.Join(dir, "none")}, exitUsage},
+		"no trace":     {[]string{"check", "replay", file("text", "nothing\n")}, exitUsage},
+		"help":         {[]string{"check", "--help"}, exitPassed},
+		"bad scenario": {[]string{"lab", "run", file("s.toml", "name = \"x\"\nduration = \"5s\"\nsoftswitches = 0\n")}, labBad},
+		"no program": {[]string{"lab", "run", "--binary", filepath.Join(dir, "none"), "--out", dir, file("t.toml",
+			"name = \"x\"\nduration = \"1s\"\nsoftswitches = 1\n[[server]]\nname = \"s\"\ncapacity = 10\n[[load]]\nrate = 1\n")}, labFailed},
 	} {
 		if got := run(c.args); got != c.want {
 			t.Errorf("%s: exit code %d, want %d", name, got, c.want)
