Membership in the core, on sockets and at the door; the lab watches the softswitches' views

The reducer runs inside the core: datagrams come through the inbox, effects go out by internal/peers. A softswitch that sees no majority takes less of its part of a cold server's budget. Off unless deploy/members.toml says enabled.

The lab gives each softswitch its number and a members file, follows the views at the doors without I/O (Watcher), and judges them: agreement at the end, no boldness without a majority.

--- a/cmd/elmseam/main.go
+++ b/cmd/elmseam/main.go
@@ -24,12 +24,16 @@
 	"elmseam/internal/loop"
 	"elmseam/internal/m3ua"
 	"elmseam/internal/mgmt"
+	"elmseam/internal/peers"
 	"elmseam/internal/platform"
 )
 
 // signallingFile tells of the second front where ELMSEAM_SIGNALLING names no other file.
 const signallingFile = "deploy/m3ua.toml"
 
+// membersFile tells of the tier's membership where ELMSEAM_MEMBERS names no other file.
+const membersFile = "deploy/members.toml"
+
 func main() {
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "elmseam:", err)
@@ -49,6 +53,14 @@
 	if err != nil {
 		return err
 	}
+	path, named := os.LookupEnv("ELMSEAM_MEMBERS")
+	if !named {
+		path = membersFile
+	}
+	members, err := config.LoadMembers(path, named)
+	if err != nil {
+		return err
+	}
 	log := zerolog.New(os.Stderr).Level(zerolog.InfoLevel).With().Timestamp().Str("node", cfg.Name).Logger()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -63,6 +75,8 @@
 	var speaker *bgp.Speaker
 	up := &upgrade{path: handover.Path(os.Getenv("TMPDIR"), cfg.Name), limits: cfg.Limits.HandOver, memory: memory, log: log, loud: link.Sparse(log)}
 	able := make(chan struct{})
+	var tier *peers.Peers
+	sparse := link.Sparse(log)
 	l := loop.New(c, cfg.Limits.Inbox, func(e core.Effect) {
 		switch e := e.(type) {
 		case core.Serving:
@@ -74,6 +88,10 @@
 			}
 		case core.Able:
 			close(able)
+		case core.ToPeer:
+			tier.Send(e)
+		case core.PeerChanged:
+			sparse.Info().Int("member", e.Member).Stringer("was", e.Was).Stringer("is", e.Is).Uint64("incarnation", e.Incarnation).Msg("membership changed")
 		case core.ToPredecessor:
 			up.toPredecessor(e)
 		case core.ToSuccessor:
@@ -85,6 +103,24 @@
 		}
 	}, log)
 
+	if members.Enabled {
+		sock, join, permitted, err := cfg.Tier(members)
+		if err != nil {
+			return err
+		}
+		if !permitted {
+			log.Warn().Msg("membership is off: the settings permit no peer messages")
+		} else if tier, err = peers.New(sock, l.Post, log); err != nil {
+			return err
+		} else {
+			var carried sync.WaitGroup
+			with, end := context.WithCancel(context.Background())
+			defer carried.Wait() // the others are told that this one goes
+			defer end()
+			carried.Go(func() { tier.Run(with, join) })
+		}
+	}
+
 	first := platform.New(cfg.Platform(), l, log)
 	l.Dialer(platform.Front, first.Dial)
 	up.loop, up.front = l, first
@@ -118,7 +154,7 @@
 		l.Publish(cfg.Limits.Figures)
 		ops := &mgmt.Door{
 			Limits: cfg.Limits.Mgmt, Figures: l.Figures, Names: first.Classes,
-			Drain: first.Drain, Post: l.Post, Log: log,
+			Drain: first.Drain, Post: l.Post, Log: log, Peers: tier,
 		}
 		log.Info().Str("mgmt", door.Addr().String()).Msg("door for operators")
 		go ops.Serve(door)
--- a/controller.go
+++ b/controller.go
@@ -180,12 +180,13 @@
 	rng        *rand.Rand
 	askAt      Time
 	asked      bool
+	careful    float64 // part of its own part of a cold server's budget that this sender takes
 }
 
 // New makes a controller. The seed sets the phases of its budgets: those of many senders are not in step.
 func New(set Settings, seed uint64) (*Controller, error) {
 	c := &Controller{
-		rng:   rand.New(rand.NewPCG(seed, 0)),
+		rng: rand.New(rand.NewPCG(seed, 0)), careful: 1,
 		byID:  make(map[ServerID]*server),
 		calls: make(map[CallID]*call),
 	}
@@ -253,6 +254,9 @@
 	return nil
 }
 
+// Caution sets the part, up to 1, of its own part of a cold server's budget that this sender takes. It starts at 1.
+func (c *Controller) Caution(part float64) { c.careful = min(max(part, 0), 1) }
+
 // Handle takes in one event and appends what is to be done to out.
 func (c *Controller) Handle(now Time, ev Event, out []Action) []Action {
 	c.now, c.out = now, out
@@ -628,7 +632,7 @@
 	if part <= 0 {
 		part = c.partOf(s)
 	}
-	return s.cold.spread(c.now, coldSafety*c.set.TipMultiple*warm*part, coldBurst, c.gaps(coldGaps))
+	return s.cold.spread(c.now, c.careful*coldSafety*c.set.TipMultiple*warm*part, coldBurst, c.gaps(coldGaps))
 }
 
 // linePasses says whether a server has a line for one more call. Where few are free, all senders hear of the
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -16,7 +16,9 @@
 	"elmseam/internal/feed"
 	"elmseam/internal/handover"
 	"elmseam/internal/link"
+	"elmseam/internal/membership"
 	"elmseam/internal/mgmt"
+	"elmseam/internal/peers"
 	"elmseam/internal/platform"
 	"elmseam/internal/settings"
 )
@@ -37,8 +39,10 @@
 	Mgmt    mgmt.Limits
 
 	HandOver handover.Limits
-	Memory   int64 // bytes the garbage collector aims to stay under
-	GC       int   // per cent that the heap may grow by before that
+	Peers    peers.Limits
+	Member   membership.Limits // filled by Tier, from the members' file
+	Memory   int64             // bytes the garbage collector aims to stay under
+	GC       int               // per cent that the heap may grow by before that
 }
 
 // Config is all that a softswitch is told.
@@ -53,7 +57,11 @@
 	Settings elmseam.Settings
 	Node     settings.Node
 	Limits   Limits
-	keys     map[string]json.RawMessage // of the file, outermost
+
+	PeerListen string   // where datagrams of the tier come
+	Peers      []string // its softswitches' addresses, by number
+
+	keys map[string]json.RawMessage // of the file, outermost
 }
 
 // file is the form of the configuration file.
@@ -66,6 +74,9 @@
 		MemoryMB int `json:"memory_mb"`
 		Sockets  int `json:"sockets"`
 	} `json:"limits"`
+	PeerListen string   `json:"peer_listen"`
+	Peers      []string `json:"peers"`
+
 	Channel string `json:"channel"`
 	Known   struct {
 		Cursor int64          `json:"cursor"`
@@ -110,7 +121,8 @@
 
 // build checks the fields and fills the limits.
 func build(f file) (*Config, error) {
-	c := &Config{Name: f.Name, Listen: f.Listen, Mgmt: f.Mgmt, Channel: f.Channel, Cursor: f.Known.Cursor, Known: f.Known.Cmds}
+	c := &Config{Name: f.Name, Listen: f.Listen, Mgmt: f.Mgmt, Channel: f.Channel, Cursor: f.Known.Cursor, Known: f.Known.Cmds,
+		PeerListen: f.PeerListen, Peers: f.Peers}
 	if c.Name == "" {
 		return nil, fmt.Errorf("name: missing")
 	}
@@ -229,6 +241,7 @@
 		HandOver: handover.Limits{
 			Hello: time.Second, Write: time.Second, Packet: 128 << 10, Queue: 4 << 20, Over: 4096,
 		},
+		Peers:  peers.Limits{Queue: 256, Rate: 400, Retry: 100 * time.Millisecond},
 		Memory: memory * 6 / 10,
 		GC:     200,
 	}
--- /dev/null
+++ b/internal/config/members.go
@@ -0,0 +1,101 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"elmseam/internal/core"
+	"elmseam/internal/membership"
+	"elmseam/internal/peers"
+)
+
+// Members is the file that tells whether this softswitch takes part in its tier's membership, and how. What it leaves
+// out is membership.Defaults.
+type Members struct {
+	Enabled      bool     `toml:"enabled"`
+	Period       duration `toml:"period"`
+	Timeout      duration `toml:"timeout"`
+	Indirect     int      `toml:"indirect"`
+	SuspicionMin float64  `toml:"suspicion_min"`
+	SuspicionMax float64  `toml:"suspicion_max"`
+	Confirm      int      `toml:"confirm"`
+	Retransmit   int      `toml:"retransmit"`
+	Health       int      `toml:"health"`
+	Stall        duration `toml:"stall"`
+	Reclaim      int      `toml:"reclaim"`
+}
+
+// duration is a time written as text.
+type duration struct{ time.Duration }
+
+// UnmarshalText reads "500ms" and the like.
+func (d *duration) UnmarshalText(b []byte) (err error) {
+	d.Duration, err = time.ParseDuration(string(b))
+	return err
+}
+
+// LoadMembers reads the file. Without one that was not named there is no membership. An error is one line that names
+// the field.
+func LoadMembers(path string, named bool) (Members, error) {
+	text, err := os.ReadFile(path)
+	switch {
+	case !named && errors.Is(err, fs.ErrNotExist):
+		return Members{}, nil
+	case err != nil:
+		return Members{}, err
+	}
+	m, err := ParseMembers(string(text))
+	if err != nil {
+		return m, fmt.Errorf("%s: %w", path, err)
+	}
+	return m, nil
+}
+
+// ParseMembers reads the file's text. An error is one line that names the field.
+func ParseMembers(text string) (Members, error) {
+	l := membership.Defaults()
+	m := Members{
+		Period: duration{l.Period}, Timeout: duration{l.Timeout}, Indirect: l.Indirect, SuspicionMin: l.SuspicionMin,
+		SuspicionMax: l.SuspicionMax, Confirm: l.Confirm, Retransmit: l.Retransmit, Health: l.Health,
+		Stall: duration{l.Stall}, Reclaim: l.Reclaim,
+	}
+	meta, err := toml.Decode(text, &m)
+	if err != nil {
+		return m, err
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return m, fmt.Errorf("%s: unknown field", unknown[0])
+	}
+	return m, m.limits().Check()
+}
+
+func (m Members) limits() membership.Limits {
+	l := membership.Defaults()
+	l.Period, l.Timeout, l.Indirect = m.Period.Duration, m.Timeout.Duration, m.Indirect
+	l.SuspicionMin, l.SuspicionMax, l.Confirm = m.SuspicionMin, m.SuspicionMax, m.Confirm
+	l.Retransmit, l.Health, l.Stall, l.Reclaim = m.Retransmit, m.Health, m.Stall.Duration, m.Reclaim
+	return l
+}
+
+// Tier is what the socket of the tier's datagrams is told, and how the core joins. Needed are the platform's addresses
+// and the own number; an error names the field. Permitted says whether the settings allow datagrams at all.
+func (c *Config) Tier(m Members) (sock peers.Config, join core.Join, permitted bool, err error) {
+	if !c.Node.PeerMessages {
+		return sock, join, false, nil
+	}
+	c.Limits.Member = m.limits()
+	switch n := len(c.Peers); {
+	case n == 0:
+		return sock, join, true, errors.New("peers: missing")
+	case c.Node.Tier != 0 && c.Node.Tier != n:
+		return sock, join, true, fmt.Errorf("peers: %d of them, settings.peers-total says %d", n, c.Node.Tier)
+	}
+	sock = peers.Config{Listen: c.PeerListen, Peers: c.Peers, Self: c.Node.Me, Limits: c.Limits.Peers}
+	join = core.Join{Config: membership.Config{Self: c.Node.Me, Tier: len(c.Peers), Limits: c.Limits.Member, Seed: c.Seed}}
+	return sock, join, true, nil
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"elmseam"
+	"elmseam/internal/membership"
 )
 
 // phase is where an attempt is on its way.
@@ -130,12 +131,14 @@
 	drains   uint32 // how often it did
 	figures  Figures
 	hook     Hook
-	handing  bool        // callers' connections are handed to a successor
-	preceded bool        // a predecessor has calls of callers who are here
-	halved   bool        // which holds as many callers as are here
-	foreign  map[ID]Link // and owes these set-ups an answer
-	stood    map[ID]Link // calls that stand from before it handed their callers on
-	able     bool        // this process could serve, once
+	handing  bool                // callers' connections are handed to a successor
+	preceded bool                // a predecessor has calls of callers who are here
+	halved   bool                // which holds as many callers as are here
+	foreign  map[ID]Link         // and owes these set-ups an answer
+	stood    map[ID]Link         // calls that stand from before it handed their callers on
+	able     bool                // this process could serve, once
+	fleet    *membership.Reducer // nil: this softswitch knows nothing of the others of its tier
+	self     int                 // its number there
 }
 
 // pendingRelease is a release that finds no connection of its caller.
@@ -223,6 +226,10 @@
 		c.figures.Invalid++
 	case Drain:
 		c.drain(ev.On)
+	case Join:
+		c.join(ev)
+	case Peer:
+		c.toPeers(membership.Datagram{From: ev.From, Data: ev.Data})
 	case HandOver:
 		c.handOver()
 	case Parked:
@@ -244,6 +251,7 @@
 			c.stopping = true
 			c.timer(c.now+c.limits.StopGrace, Token{kind: tokenStop})
 			c.timer(c.now+c.limits.StopMost, Token{kind: tokenFinal})
+			c.toPeers(membership.Drain{On: true})
 		}
 	}
 	c.serve()
@@ -306,11 +314,17 @@
 		}
 	}
 	if c.graced && !c.stopped && len(c.calls) == 0 && len(c.pending) == 0 && !c.keeps() {
-		c.stopped = true
-		c.do(Stopped{})
+		c.end()
 	}
 }
 
+// end says that nothing is owed any more; the others of the tier are told that this one goes.
+func (c *Core) end() {
+	c.stopped = true
+	c.toPeers(membership.Leave{})
+	c.do(Stopped{})
+}
+
 // setUp takes in a call. One that is over already may have come again because its answer was lost with a
 // closing connection; as ids are never used twice, it is refused.
 func (c *Core) setUp(ev SetUp) {
@@ -850,9 +864,10 @@
 		c.graced = true
 	case tokenFinal:
 		if c.graced && !c.stopped {
-			c.stopped = true
-			c.do(Stopped{})
+			c.end()
 		}
+	case tokenMember:
+		c.toPeers(membership.Due{Token: t.member})
 	}
 }
 
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -1,5 +1,7 @@
 package core
 
+import "elmseam/internal/membership"
+
 // A drain sends callers away while the process goes on: operators ask for it and end it, as often as they like.
 // New calls cease to be welcome at once, and the front's test says so. The front needs a while to learn of it and
 // sends new ones until then; they are served. After that, connections that carry no call are closed. One whose
@@ -12,6 +14,7 @@
 	}
 	c.draining, c.drained = on, c.now
 	c.drains++
+	c.toPeers(membership.Drain{On: on || c.stopping})
 	if on {
 		c.timer(c.now+c.limits.DrainGrace, Token{kind: tokenDrain, number: c.drains})
 	}
--- a/internal/core/figures.go
+++ b/internal/core/figures.go
@@ -20,6 +20,7 @@
 	Ready            bool           // this process can serve
 	Draining         bool
 	Stopping         bool
+	Members          *MemberFigures // of the tier; nil: there is no membership
 }
 
 // Figures are the figures of now. What they hold is the caller's.
@@ -27,6 +28,7 @@
 	f := c.figures
 	f.Classes = slices.Clone(f.Classes)
 	f.Current, f.Draining, f.Stopping = len(c.calls), c.draining, c.stopping
+	f.Members = c.members()
 	for _, s := range c.order {
 		if s.Phase == 0 { // gone, and kept for what is left of it
 			continue
--- /dev/null
+++ b/internal/core/members.go
@@ -0,0 +1,103 @@
+package core
+
+import (
+	"elmseam/internal/membership"
+)
+
+// The tier's membership runs inside the core: its datagrams come through the inbox like all else, so a softswitch
+// whose core stands still answers no probe, and is suspected for it. What is learned of the others changes one
+// decision, the part of a cold server's budget, and only for the less (membership.View.ColdShare).
+
+type (
+	// Join begins this softswitch's part in its tier. Without one there is no membership.
+	Join struct{ Config membership.Config }
+	// Peer is a datagram of another softswitch of the tier, by its number.
+	Peer struct {
+		From int
+		Data []byte
+	}
+)
+
+func (Join) event() {}
+func (Peer) event() {}
+
+type (
+	// ToPeer is a datagram to another softswitch of the tier, by its number.
+	ToPeer struct {
+		To   int
+		Data []byte
+	}
+	// PeerChanged says that another softswitch of the tier is held to be in another state now.
+	PeerChanged struct{ membership.Changed }
+)
+
+func (ToPeer) effect()      {}
+func (PeerChanged) effect() {}
+
+// MemberFigures are what operators are shown of the tier.
+type MemberFigures struct {
+	membership.Figures
+	membership.View
+	Self      int
+	Members   []membership.Member
+	Health    int     // local health multiplier, 0 the best
+	ColdShare float64 // part of its own part of a cold server's budget that this softswitch takes
+}
+
+// join begins membership. A second Join changes nothing.
+func (c *Core) join(ev Join) {
+	if c.fleet != nil {
+		return
+	}
+	fleet, out, err := membership.New(ev.Config, c.now)
+	if err != nil {
+		c.do(Broken{Rule: err.Error()})
+		return
+	}
+	c.fleet, c.self = fleet, ev.Config.Self
+	c.peers(out)
+	c.ctl.Caution(c.fleet.View().ColdShare())
+	if c.draining || c.stopping {
+		c.toPeers(membership.Drain{On: true})
+	}
+}
+
+// toPeers hands membership an event.
+func (c *Core) toPeers(ev membership.Event) {
+	if c.fleet != nil {
+		c.peers(c.fleet.Step(c.now, ev))
+	}
+}
+
+// peers carries out what membership asks for.
+func (c *Core) peers(out []membership.Effect) {
+	changed := false
+	for _, e := range out {
+		switch e := e.(type) {
+		case membership.Send:
+			c.do(ToPeer{To: e.To, Data: e.Data})
+		case membership.Timer:
+			c.timer(e.At, Token{kind: tokenMember, member: e.Token})
+		case membership.Changed:
+			changed = true
+			if e.Member != c.self {
+				c.do(PeerChanged{e})
+			}
+		}
+	}
+	if changed {
+		c.ctl.Caution(c.fleet.View().ColdShare())
+	}
+}
+
+// members are the figures of the tier; nil where there is no membership.
+func (c *Core) members() *MemberFigures {
+	if c.fleet == nil {
+		return nil
+	}
+	v := c.fleet.View()
+	return &MemberFigures{
+		Figures: c.fleet.Figures(), View: v, Self: c.self, Members: c.fleet.Members(),
+		Health: c.fleet.Health(), ColdShare: v.ColdShare(),
+	}
+}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"elmseam"
+	"elmseam/internal/membership"
 )
 
 // Time is an instant on the clock that Step is given.
@@ -309,6 +310,7 @@
 	call   ID
 	number uint32 // the controller's token, or the attempt
 	server string
+	member membership.Token
 }
 
 type tokenKind uint8
@@ -324,6 +326,7 @@
 	tokenStop  // the grace of a stop is over
 	tokenDrain // callers of a drained process are looked through
 	tokenFinal // and so is the longest time for what still stands
+	tokenMember
 )
 
 // Limits are the times the core keeps.
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -4,31 +4,35 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
+
+	"elmseam/internal/mgmt"
 )
 
 // member is one softswitch process of the fleet, always under the same name and addresses.
 type member struct {
-	place                int
-	name                 string
-	listen, mgmt, peer   string
-	dir                  string
-	mu                   sync.Mutex
-	cmd                  *exec.Cmd
-	exited               chan struct{}
-	troubles             [][2]time.Duration // spans in which a fault of the lab stood in its way; an open one ends at -1
-	ready                bool               // at the last sample
-	starts               int
-	answered, sends      int64 // from its door at the last sample, since its last start
-	answeredAll, sendAll int64 // of earlier lives
+	place              int
+	name               string
+	listen, mgmt, peer string
+	dir                string
+	mu                 sync.Mutex
+	cmd                *exec.Cmd
+	exited             chan struct{}
+	troubles           [][2]time.Duration // spans in which a fault of the lab stood in its way; an open one ends at -1
+	ready              bool               // at the last sample
+	starts             int
+	figures            map[string]int64 // its door's at the last sample, with those of earlier lives
+	before             map[string]int64 // those alone
 }
 
 // freePort asks the system for a free port on a host, for a program that will listen there itself.
@@ -68,7 +72,7 @@
 
 // start runs the program with a configuration written anew, so that it knows the list as it is now. The child is
 // in a process group of its own and dies with the lab's thread that started it.
-func (m *member) start(binary string, config []byte) error {
+func (m *member) start(binary string, config []byte, membership string) error {
 	path := filepath.Join(m.dir, "config.json")
 	if err := os.WriteFile(path, config, 0o600); err != nil {
 		return err
@@ -83,7 +87,7 @@
 	}
 	cmd := exec.Command(binary)
 	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+path, "ROUTER_NAME=", "ROUTER_LISTEN=", "ROUTER_MGMT=", "TMPDIR=",
-		"ELMSEAM_SIGNALLING="+signalling)
+		"ELMSEAM_SIGNALLING="+signalling, "ELMSEAM_MEMBERS="+membership)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -95,9 +99,7 @@
 	m.mu.Lock()
 	m.cmd, m.exited = cmd, exited
 	m.starts++
-	m.answeredAll += m.answered
-	m.sendAll += m.sends
-	m.answered, m.sends = 0, 0
+	m.before = maps.Clone(m.figures)
 	m.mu.Unlock()
 	return nil
 }
@@ -176,7 +178,7 @@
 
 var door = &http.Client{Timeout: 300 * time.Millisecond}
 
-// sample reads the member's door: readiness, and the figures of answered set-ups and sends.
+// sample reads the member's door: readiness, and the figures.
 func (m *member) sample() {
 	ready := false
 	if r, err := door.Get("http://" + m.mgmt + "/ops/readiness"); err == nil {
@@ -184,40 +186,58 @@
 		r.Body.Close()
 		ready = r.StatusCode == http.StatusOK
 	}
-	var answered, sends int64
-	got := false
+	figures := map[string]int64{}
 	if r, err := door.Get("http://" + m.mgmt + "/ops/stats"); err == nil {
 		text, _ := io.ReadAll(io.LimitReader(r.Body, 64<<10))
 		r.Body.Close()
 		for _, l := range strings.Split(string(text), "\n") {
 			k, v, _ := strings.Cut(l, "=")
-			var n int64
-			fmt.Sscan(v, &n)
-			switch {
-			case strings.HasPrefix(k, "app.transactions.") && strings.HasSuffix(k, ".answered"):
-				answered += n
-				got = true
-			case k == "app.sends":
-				sends = n
+			n, _ := strconv.ParseInt(v, 10, 64)
+			switch name, _ := strings.CutPrefix(k, "app."); {
+			case strings.HasPrefix(name, "transactions.") && strings.HasSuffix(name, ".answered"):
+				figures["answered"] += n
+			case strings.HasPrefix(name, "members."):
+				figures[name] = n
 			}
 		}
 	}
 	m.mu.Lock()
 	m.ready = ready
-	if got {
-		m.answered, m.sends = answered, sends
+	if len(figures) > 0 {
+		m.figures = figures
+		for k, v := range m.before {
+			m.figures[k] += v
+		}
 	}
 	m.mu.Unlock()
 }
 
+// view reads what the member's door says of its tier.
+func (m *member) view() (v View, ok bool) {
+	r, err := door.Get("http://" + m.mgmt + "/ops/members")
+	if err != nil {
+		return v, false
+	}
+	defer r.Body.Close()
+	var t mgmt.Tier
+	if r.StatusCode != http.StatusOK || json.NewDecoder(io.LimitReader(r.Body, 64<<10)).Decode(&t) != nil {
+		return v, false
+	}
+	v = View{Majority: t.Majority, ColdShare: t.ColdShare}
+	for _, e := range t.Members {
+		v.States = append(v.States, e.State)
+	}
+	return v, true
+}
+
 func (m *member) isReady() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.ready
 }
 
-// config is the configuration a member is started with (DEPLOY, "What a softswitch is told").
-func config(m *member, seed uint64, channel string, known map[string]any, peers []string, all string, settings json.RawMessage) []byte {
+// configure is the configuration a member is started with (DEPLOY, "What a softswitch is told").
+func configure(m *member, seed uint64, channel string, known map[string]any, peers []string, all string, settings json.RawMessage) []byte {
 	c := map[string]any{"name": m.name, "listen": m.listen, "mgmt": m.mgmt, "seed": fmt.Sprintf("%016x", seed),
 		"limits":  map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
 		"channel": channel, "known": known, "settings": settings}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -57,10 +58,18 @@
 	Datagrams  map[string]int `json:"datagrams"`
 	Starts     map[string]int `json:"starts"`
 	Marks      []Mark         `json:"faults"`
-	seconds    []Second
-	servers    []string
-	ready      [][]bool    // by second, by softswitch: ready at the second's last sample
-	capacity   [][]float64 // by second, by server: what it could do
+
+	// Of membership, where it is on.
+	Detections  []*Detection     `json:"detections,omitempty"`
+	FalseDeaths []FalseDeath     `json:"false_deaths,omitempty"`
+	Members     map[string]int64 `json:"members,omitempty"` // the doors' figures, all softswitches and lives together
+	Span        time.Duration    `json:"span_ns"`           // from the load's start to the end
+
+	seconds  []Second
+	servers  []string
+	views    [][]string
+	ready    [][]bool    // by second, by softswitch: ready at the second's last sample
+	capacity [][]float64 // by second, by server: what it could do
 }
 
 // rulesOf reads the rules' figures from the settings.
@@ -101,27 +110,29 @@
 
 // runner is one run: the world round the fleet.
 type runner struct {
-	s       *Scenario
-	o       Options
-	mu      sync.Mutex // over the judge and the counts
-	judge   *Judge
-	begin   time.Time
-	members []*member
-	servers map[string]*standIn
-	order   []string
-	channel *channel
-	relay   *Relay
-	setting json.RawMessage
-	setups  map[uint64]int // set-up → softswitch
-	unsent  int
-	marks   []Mark
-	ready   [][]bool
-	lagMax  time.Duration
-	blinds  int
-	rand    *rand.Rand
-	pick    func(network, host string) (string, error) // a free port; freePort but in tests
-	conns   [][]*callerConn
-	connMu  sync.Mutex
+	s        *Scenario
+	o        Options
+	mu       sync.Mutex // over the judge and the counts
+	judge    *Judge
+	watch    *Watcher
+	begin    time.Time
+	members  []*member
+	servers  map[string]*standIn
+	order    []string
+	channel  *channel
+	tierFile string // the softswitches' members file
+	relay    *Relay
+	setting  json.RawMessage
+	unsent   int
+	marks    []Mark
+	ready    [][]bool
+	views    [][]string // by second, by softswitch: its view's letters at the second's last sample
+	lagMax   time.Duration
+	blinds   int
+	rand     *rand.Rand
+	pick     func(network, host string) (string, error) // a free port; freePort but in tests
+	conns    [][]*callerConn
+	connMu   sync.Mutex
 }
 
 func (r *runner) now() time.Duration { return time.Since(r.begin) }
@@ -150,7 +161,6 @@
 
 func (r *runner) sent(id uint64, to int, giveUp time.Duration) {
 	r.mu.Lock()
-	r.setups[id] = to
 	r.judge.SetUp(r.now(), id, giveUp)
 	r.mu.Unlock()
 }
@@ -194,7 +204,7 @@
 
 func newRunner(s *Scenario, o Options, rules Rules, settings string) *runner {
 	return &runner{s: s, o: o, judge: NewJudge(rules), servers: make(map[string]*standIn), setting: json.RawMessage(settings),
-		setups: make(map[uint64]int), pick: freePort, rand: rand.New(rand.NewPCG(s.Seed, 0x63616c6c))}
+		watch: NewWatcher(s.Softswitches), pick: freePort, rand: rand.New(rand.NewPCG(s.Seed, 0x63616c6c))}
 }
 
 func (r *runner) run() (*Result, error) {
@@ -251,6 +261,14 @@
 		}
 	}
 	r.channel.tell(true, first...)
+	text, err := r.s.membersText()
+	if err != nil {
+		return err
+	}
+	r.tierFile = filepath.Join(r.o.Out, "members.toml")
+	if err := os.WriteFile(r.tierFile, []byte(text), 0o600); err != nil {
+		return err
+	}
 	for i := range n {
 		m := &member{place: i, name: Name(i), dir: filepath.Join(r.o.Out, Name(i))}
 		if err := os.MkdirAll(m.dir, 0o755); err != nil {
@@ -319,7 +337,24 @@
 		peers, all = r.relay.Faces(), r.relay.All()
 	}
 	seed := r.rand.Uint64()
-	return m.start(r.o.Binary, config(m, seed, r.channel.listeners[m.place].Addr().String(), r.channel.known(m.place), peers, all, r.setting))
+	settings, err := r.settingsOf(m.place)
+	if err != nil {
+		return err
+	}
+	return m.start(r.o.Binary, configure(m, seed, r.channel.listeners[m.place].Addr().String(), r.channel.known(m.place), peers, all, settings), r.tierFile)
+}
+
+// settingsOf are the settings with what differs from one softswitch to another: its number in the tier.
+func (r *runner) settingsOf(place int) (json.RawMessage, error) {
+	var s map[string]any
+	if err := json.Unmarshal(r.setting, &s); err != nil {
+		return nil, err
+	}
+	s["me"], s["peers-total"] = place, r.s.Softswitches
+	if limits, ok := s["limits"].(map[string]any); ok {
+		limits["peer-messages"] = r.s.Peers
+	}
+	return json.Marshal(s)
 }
 
 func (r *runner) waitReady(ms []*member) error {
@@ -351,7 +386,7 @@
 	go func() { defer wg.Done(); r.faults(stop) }()
 	r.load()
 	select {
-	case <-time.After(r.s.Quiet.Duration + r.s.GiveUp.Duration):
+	case <-time.After(max(r.s.Quiet.Duration+r.s.GiveUp.Duration, r.s.lastFault()+r.s.Agree.Duration-r.now())):
 	case <-r.o.Stop:
 	}
 	close(stop)
@@ -367,6 +402,12 @@
 	r.mu.Lock()
 	r.judge.Close(r.now())
 	r.mu.Unlock()
+	if r.s.Agree.Duration > 0 {
+		r.look()
+		r.mu.Lock()
+		r.watch.Agree(r.now(), func(place int) bool { return r.members[place].running() })
+		r.mu.Unlock()
+	}
 	return nil
 }
 
@@ -477,9 +518,44 @@
 			r.ready[second][i] = m.isReady()
 		}
 		r.mu.Unlock()
+		r.look()
+		r.mu.Lock()
+		for len(r.views) <= second {
+			r.views = append(r.views, nil)
+		}
+		r.views[second] = r.watch.Letters()
+		r.mu.Unlock()
 	}
 }
 
+// look takes in what each softswitch says of its tier, where membership is on.
+func (r *runner) look() {
+	if r.s.Membership == nil {
+		return
+	}
+	var wg sync.WaitGroup
+	for i, m := range r.members {
+		wg.Go(func() {
+			v, ok := m.view()
+			r.mu.Lock()
+			if ok {
+				r.watch.Seen(r.now(), i, v)
+			}
+			r.mu.Unlock()
+		})
+	}
+	wg.Wait()
+}
+
+// hinder says that a softswitch is in trouble from now on, or no more.
+func (r *runner) hinder(m *member, kind string, begins bool) {
+	now := r.now()
+	m.trouble(now, begins)
+	r.mu.Lock()
+	r.watch.Trouble(now, m.place, kind, begins)
+	r.mu.Unlock()
+}
+
 // faults plays the plan. What waits for softswitches to be ready runs beside it, so that no step is late for it.
 func (r *runner) faults(stop chan struct{}) {
 	var later sync.WaitGroup
@@ -524,7 +600,7 @@
 			sig = syscall.SIGTERM
 		}
 		for _, m := range ms {
-			m.trouble(now, true)
+			r.hinder(m, map[bool]string{true: "term", false: "kill"}[a.Term], true)
 			beside(func() { m.stop(sig, 5*time.Second) })
 		}
 	case ActLaunch:
@@ -537,12 +613,12 @@
 			}
 			r.waitReady(ms)
 			for _, m := range ms {
-				m.trouble(r.now(), false)
+				r.hinder(m, "", false)
 			}
 		})
 	case ActPause:
 		for _, m := range ms {
-			m.trouble(now, true)
+			r.hinder(m, "pause", true)
 			m.signal(syscall.SIGSTOP)
 		}
 	case ActResume:
@@ -552,11 +628,14 @@
 		beside(func() {
 			r.waitReady(ms)
 			for _, m := range ms {
-				m.trouble(r.now(), false)
+				r.hinder(m, "", false)
 			}
 		})
 	case ActWeather:
 		r.relay.Set(a.Weather)
+		r.mu.Lock()
+		r.watch.Weather(now, a.Weather)
+		r.mu.Unlock()
 	case ActReset:
 		places := map[int]bool{}
 		for _, p := range a.Places {
@@ -618,7 +697,8 @@
 	defer r.mu.Unlock()
 	res := &Result{Scenario: r.s.Name, Breaches: r.judge.Breaches(), Unsent: r.unsent, LagMax: r.lagMax, BlindSpans: r.blinds,
 		seconds: r.judge.Seconds(), servers: r.order, Starts: map[string]int{}, Marks: r.marks,
-		ready: r.ready}
+		ready: r.ready, views: r.views, Detections: r.watch.detections, FalseDeaths: r.watch.deaths, Span: r.now()}
+	res.Breaches = append(res.Breaches, r.watch.Breaches()...)
 	for i := range res.seconds {
 		var row []float64
 		for _, name := range r.order {
@@ -635,7 +715,15 @@
 	}
 	restarted := false
 	for _, m := range r.members {
-		res.DoorServed += m.answeredAll + m.answered
+		res.DoorServed += m.figures["answered"]
+		for k, v := range m.figures {
+			if name, ok := strings.CutPrefix(k, "members."); ok && summed[name] {
+				if res.Members == nil {
+					res.Members = map[string]int64{}
+				}
+				res.Members[name] += v
+			}
+		}
 		res.Starts[m.name] = m.starts
 		restarted = restarted || m.starts > 1
 	}
@@ -656,6 +744,11 @@
 	return res
 }
 
+// summed are the figures of membership that count up, so that those of all lives add up.
+var summed = map[string]bool{"probes": true, "indirect": true, "acks": true, "nacks": true, "failed": true,
+	"suspicions": true, "deaths": true, "refutations": true, "stalls": true, "sent": true, "sent_bytes": true, "heard": true,
+	"dropped_garbled": true, "dropped_version": true, "dropped_stranger": true, "dropped_flood": true, "unwritten": true}
+
 func abs(f float64) float64 {
 	if f < 0 {
 		return -f
@@ -664,7 +757,8 @@
 }
 
 // WriteTable writes the per-second table as CSV: offered, served, refused, lost, excused, whether the lab lagged,
-// for each server the attempts that reached it and its capacity, and for each softswitch whether it was ready.
+// for each server the attempts that reached it and its capacity, and for each softswitch whether it was ready and, where
+// membership is on, what it held of each of the tier, by the first letters of the states.
 func (res *Result) WriteTable(path string) error {
 	var b strings.Builder
 	b.WriteString("second,offered,served,refused,lost,excused,blind")
@@ -678,6 +772,12 @@
 	for i := range n {
 		fmt.Fprintf(&b, ",ready:%s", Name(i))
 	}
+	seen := slices.ContainsFunc(res.views, func(v []string) bool { return len(v) > 0 })
+	for i := range n {
+		if seen {
+			fmt.Fprintf(&b, ",view:%s", Name(i))
+		}
+	}
 	b.WriteString("\n")
 	for i, s := range res.seconds {
 		fmt.Fprintf(&b, "%d,%d,%d,%d,%d,%d,%t", i, s.Offered, s.Served, s.Refused, s.Lost, s.Excused, s.Blind)
@@ -688,6 +788,13 @@
 			ready := i < len(res.ready) && res.ready[i][k]
 			fmt.Fprintf(&b, ",%d", map[bool]int{true: 1}[ready])
 		}
+		for k := range n {
+			if seen && i < len(res.views) && len(res.views[i]) > 0 {
+				fmt.Fprintf(&b, ",%s", res.views[i][k])
+			} else if seen {
+				b.WriteString(",")
+			}
+		}
 		b.WriteString("\n")
 	}
 	return os.WriteFile(path, []byte(b.String()), 0o644)
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -7,11 +7,15 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/BurntSushi/toml"
+
+	"elmseam/internal/config"
 )
 
 // Scenario is one experiment, read from a TOML file. Times are Go durations ("1500ms"); rates are set-ups a second.
@@ -34,8 +38,12 @@
 	Peers        bool          `toml:"peers"`        // whether the softswitches are told their peers
 	Random       []RandomFault `toml:"random_fault"` // faults drawn from the seed
 	Tolerance    float64       `toml:"tolerance"`    // share by which the lab's counts may differ from the doors'
-	Capacity     float64       `toml:"-"`            // filled: all servers' capacity
-	names        map[string]int
+	Agree        Duration      `toml:"agree"`        // the softswitches' views must agree so long after the last fault; 0: not judged
+
+	Membership map[string]any `toml:"membership"` // the softswitches' members file but for enabled; none: membership is off
+
+	Capacity float64 `toml:"-"` // filled: all servers' capacity
+	names    map[string]int
 }
 
 // Server is a stand-in activation server.
@@ -184,6 +192,21 @@
 		seen[v.Name] = true
 		s.Capacity += v.Capacity
 	}
+	if s.Membership != nil {
+		text, err := s.membersText()
+		if err == nil {
+			_, err = config.ParseMembers(text)
+		}
+		if err != nil {
+			return fmt.Errorf("membership: %w", err)
+		}
+		if !s.Peers {
+			return fmt.Errorf("membership: needs peers = true")
+		}
+	}
+	if s.Agree.Duration < 0 || s.Agree.Duration > time.Minute || s.Agree.Duration > 0 && s.Membership == nil {
+		return fmt.Errorf("agree: %v, not in [0, 1m] or no [membership]", s.Agree)
+	}
 	if len(s.Load) == 0 {
 		return fmt.Errorf("load: missing")
 	}
@@ -278,6 +301,23 @@
 	return nil
 }
 
+// membersText is the members file that each softswitch is given.
+func (s *Scenario) membersText() (string, error) {
+	all := map[string]any{"enabled": s.Membership != nil}
+	maps.Copy(all, s.Membership)
+	var b strings.Builder
+	err := toml.NewEncoder(&b).Encode(all)
+	return b.String(), err
+}
+
+// lastFault is when the last fault has ended.
+func (s *Scenario) lastFault() (at time.Duration) {
+	for _, f := range s.Faults {
+		at = max(at, f.At.Duration+f.For.Duration)
+	}
+	return at
+}
+
 // Name is the name of the softswitch at a place, from 0.
 func Name(i int) string { return fmt.Sprintf("n%d", i+1) }
 
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -188,7 +188,7 @@
 			case core.Serving:
 				l.log.Info().Bool("serving", e.Yes).Msg("service")
 				l.notify(e)
-			case core.Dropped, core.Able, core.ToPredecessor, core.ToSuccessor:
+			case core.Dropped, core.Able, core.ToPredecessor, core.ToSuccessor, core.ToPeer, core.PeerChanged:
 				l.notify(e)
 			case core.Stopped:
 				stopped = true
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -16,6 +16,7 @@
 
 	"elmseam/internal/core"
 	"elmseam/internal/loop"
+	"elmseam/internal/peers"
 )
 
 // Limits are the door's sizes and times.
@@ -35,6 +36,7 @@
 	Names   func() []string     // of the classes, by place
 	Drain   func(on bool)       // takes effect at once
 	Post    func(ev core.Event) // may wait
+	Peers   *peers.Peers        // nil: there is no membership
 	Log     zerolog.Logger
 
 	orders chan bool
@@ -121,7 +123,7 @@
 		want = http.MethodPost
 	}
 	switch path {
-	case pathReady, pathStats, pathDrain, pathResume:
+	case pathReady, pathStats, pathMembers, pathDrain, pathResume:
 	default:
 		return http.StatusNotFound, "no such call\n", nil
 	}
@@ -129,12 +131,22 @@
 		return http.StatusMethodNotAllowed, want + " only\n", []string{want}
 	}
 	f := d.Figures()
-	if path == pathReady || path == pathStats {
+	if want == http.MethodGet {
 		if time.Since(f.At) > d.Limits.Fresh {
 			return http.StatusServiceUnavailable, "no figures of late\n", nil
 		}
-		if path == pathStats {
-			return http.StatusOK, Text(f.Figures, d.Names()), nil
+		switch path {
+		case pathStats:
+			text := Text(f.Figures, d.Names())
+			if f.Members != nil {
+				text += memberText(*f.Members, d.Peers.Count())
+			}
+			return http.StatusOK, text, nil
+		case pathMembers:
+			if f.Members == nil {
+				return http.StatusNotFound, "membership is off\n", nil
+			}
+			return http.StatusOK, membersJSON(f, d.Peers.Addresses()), nil
 		}
 		return readiness(f.Figures)
 	}
--- a/internal/mgmt/stats.go
+++ b/internal/mgmt/stats.go
@@ -9,10 +9,11 @@
 
 // The calls there are.
 const (
-	pathReady  = "/ops/readiness"
-	pathStats  = "/ops/stats"
-	pathDrain  = "/ops/drain/start"
-	pathResume = "/ops/drain/stop"
+	pathReady   = "/ops/readiness"
+	pathStats   = "/ops/stats"
+	pathMembers = "/ops/members"
+	pathDrain   = "/ops/drain/start"
+	pathResume  = "/ops/drain/stop"
 )
 
 // Text shows figures, one a line. Classes go by their names.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -127,6 +127,9 @@
 	LeastAim       time.Duration // the shortest time that a class is wanted to stand within
 	LongestHold    time.Duration // the longest that calls of a class last on average
 	MaxOpen        int           // calls that may be open at once
+	Me             int           // the own number in the tier; -1: not told
+	Tier           int           // softswitches in the tier; 0: not told
+	PeerMessages   bool          // datagrams between them are permitted
 }
 
 // Class is a class of call as callers name it.
@@ -250,7 +253,10 @@
 			Connect   micros `json:"connect-timeout-us"`
 			KeepAlive micros `json:"keepalive-us"`
 			MaxOpen   int    `json:"max-open"`
+			Peers     bool   `json:"peer-messages"`
 		} `json:"limits"`
+		Me         *float64 `json:"me"`
+		Tier       float64  `json:"peers-total"`
 		LoadReport struct {
 			Columns []string `json:"columns"`
 		} `json:"load-report"`
@@ -268,6 +274,12 @@
 		ConnectTimeout: info.Limits.Connect.duration(),
 		KeepAlive:      info.Limits.KeepAlive.duration(),
 		MaxOpen:        info.Limits.MaxOpen,
+		Me:             -1,
+		Tier:           int(info.Tier),
+		PeerMessages:   info.Limits.Peers,
+	}
+	if info.Me != nil {
+		n.Me = int(*info.Me)
 	}
 	for i, c := range info.Classes {
 		if c.Name == "" {
