--- a/controller.go
+++ b/controller.go
@@ -254,7 +254,7 @@
 	return nil
 }
 
-// Caution sets the part, up to 1, of its own part of a cold server's budget that this sender takes. It starts at 1.
+// Caution sets the part, up to 1, of its own part of a cold server's budget that this sender takes.
 func (c *Controller) Caution(part float64) { c.careful = min(max(part, 0), 1) }
 
 // Handle takes in one event and appends what is to be done to out.
