Membership: explored at three members, measured in discrete-event time, shown by elmseamctl members

The explorer has a model of a tier (loss, late datagrams, kills, new starts, pauses); each of its rules is seen broken without the part that keeps it. elmseamctl lab tier measures detection, load and false deaths.

--- a/cmd/elmseamctl/check.go
+++ b/cmd/elmseamctl/check.go
@@ -41,9 +41,9 @@
 		},
 	}
 	f := cmd.Flags()
-	f.StringVar(&cfg.Model, "model", explore.Calls, "what is explored: calls, or circuits of the second front")
-	f.IntVar(&cfg.Servers, "servers", 2, "servers, or circuits")
-	f.IntVar(&cfg.Calls, "calls", 2, "calls")
+	f.StringVar(&cfg.Model, "model", explore.Calls, "what is explored: calls, circuits of the second front, or members of a tier")
+	f.IntVar(&cfg.Servers, "servers", 2, "servers, circuits, or members")
+	f.IntVar(&cfg.Calls, "calls", 2, "calls, or periods of turmoil")
 	f.IntVar(&cfg.Attempts, "attempts", 4, "attempts that a call may have")
 	f.IntVar(&cfg.Faults, "faults", 1, "disturbances in all: resets, lost connections, changes of the list, give-ups ...")
 	f.IntVar(&cfg.Pauses, "pauses", 1, "times that 120 ms pass with no timer due")
--- a/cmd/elmseamctl/lab.go
+++ b/cmd/elmseamctl/lab.go
@@ -74,7 +74,7 @@
 	}
 	run.Flags().StringVar(&binary, "binary", "bin/elmseam", "the softswitch program")
 	run.Flags().StringVar(&out, "out", "", "folder for the table, the verdict and the softswitches' logs")
-	cmd.AddCommand(run)
+	cmd.AddCommand(run, tierCommand())
 	return cmd
 }
 
--- a/cmd/elmseamctl/main.go
+++ b/cmd/elmseamctl/main.go
@@ -1,4 +1,5 @@
-// Command elmseamctl is for operators and developers. It checks the reducer that the softswitch runs.
+// Command elmseamctl is for operators and developers: it checks the reducers that the softswitch runs, plays fleets of
+// softswitches in the lab, and shows what a running one holds of its tier.
 package main
 
 import (
@@ -31,7 +32,7 @@
 		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return errors.New("no command; see --help") },
 	}
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(checkCommand(), labCommand())
+	root.AddCommand(checkCommand(), labCommand(), membersCommand())
 	root.SetArgs(args)
 	err := root.Execute()
 	var o outcome
--- /dev/null
+++ b/cmd/elmseamctl/members.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"elmseam/internal/mgmt"
+)
+
+// membersCommand prints what a softswitch holds of its tier.
+func membersCommand() *cobra.Command {
+	var wait time.Duration
+	cmd := &cobra.Command{
+		Use:   "members ADDRESS",
+		Short: "Prints what the softswitch whose operators' door is at ADDRESS (host:port) holds of its tier",
+		Long: `Asks one softswitch's door for its view of the tier, and prints a line a member.
+
+Exit codes: 0 it sees a majority of the tier; 1 it doesn't; 3 the door gave no answer, or membership is off there.`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			t, err := askTier(args[0], wait)
+			if err != nil {
+				return err
+			}
+			printTier(cmd.OutOrStdout(), t)
+			if !t.Majority {
+				return outcome(exitBroken)
+			}
+			return nil
+		},
+	}
+	cmd.Flags().DurationVar(&wait, "wait", 2*time.Second, "how long to wait for the door's answer")
+	return cmd
+}
+
+// askTier asks a door.
+func askTier(address string, wait time.Duration) (t mgmt.Tier, err error) {
+	client := &http.Client{Timeout: wait}
+	res, err := client.Get("http://" + address + "/ops/members")
+	if err != nil {
+		return t, err
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(res.Body, 1<<20))
+	if err != nil {
+		return t, err
+	}
+	if res.StatusCode != http.StatusOK {
+		return t, fmt.Errorf("%s: %s: %.80s", address, res.Status, text)
+	}
+	if err := json.Unmarshal(text, &t); err != nil {
+		return t, fmt.Errorf("%s: not a view of a tier: %w", address, err)
+	}
+	return t, nil
+}
+
+func printTier(out io.Writer, t mgmt.Tier) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "MEMBER\tADDRESS\tSTATE\tFOR\tHEARD\tINCARNATION")
+	for _, m := range t.Members {
+		heard := "never"
+		switch {
+		case m.Number == t.Self:
+			heard = "itself"
+		case m.HeardMS != nil:
+			heard = ms(*m.HeardMS) + " ago"
+		}
+		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%d\n", m.Number, m.Address, m.State, ms(m.ForMS), heard, m.Incarnation)
+	}
+	w.Flush()
+	majority := "sees a majority"
+	if !t.Majority {
+		majority = "sees NO majority"
+	}
+	fmt.Fprintf(out, "%s; takes %.2f of its part of a cold server's budget; local health %d\n", majority, t.ColdShare, t.Health)
+}
+
+func ms(n int64) string { return (time.Duration(n) * time.Millisecond).Round(100 * time.Millisecond).String() }
--- a/internal/explore/actions.go
+++ b/internal/explore/actions.go
@@ -53,6 +53,16 @@
 	mute    // or its RLC
 	down    // the connection ends
 	up      // and another comes up
+	// Of a tier's members.
+	arrive // the next datagram arrives
+	lose   // or is lost
+	delay  // or comes late
+	tick   // the next timer comes due
+	kill   // a member dies
+	start  // and starts anew
+	halt   // or stands still
+	goOn   // and goes on
+	settle // nothing disturbs any more
 	kinds
 )
 
@@ -61,7 +71,8 @@
 var kindNames = [kinds]string{"set-up", "written", "answer", "full", "busy", "ended", "release", "dialled", "caller-back", "undrain",
 	"due", "pass", "reset", "cross", "late", "cut", "again", "hang-up", "give-up", "repeat", "caller-lost", "conn-lost", "refused",
 	"drains", "goes", "restarts", "returns", "reload", "drain",
-	"seize", "clear", "to-server", "to-us", "far-answer", "far-release", "overdue", "deaf", "mute", "down", "up"}
+	"seize", "clear", "to-server", "to-us", "far-answer", "far-release", "overdue", "deaf", "mute", "down", "up",
+	"arrive", "lose", "delay", "tick", "kill", "start", "halt", "go-on", "settle"}
 
 // Action is one thing that happens: to a call or a server, with a number that some kinds have.
 type Action struct {
--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -12,6 +12,7 @@
 	"elmseam"
 	"elmseam/internal/circuits"
 	"elmseam/internal/core"
+	"elmseam/internal/membership"
 )
 
 func explore(t *testing.T, cfg Config, b Bounds) *Report {
@@ -248,3 +249,29 @@
 		do(w, cfg, way)
 	}
 }
+
+// Membership keeps its rules whatever is lost, late, killed, started anew or stopped among three members; without its
+// refutations a living member stays dead for good, and without its own suspicions a dead one is not seen in time.
+func TestMembers(t *testing.T) {
+	cfg := Config{Model: Members, Servers: 3, Calls: 2, Attempts: 1, Faults: 1, Pauses: 0, Wait: time.Second}
+	if r, err := Run(context.Background(), cfg, Bounds{}); err != nil || !r.Complete || r.Trace != nil || r.Ends < 100 {
+		t.Fatalf("%+v, %v", r, err)
+	}
+	for _, c := range []struct {
+		lacks          membership.Guard
+		faults, pauses int
+		want           Rule
+	}{{membership.GuardRefute, 0, 1, NotForGood}, {membership.GuardSuspect, 1, 0, InTime}} {
+		cfg := Config{Model: Members, Servers: 3, Calls: 4, Attempts: 1, Faults: c.faults, Pauses: c.pauses, Wait: time.Second, Lacks: c.lacks}
+		r, err := Run(context.Background(), cfg, Bounds{})
+		if err != nil || r.Trace == nil || r.Trace.Broken.Rule != c.want {
+			t.Errorf("without %d: %+v, %v, want %s broken", c.lacks, r, err, c.want)
+			continue
+		}
+		whole := cfg
+		whole.Lacks = 0
+		if v, err := r.Trace.Play(whole, nil); err == nil && v != nil {
+			t.Errorf("without %d: the whole member breaks it too: %v", c.lacks, v)
+		}
+	}
+}
--- a/internal/explore/model.go
+++ b/internal/explore/model.go
@@ -23,6 +23,7 @@
 const (
 	Calls    = "calls"    // the core and the decision module
 	Circuits = "circuits" // the second front's circuits to a server
+	Members  = "members"  // the tier's membership
 )
 
 // New is where the exploration of a model begins.
@@ -30,8 +31,11 @@
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
-	if cfg.Model == Circuits {
+	switch cfg.Model {
+	case Circuits:
 		return newLine(cfg), nil
+	case Members:
+		return newTier(cfg), nil
 	}
 	return NewWorld(cfg)
 }
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -10,6 +10,7 @@
 	"elmseam"
 	"elmseam/internal/circuits"
 	"elmseam/internal/core"
+	"elmseam/internal/membership"
 )
 
 // Config says what is explored.
@@ -25,6 +26,8 @@
 
 	Hook    core.Hook      `json:"-"` // breaks the core on purpose
 	Without circuits.Guard `json:"-"` // and the circuits
+
+	Lacks membership.Guard `json:"-"` // and the members
 }
 
 // Check names the first figure that is out of range.
@@ -37,8 +40,8 @@
 			return fmt.Errorf("%s: %d, between %d and %d is possible", f.name, f.value, f.least, f.top)
 		}
 	}
-	if c.Model != "" && c.Model != Calls && c.Model != Circuits {
-		return fmt.Errorf("model: %q, there are %s and %s", c.Model, Calls, Circuits)
+	if c.Model != "" && c.Model != Calls && c.Model != Circuits && c.Model != Members {
+		return fmt.Errorf("model: %q, there are %s, %s and %s", c.Model, Calls, Circuits, Members)
 	}
 	if c.Wait < 100*time.Millisecond || c.Wait > time.Minute {
 		return fmt.Errorf("wait: %v", c.Wait)
--- a/internal/lab/plot.go
+++ b/internal/lab/plot.go
@@ -70,3 +70,30 @@
 	p.Legend.Top = true
 	return p.Save(16*vg.Centimeter, 9*vg.Centimeter, path)
 }
+
+// PlotGrowth draws how a figure grows with the size of a tier, a line for each name; the sizes on a logarithmic axis.
+func PlotGrowth(path, title, unit string, names []string, of map[string][][2]float64) error {
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = "members"
+	p.Y.Label.Text = unit
+	p.Y.Min = 0
+	p.X.Scale = plot.LogScale{}
+	p.X.Tick.Marker = plot.LogTicks{Prec: -1}
+	for i, name := range names {
+		var pts plotter.XYs
+		for _, xy := range of[name] {
+			pts = append(pts, plotter.XY{X: xy[0], Y: xy[1]})
+		}
+		l, dots, err := plotter.NewLinePoints(pts)
+		if err != nil {
+			return err
+		}
+		l.Color, dots.Color = plotutil.Color(i), plotutil.Color(i)
+		l.Width = vg.Points(1.5)
+		p.Add(l, dots)
+		p.Legend.Add(name, l, dots)
+	}
+	p.Legend.Top, p.Legend.Left = true, true
+	return p.Save(16*vg.Centimeter, 9*vg.Centimeter, path)
+}
--- a/internal/membership/belief.go
+++ b/internal/membership/belief.go
@@ -46,7 +46,7 @@
 // a higher one, and tells some at once, as the suspicion is running out: also what is known of a life before this one, should the clock have gone back between the two.
 func (r *Reducer) aboutSelf(u update) {
 	s := r.self()
-	if r.left || u.incarnation < s.Incarnation || u.incarnation == s.Incarnation && u.state == s.State {
+	if r.left || !r.has(GuardRefute) || u.incarnation < s.Incarnation || u.incarnation == s.Incarnation && u.state == s.State {
 		return
 	}
 	s.Incarnation = u.incarnation + 1
--- a/internal/membership/reducer.go
+++ b/internal/membership/reducer.go
@@ -14,8 +14,20 @@
 	Self, Tier int // the own number, and how many members there are
 	Limits     Limits
 	Seed       uint64
+	Without    Guard // taken out, for checks that have to see a rule broken; no program sets it
 }
 
+// Guard names a part of the protocol that a check can take out.
+type Guard uint8
+
+// The guards.
+const (
+	GuardRefute  Guard = 1 << iota // a member refutes what is not so of it
+	GuardSuspect                   // a probe that failed makes a suspect
+)
+
+func (r *Reducer) has(g Guard) bool { return r.cfg.Without&g == 0 }
+
 // probe is the one under way.
 type probe struct {
 	Target int
@@ -236,7 +248,7 @@
 	} else {
 		r.feel(1)
 	}
-	if m := &r.members[p.Target]; !m.State.Down() {
+	if m := &r.members[p.Target]; !m.State.Down() && r.has(GuardSuspect) {
 		r.suspect(p.Target, m.Incarnation, r.cfg.Self)
 	}
 }
--- a/internal/swarm/swarm.go
+++ b/internal/swarm/swarm.go
@@ -57,6 +57,7 @@
 	paused bool
 	held   []event // what came while it was paused
 	slow   time.Duration
+	skew   time.Duration      // of its clock
 	before membership.Figures // of earlier lives
 }
 
@@ -92,7 +93,7 @@
 
 // Start starts a member that was killed, as nothing but its number and the clock.
 func (s *Swarm) Start(m int) error {
-	r, out, err := membership.New(membership.Config{Self: m, Tier: s.cfg.Members, Limits: s.cfg.Limits, Seed: s.rng.Uint64()}, s.now)
+	r, out, err := membership.New(membership.Config{Self: m, Tier: s.cfg.Members, Limits: s.cfg.Limits, Seed: s.rng.Uint64()}, s.now+s.members[m].skew)
 	if err != nil {
 		return err
 	}
@@ -136,10 +137,13 @@
 // Slow has a member take in each event so much later.
 func (s *Swarm) Slow(m int, by time.Duration) { s.members[m].slow = by }
 
+// Skew has a member's clock be off by so much from its next start on.
+func (s *Swarm) Skew(m int, by time.Duration) { s.members[m].skew = by }
+
 // Do hands a member an event of its own.
 func (s *Swarm) Do(m int, ev membership.Event) {
 	if r := s.members[m].r; r != nil {
-		s.carry(m, r.Step(s.now, ev))
+		s.carry(m, r.Step(s.now+s.members[m].skew, ev))
 	}
 }
 
@@ -177,7 +181,7 @@
 				to.held = append(to.held, e)
 			}
 		default:
-			s.carry(e.to, to.r.Step(s.now, e.ev))
+			s.carry(e.to, to.r.Step(s.now+to.skew, e.ev))
 		}
 	}
 	s.now = max(s.now, until)
@@ -198,7 +202,7 @@
 				s.push(event{at: s.now + d + s.members[e.To].slow, to: e.To, ev: membership.Datagram{From: m, Data: e.Data}})
 			}
 		case membership.Timer:
-			s.push(event{at: e.At + s.members[m].slow, to: m, life: s.members[m].life, ev: membership.Due{Token: e.Token}})
+			s.push(event{at: e.At - s.members[m].skew + s.members[m].slow, to: m, life: s.members[m].life, ev: membership.Due{Token: e.Token}})
 		case membership.Changed:
 			if s.Watch != nil && e.Member != m {
 				s.Watch(s.now, m, e)
