--- a/cmd/elmseam/main_test.go
+++ b/cmd/elmseam/main_test.go
@@ -448,6 +448,39 @@
 	}
 }
 
+// So does a members' file that makes no sense, or a platform's configuration that a tier can't be made of. Where the
+// settings permit no peer messages, membership stays off and the program serves.
+func TestBadMembership(t *testing.T) {
+	tier := `"peer_listen":"127.0.0.1:1","peers":["127.0.0.1:1","127.0.0.1:2"],`
+	permitted := strings.Replace(settingsText, `"max-open"`, `"peer-messages":true,"max-open"`, 1)
+	numbered := strings.Replace(permitted, `{"request-classes"`, `{"me":1,"peers-total":2,"request-classes"`, 1)
+	for field, c := range map[string]struct{ members, tier, settings string }{
+		"period":      {"enabled = true\nperiod = \"1ms\"", tier, numbered},
+		"who":         {"who = 1", tier, numbered},
+		"peers":       {"enabled = true", "", numbered},
+		"peers[0]":    {"enabled = true", `"peer_listen":"127.0.0.1:1","peers":["x","y"],`, numbered},
+		"peer_listen": {"enabled = true", `"peers":["127.0.0.1:1","127.0.0.1:2"],`, numbered},
+		"settings.me": {"enabled = true", tier, permitted},
+	} {
+		dir := t.TempDir()
+		config, members := filepath.Join(dir, "c.json"), filepath.Join(dir, "members.toml")
+		os.WriteFile(config, []byte(`{"name":"n","listen":"127.0.0.1:0","seed":"1","limits":{"memory_mb":1,"sockets":99},"channel":"127.0.0.1:1",`+
+			c.tier+`"settings":`+c.settings+"}"), 0o600)
+		os.WriteFile(members, []byte(c.members), 0o600)
+		cmd := command(config, "")
+		cmd.Env = append(cmd.Env, "ELMSEAM_MEMBERS="+members)
+		out, err := cmd.CombinedOutput()
+		if err == nil || bytes.Count(out, []byte("\n")) != 1 || !bytes.Contains(out, []byte(field+":")) {
+			t.Errorf("%s: %v, %s", field, err, out)
+		}
+	}
+	members := filepath.Join(t.TempDir(), "members.toml")
+	os.WriteFile(members, []byte("enabled = true"), 0o600)
+	p := newProgram(t)
+	p.run("", "ELMSEAM_MEMBERS="+members)
+	p.until("/ops/members", 404, "membership is off")
+}
+
 // The second front listens where its file says, serves an old client by a server of the platform, and the
 // service address is announced until the program is told to stop.
 func TestSecondFront(t *testing.T) {
--- a/cmd/elmseamctl/main_test.go
+++ b/cmd/elmseamctl/main_test.go
@@ -1,11 +1,50 @@
 package main
 
 import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
+	"time"
+
+	"elmseam/internal/mgmt"
 )
 
+// members prints a line for each of the tier, and its exit code tells whether a majority is seen.
+func TestMembersCommand(t *testing.T) {
+	heard := int64(200)
+	view := mgmt.Tier{Self: 0, Majority: true, ColdShare: 1, Members: []mgmt.Member{{Number: 0, State: "alive", Incarnation: 7},
+		{Number: 1, Address: "127.0.0.2:7946", State: "suspect", HeardMS: &heard}, {Number: 2, State: "unknown"}}}
+	status := http.StatusOK
+	door := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		json.NewEncoder(w).Encode(view)
+	}))
+	defer door.Close()
+	address := strings.TrimPrefix(door.URL, "http://")
+	got, err := askTier(address, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text strings.Builder
+	printTier(&text, got)
+	for _, want := range []string{"itself", "127.0.0.2:7946  suspect", "200ms ago", "never", "sees a majority"} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("no %q in\n%s", want, &text)
+		}
+	}
+	for want, spoil := range map[int]func(){exitPassed: func() {}, exitBroken: func() { view.Majority = false }, exitUsage: func() { status = http.StatusNotFound }} {
+		view.Majority, status = true, http.StatusOK
+		spoil()
+		if got := run([]string{"members", address}); got != want {
+			t.Errorf("exit code %d, want %d", got, want)
+		}
+	}
+}
+
 // The exit code tells what came of it: scripts and CI go by it alone.
 func TestExitCodes(t *testing.T) {
 	dir := t.TempDir()
--- a/cmd/elmseamctl/members.go
+++ b/cmd/elmseamctl/members.go
@@ -81,4 +81,6 @@
 	fmt.Fprintf(out, "%s; takes %.2f of its part of a cold server's budget; local health %d\n", majority, t.ColdShare, t.Health)
 }
 
-func ms(n int64) string { return (time.Duration(n) * time.Millisecond).Round(100 * time.Millisecond).String() }
+func ms(n int64) string {
+	return (time.Duration(n) * time.Millisecond).Round(100 * time.Millisecond).String()
+}
--- a/cmd/elmseamctl/tier.go
+++ b/cmd/elmseamctl/tier.go
@@ -134,7 +134,7 @@
 		{"8 stand still for 2 s of every 2.25 s", func(t *swarm.Trial) { t.Troubled, t.Pause, t.Every = 8, 2*time.Second, 2250*time.Millisecond }},
 		{"8 stand still for 4 s of every 5 s", func(t *swarm.Trial) { t.Troubled, t.Pause, t.Every = 8, 4*time.Second, 5*time.Second }},
 		{"8 stand still for 8 s of every 9 s", func(t *swarm.Trial) { t.Troubled, t.Pause, t.Every = 8, 8*time.Second, 9*time.Second }},
-		{"8 take in all 400 ms late", func(t *swarm.Trial) { t.Troubled, t.Slow = 8, 400*time.Millisecond }},
+		{"8 take in all 600 ms late", func(t *swarm.Trial) { t.Troubled, t.Slow = 8, 600*time.Millisecond }},
 	} {
 		fmt.Fprintf(w, "| %s |", c.name)
 		for _, v := range swarm.Variants {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -323,3 +323,114 @@
 		}
 	}
 }
+
+// Each rule on the views is seen broken by a story, and held by its lawful twin; a death is false only where the one held
+// dead was there and could be heard.
+func TestWatcher(t *testing.T) {
+	view := func(share float64, states ...string) View { return View{States: states, ColdShare: share} }
+	all := func(int) bool { return true }
+	for _, c := range []struct {
+		name, want string
+		deaths     int
+		story      func(w *Watcher)
+	}{
+		{"agreement", "", 0, func(w *Watcher) {
+			for o := range 3 {
+				w.Seen(0, o, view(1, "alive", "draining", "alive"))
+			}
+			w.Agree(ms, all)
+		}},
+		{"one believed dead", "views disagree", 1, func(w *Watcher) {
+			for o := range 3 {
+				w.Seen(0, o, view(1, "alive", "alive", []string{"dead", "alive", "alive"}[o]))
+			}
+			w.Agree(ms, all)
+		}},
+		{"a dead one believed there", "views disagree", 0, func(w *Watcher) {
+			w.Trouble(0, 2, "kill", true)
+			w.Seen(ms, 0, view(1, "alive", "alive", "dead"))
+			w.Seen(ms, 1, view(1, "alive", "alive", "alive"))
+			w.Agree(2*ms, func(p int) bool { return p != 2 })
+		}},
+		{"bold without a majority", "too bold without a majority", 0, func(w *Watcher) {
+			w.Weather(0, Weather{Groups: map[int]int{0: 0, 1: 1, 2: 1}})
+			w.Seen(ms, 0, view(1, "alive", "dead", "dead"))
+		}},
+		{"careful without a majority", "", 0, func(w *Watcher) {
+			w.Weather(0, Weather{Groups: map[int]int{0: 0, 1: 1, 2: 1}})
+			w.Seen(ms, 0, view(1.0/3, "alive", "dead", "dead"))
+		}},
+		{"a death after a cut", "", 1, func(w *Watcher) {
+			w.Weather(0, Weather{Groups: map[int]int{0: 0, 1: 1, 2: 1}})
+			w.Weather(ms, Weather{})
+			w.Seen(2*ms, 0, view(1, "alive", "alive", "dead")) // the cut's
+			w.Seen(time.Minute, 1, view(1, "alive", "alive", "dead"))
+		}},
+	} {
+		w := NewWatcher(3)
+		c.story(w)
+		got := ""
+		for _, b := range w.Breaches() {
+			got += b.Rule
+		}
+		if got != c.want || len(w.deaths) != c.deaths {
+			t.Errorf("%s: broken %q, want %q; false deaths %v, want %d", c.name, got, c.want, w.deaths, c.deaths)
+		}
+	}
+}
+
+// A trouble is followed from the first who suspects it to the last who holds the softswitch there again.
+func TestWatcherFollowsADeath(t *testing.T) {
+	w := NewWatcher(3)
+	w.Trouble(10*ms, 2, "kill", true)
+	for i, states := range [][2]string{{"alive", "alive"}, {"suspect", "alive"}, {"suspect", "suspect"}, {"dead", "suspect"}, {"dead", "dead"}} {
+		for o, s := range states {
+			w.Seen(time.Duration(20+10*i)*ms, o, View{States: []string{"alive", "alive", s}, ColdShare: 1})
+		}
+	}
+	w.Trouble(100*ms, 2, "", false)
+	for o := range 2 {
+		w.Seen(time.Duration(110+10*o)*ms, o, View{States: []string{"alive", "alive", "alive"}, ColdShare: 1})
+	}
+	d := *w.detections[0]
+	if want := (Detection{Softswitch: "n3", Kind: "kill", At: 10 * ms, Suspected: 20 * ms, Known: 30 * ms, Dead: 40 * ms, AllDead: 50 * ms,
+		Ended: 100 * ms, Back: 20 * ms, place: 2}); d != want {
+		t.Errorf("%+v, want %+v", d, want)
+	}
+}
+
+// Processes that know their tier: a killed one is held dead by all and there again once it is back, a cut one takes less
+// until the cut has healed, and with three in ten datagrams lost, doubled and late, all agree in the end.
+func TestFleetWithMembership(t *testing.T) {
+	bin := program(t)
+	s := short("members",
+		Fault{At: Duration{time.Second}, Kind: "loss", Share: 0.3, For: Duration{9 * time.Second}},
+		Fault{At: Duration{time.Second}, Kind: "duplicate", Share: 0.2, For: Duration{9 * time.Second}},
+		Fault{At: Duration{time.Second}, Kind: "reorder", By: Duration{30 * ms}, For: Duration{9 * time.Second}},
+		Fault{At: Duration{1500 * ms}, Kind: "kill", Target: []string{"n2"}, For: Duration{8 * time.Second}},
+		Fault{At: Duration{10 * time.Second}, Kind: "partition", Groups: [][]string{{"n1"}, {"n2", "n3"}}, For: Duration{2 * time.Second}})
+	s.Duration, s.Agree, s.Sample = Duration{12500 * ms}, Duration{10 * time.Second}, Duration{100 * ms}
+	s.Membership = map[string]any{"period": "200ms", "timeout": "80ms", "stall": "300ms"}
+	if err := s.Check(); err != nil {
+		t.Fatal(err)
+	}
+	out := t.TempDir()
+	res, err := Run(s, Options{Binary: bin, Out: out})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !res.Held || len(res.Detections) != 1 || res.Detections[0].AllDead < 0 || res.Detections[0].Back < 0 {
+		t.Errorf("held %v, breaches %+v, detections %+v", res.Held, res.Breaches, *res.Detections[0])
+	}
+	if res.Datagrams["dropped"] == 0 || res.Datagrams["passed"] == 0 || res.Members["heard"] == 0 || res.Members["dropped_stranger"] != 0 {
+		t.Errorf("datagrams %v, doors %v", res.Datagrams, res.Members)
+	}
+	path := filepath.Join(out, "seconds.csv")
+	if err := res.WriteTable(path); err != nil {
+		t.Fatal(err)
+	}
+	if text, _ := os.ReadFile(path); !strings.Contains(string(text), "view:n3") || !strings.Contains(string(text), "aaa") {
+		t.Errorf("no views in the table:\n%s", text)
+	}
+	noneLeft(t, out)
+}
