--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -7,12 +7,28 @@
 	"fmt"
 	"os"
 
+	"github.com/spf13/cobra"
+
+	"elmseam/internal/membership"
 	"elmseam/internal/wire"
 )
 
 func main() {
-	out := bufio.NewWriter(os.Stdout)
-	if err := wire.NewHost().Serve(bufio.NewReader(os.Stdin), out, out.Flush); err != nil {
+	members := false
+	cmd := &cobra.Command{
+		Use: "simhost", Short: "Runs the decision module under the simulator, on standard input and output",
+		Args: cobra.NoArgs, SilenceUsage: true, SilenceErrors: true,
+		RunE: func(*cobra.Command, []string) error {
+			host := wire.NewHost()
+			if members {
+				host.Join(membership.Defaults())
+			}
+			out := bufio.NewWriter(os.Stdout)
+			return host.Serve(bufio.NewReader(os.Stdin), out, out.Flush)
+		},
+	}
+	cmd.Flags().BoolVar(&members, "members", false, "instances take part in their tier's membership, where the settings permit peer messages")
+	if err := cmd.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "simhost:", err)
 		os.Exit(1)
 	}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"elmseam"
+	"elmseam/internal/membership"
 	"elmseam/internal/settings"
 )
 
@@ -27,14 +28,15 @@
 
 // Action codes.
 const (
-	acContext = 16
-	acForward = 17
-	acDefer   = 18
-	acFailure = 20
-	acDrop    = 21
-	acBroken  = 23
-	acWatch   = 24
-	acDeny    = 26
+	acContext  = 16
+	acForward  = 17
+	acDefer    = 18
+	acFailure  = 20
+	acDrop     = 21
+	acBroken   = 23
+	acWatch    = 24
+	acAnnounce = 25
+	acDeny     = 26
 )
 
 // Scopes of a list update.
@@ -75,6 +77,8 @@
 	hasSpoken bool
 	actions   []elmseam.Action
 	reply     Reply
+	limits    *membership.Limits // of the tier's membership; nil: it is off
+	members   map[uint16]*member
 }
 
 // NewHost makes a host without instances.
@@ -82,6 +86,7 @@
 	return &Host{
 		instances: make(map[uint16]*elmseam.Controller),
 		lists:     make(map[uint32][]elmseam.ListEntry),
+		members:   make(map[uint16]*member),
 	}
 }
 
@@ -138,6 +143,7 @@
 		return nil
 	case evKilled:
 		delete(h.instances, h.current)
+		delete(h.members, h.current)
 		return nil
 	case evUp:
 		text, err := b.span(le.Uint32(rec[9:]), le.Uint32(rec[13:]), 1)
@@ -145,9 +151,17 @@
 			return fmt.Errorf("settings: %w", err)
 		}
 		h.start(text, le.Uint64(rec[1:]))
+		h.join(text, le.Uint64(rec[1:]), now)
 		return nil
 	case evPeerData:
+		d, err := b.peerData(rec)
+		if err != nil {
+			return fmt.Errorf("peer data: %w", err)
+		}
+		h.step(now, d)
 		return nil
+	case evDue:
+		h.due(now, le.Uint32(rec[1:]))
 	}
 	ev, err := h.decode(rec)
 	if err != nil {
