--- a/internal/explore/tier.go
+++ b/internal/explore/tier.go
@@ -7,6 +7,7 @@
 
 	"github.com/zeebo/xxh3"
 
+	"elmseam/internal/datagram"
 	"elmseam/internal/membership"
 )
 
@@ -115,7 +116,7 @@
 	for _, e := range out {
 		switch e := e.(type) {
 		case membership.Send:
-			if sent++; len(e.Data) > membership.MaxDatagram || sent > tierBurst {
+			if sent++; len(e.Data) > datagram.Max || sent > tierBurst {
 				t.broken(Small, "member %d sends %d bytes, as its datagram %d of one event", m, len(e.Data), sent)
 			}
 			t.Flights = append(t.Flights, flight{From: m, To: e.To, Data: e.Data})
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"elmseam/internal/datagram"
 	"elmseam/internal/membership"
 	"elmseam/internal/swarm"
 )
@@ -238,7 +239,7 @@
 	if each := float64(n) / 270 / 10; each > 12 {
 		t.Errorf("%.1f datagrams a member and second", each)
 	}
-	if size := (f.SentBytes - before.SentBytes) / n; size > membership.MaxDatagram {
+	if size := (f.SentBytes - before.SentBytes) / n; size > datagram.Max {
 		t.Errorf("%d bytes a datagram", size)
 	}
 	x.pass(60 * second)
@@ -282,7 +283,7 @@
 		{"nothing", 1, nil, func(f membership.Figures) uint64 { return f.Garbled }},
 		{"too long", 1, append(append([]byte(nil), good...), make([]byte, 256)...), func(f membership.Figures) uint64 { return f.Garbled }},
 		{"the future", 1, future, func(f membership.Figures) uint64 { return f.Garbled }},
-		{"a version", 1, membership.Seal(version), func(f membership.Figures) uint64 { return f.Versions }},
+		{"a version", 1, datagram.Seal(version), func(f membership.Figures) uint64 { return f.Versions }},
 		{"another tier", 1, other, func(f membership.Figures) uint64 { return f.Strangers }},
 		{"nobody", 2, good, func(f membership.Figures) uint64 { return f.Strangers }},
 	}
@@ -321,9 +322,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		for _, d := range [][]byte{data, membership.Seal(append(append([]byte(nil), data...), 0, 0, 0, 0))} {
+		for _, d := range [][]byte{data, datagram.Seal(append(append([]byte(nil), data...), 0, 0, 0, 0))} {
 			for _, e := range r.Step(swarm.Epoch+second, membership.Datagram{From: 1, Data: d}) {
-				if s, ok := e.(membership.Send); ok && len(s.Data) > membership.MaxDatagram {
+				if s, ok := e.(membership.Send); ok && len(s.Data) > datagram.Max {
 					t.Errorf("a datagram of %d bytes", len(s.Data))
 				}
 			}
--- a/internal/membership/reducer.go
+++ b/internal/membership/reducer.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"elmseam/internal/datagram"
 )
 
 // Config is what a member is told.
@@ -344,10 +346,10 @@
 	}
 	m, updates, err := decode(d.Data, r.cfg.Tier, r.cfg.Limits.Datagram)
 	if err == nil && r.beyond(m.Incarnation) {
-		err = errGarbled
+		err = datagram.ErrGarbled
 	}
 	switch {
-	case errors.Is(err, errVersion):
+	case errors.Is(err, datagram.ErrVersion):
 		r.figures.Versions++
 		return
 	case errors.Is(err, errTier):
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -11,6 +11,8 @@
 import (
 	"fmt"
 	"time"
+
+	"elmseam/internal/datagram"
 )
 
 // Time is an instant of the core's clock, counted from the Unix epoch. It never runs backwards.
@@ -67,7 +69,7 @@
 	return Limits{
 		Period: 500 * time.Millisecond, Timeout: 150 * time.Millisecond, Indirect: 3,
 		SuspicionMin: 4, SuspicionMax: 4, Confirm: 3, Retransmit: 4, Health: 8,
-		Stall: 400 * time.Millisecond, Reclaim: 4, Datagram: MaxDatagram, Relays: 64, Skew: time.Hour,
+		Stall: 400 * time.Millisecond, Reclaim: 4, Datagram: datagram.Max, Relays: 64, Skew: time.Hour,
 	}
 }
 
@@ -94,8 +96,8 @@
 		return fmt.Errorf("stall: %v is negative", l.Stall)
 	case l.Reclaim < 1 || l.Reclaim > 1000:
 		return fmt.Errorf("reclaim: %d, not in [1, 1000]", l.Reclaim)
-	case l.Datagram < 64 || l.Datagram > MaxDatagram:
-		return fmt.Errorf("datagram: %d, not in [64, %d]", l.Datagram, MaxDatagram)
+	case l.Datagram < 64 || l.Datagram > datagram.Max:
+		return fmt.Errorf("datagram: %d, not in [64, %d]", l.Datagram, datagram.Max)
 	case l.Relays < 1:
 		return fmt.Errorf("relays: %d, not over 0", l.Relays)
 	case l.Skew < time.Second:
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -17,7 +17,7 @@
 	"golang.org/x/time/rate"
 
 	"elmseam/internal/core"
-	"elmseam/internal/membership"
+	"elmseam/internal/datagram"
 )
 
 // Limits are the sizes, counts and times of the socket.
@@ -130,7 +130,7 @@
 // read takes datagrams in. One from nobody of the tier is counted and leaves nothing; one too long is handed on one byte
 // too long, which membership counts.
 func (p *Peers) read(conn *net.UDPConn) {
-	var b [membership.MaxDatagram + 1]byte
+	var b [datagram.Max + 1]byte
 	pace := rate.NewLimiter(rate.Limit(p.cfg.Limits.Rate), max(int(p.cfg.Limits.Rate), 1))
 	for {
 		n, src, err := conn.ReadFromUDPAddrPort(b[:])
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -10,7 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"elmseam/internal/core"
-	"elmseam/internal/membership"
+	"elmseam/internal/datagram"
 )
 
 func socket(t *testing.T) *net.UDPConn {
@@ -59,7 +59,7 @@
 	to := net.UDPAddrFromAddrPort(p.to[0])
 	stranger.WriteToUDP([]byte("who?"), to)
 	member.WriteToUDP(make([]byte, 1000), to)
-	if ev, ok := next().(core.Peer); !ok || ev.From != 1 || len(ev.Data) != membership.MaxDatagram+1 {
+	if ev, ok := next().(core.Peer); !ok || ev.From != 1 || len(ev.Data) != datagram.Max+1 {
 		t.Errorf("%+v, want the one too long from member 1, a byte too long", ev)
 	}
 	for range 50 {
