--- a/internal/membership/belief.go
+++ b/internal/membership/belief.go
@@ -134,11 +134,32 @@
 	return time.Duration(max(most-done*(most-least), least))
 }
 
-// spread has an update ride on the datagrams to come, in the place of an older one of the same member.
+// spread has an update ride on the datagrams to come, in the place of an older one of the same member. The queue stands
+// in the order in which it goes: what has been passed on least first, of that the newest.
 func (r *Reducer) spread(u update) {
+	if i := slices.IndexFunc(r.queue, func(p pending) bool { return p.member == u.member }); i >= 0 {
+		r.queue = slices.Delete(r.queue, i, i+1)
+	}
 	r.age++
-	r.queue = slices.DeleteFunc(r.queue, func(p pending) bool { return p.member == u.member })
-	r.queue = append(r.queue, pending{update: u, Age: r.age})
+	r.queue = slices.Insert(r.queue, 0, pending{update: u, Age: r.age})
+}
+
+// passed takes in that the first n of the queue went out once more.
+func (r *Reducer) passed(n int) {
+	sent := slices.Clone(r.queue[:n])
+	for i := range sent {
+		sent[i].Sent++
+	}
+	sent = slices.DeleteFunc(sent, func(p pending) bool { return p.Sent >= r.transmitMax })
+	rest, queue := r.queue[n:], make([]pending, 0, len(r.queue))
+	for len(sent) > 0 && len(rest) > 0 {
+		if a, b := sent[0], rest[0]; a.Sent < b.Sent || a.Sent == b.Sent && a.Age > b.Age {
+			queue, sent = append(queue, a), sent[1:]
+		} else {
+			queue, rest = append(queue, b), rest[1:]
+		}
+	}
+	r.queue = append(append(queue, sent...), rest...)
 }
 
 // held is what is held of a member, as an update.
@@ -156,21 +177,13 @@
 	if s := r.members[to].State; s == Suspect || s.Down() {
 		first = append(first, r.held(to))
 	}
-	slices.SortFunc(r.queue, func(a, b pending) int {
-		if a.Sent != b.Sent {
-			return a.Sent - b.Sent
-		}
-		return int(b.Age) - int(a.Age)
-	})
 	all := first
-	for _, p := range r.queue {
+	for _, p := range r.queue[:min(len(r.queue), r.cfg.Limits.Datagram/2)] { // no more fit
 		all = append(all, p.update)
 	}
-	taken := r.post(to, m, all) - len(first)
-	for i := range max(taken, 0) {
-		r.queue[i].Sent++
+	if taken := r.post(to, m, all) - len(first); taken > 0 {
+		r.passed(taken)
 	}
-	r.queue = slices.DeleteFunc(r.queue, func(p pending) bool { return p.Sent >= r.transmitMax })
 }
 
 // post sends a datagram with as many updates as fit, and says how many did.
