--- a/cmd/elmseam/main.go
+++ b/cmd/elmseam/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -23,6 +24,7 @@
 	"elmseam/internal/link"
 	"elmseam/internal/loop"
 	"elmseam/internal/m3ua"
+	"elmseam/internal/maintenance"
 	"elmseam/internal/mgmt"
 	"elmseam/internal/peers"
 	"elmseam/internal/platform"
@@ -76,6 +78,7 @@
 	up := &upgrade{path: handover.Path(os.Getenv("TMPDIR"), cfg.Name), limits: cfg.Limits.HandOver, memory: memory, log: log, loud: link.Sparse(log)}
 	able := make(chan struct{})
 	var tier *peers.Peers
+	var front atomic.Pointer[platform.Platform] // before anything is posted
 	sparse := link.Sparse(log)
 	l := loop.New(c, cfg.Limits.Inbox, func(e core.Effect) {
 		switch e := e.(type) {
@@ -92,6 +95,10 @@
 			tier.Send(e)
 		case core.PeerChanged:
 			sparse.Info().Int("member", e.Member).Stringer("was", e.Was).Stringer("is", e.Is).Uint64("incarnation", e.Incarnation).Msg("membership changed")
+		case core.Draining:
+			front.Load().Drain(e.On)
+		case core.WorkTold:
+			sparse.Info().Int("member", e.Member).Stringer("stage", e.Record.Stage).Uint64("epoch", e.Record.Epoch).Msg("maintenance")
 		case core.ToPredecessor:
 			up.toPredecessor(e)
 		case core.ToSuccessor:
@@ -117,11 +124,12 @@
 			with, end := context.WithCancel(context.Background())
 			defer carried.Wait() // the others are told that this one goes
 			defer end()
-			carried.Go(func() { tier.Run(with, join) })
+			carried.Go(func() { tier.Run(with, join...) })
 		}
 	}
 
 	first := platform.New(cfg.Platform(), l, log)
+	front.Store(first)
 	l.Dialer(platform.Front, first.Dial)
 	up.loop, up.front = l, first
 	preceded := up.take(cfg.Listen)
@@ -233,6 +241,11 @@
 			second.Configure(cfg.M3UA(sig.M3UA))
 		}
 		l.Post(core.Configured{Settings: cfg.Settings, Limits: cfg.Limits.Core})
+		if again, err := config.LoadMembers(path, named); err != nil {
+			log.Error().Err(err).Msg("members' file not taken over")
+		} else if tier != nil && again.Maintenance.Enabled {
+			l.Post(core.Order{Event: maintenance.Budget{B: again.Budget(len(cfg.Peers))}})
+		}
 		follow.Follow(cfg.Channel, cfg.Known)
 		log.Info().Str("channel", cfg.Channel).Msg("configuration taken over")
 	}
--- /dev/null
+++ b/cmd/elmseamctl/maintenance.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"elmseam/internal/mgmt"
+)
+
+// maintenanceCommand asks a softswitch's door for maintenance of the tier.
+func maintenanceCommand() *cobra.Command {
+	var wait time.Duration
+	cmd := &cobra.Command{
+		Use:   "maintenance",
+		Short: "Has softswitches of a tier taken out for work in turn, at any one's operators' door",
+		Long: `Exit codes: 0 it was taken in, or shown; 1 the softswitch asked is not settled yet, ask again or another one;
+3 the door gave no answer, ordered maintenance is off there, or the command makes no sense.`,
+	}
+	cmd.PersistentFlags().DurationVar(&wait, "wait", 2*time.Second, "how long to wait for the door's answer")
+	order := func(use, short, method string) *cobra.Command {
+		return &cobra.Command{Use: use, Short: short, Args: cobra.MinimumNArgs(2), RunE: func(c *cobra.Command, args []string) error {
+			status, text, err := askMaintenance(method, args[0], args[1:], wait)
+			switch {
+			case err != nil:
+				return err
+			case status == http.StatusServiceUnavailable:
+				fmt.Fprint(c.OutOrStdout(), text)
+				return outcome(exitBroken)
+			case status != http.StatusAccepted:
+				return fmt.Errorf("%s: %d: %s", args[0], status, strings.TrimSpace(text))
+			}
+			return nil
+		}}
+	}
+	cmd.AddCommand(
+		order("request ADDRESS MEMBER...", "Asks for maintenance of members, by name, peers' address or number", http.MethodPost),
+		order("cancel ADDRESS MEMBER...", "Withdraws requests; of a member that is ready for work it says that the work is done", http.MethodDelete),
+		&cobra.Command{Use: "status ADDRESS", Short: "Shows the queue, and who is out", Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
+			status, text, err := askMaintenance(http.MethodGet, args[0], nil, wait)
+			if err != nil {
+				return err
+			}
+			var m mgmt.Maintenance
+			if status != http.StatusOK || json.Unmarshal([]byte(text), &m) != nil {
+				return fmt.Errorf("%s: %d: %.80s", args[0], status, strings.TrimSpace(text))
+			}
+			printMaintenance(c.OutOrStdout(), m)
+			return nil
+		}})
+	return cmd
+}
+
+func askMaintenance(method, address string, members []string, wait time.Duration) (status int, text string, err error) {
+	req, err := http.NewRequest(method, "http://"+address+"/ops/maintenance?"+url.Values{"member": members}.Encode(), nil)
+	if err != nil {
+		return 0, "", err
+	}
+	client := &http.Client{Timeout: wait}
+	res, err := client.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(res.Body, 1<<20))
+	return res.StatusCode, string(b), err
+}
+
+func printMaintenance(out io.Writer, m mgmt.Maintenance) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "MEMBER\tNAME\tSTAGE\tASKED\tTRIES\tEPOCH")
+	for _, part := range [][]mgmt.Request{m.Out, m.Queue, m.Over} {
+		for _, r := range part {
+			fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%d\t%d\n", r.Number, r.Name, r.Stage, r.Asked.Format(time.RFC3339), r.Tries, r.Epoch)
+		}
+	}
+	w.Flush()
+	settled := ""
+	if !m.Settled {
+		settled = "; NOT settled yet: it grants nothing and takes no request"
+	}
+	fmt.Fprintf(out, "%d out of at most %d%s\n", len(m.Out), m.Budget, settled)
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -16,6 +16,7 @@
 	"elmseam/internal/feed"
 	"elmseam/internal/handover"
 	"elmseam/internal/link"
+	"elmseam/internal/maintenance"
 	"elmseam/internal/membership"
 	"elmseam/internal/mgmt"
 	"elmseam/internal/peers"
@@ -40,9 +41,10 @@
 
 	HandOver handover.Limits
 	Peers    peers.Limits
-	Member   membership.Limits // filled by Tier, from the members' file
-	Memory   int64             // bytes the garbage collector aims to stay under
-	GC       int               // per cent that the heap may grow by before that
+	Member   membership.Limits  // filled by Tier, from the members' file
+	Work     maintenance.Limits // and so are these
+	Memory   int64              // bytes the garbage collector aims to stay under
+	GC       int                // per cent that the heap may grow by before that
 }
 
 // Config is all that a softswitch is told.
--- a/internal/config/members.go
+++ b/internal/config/members.go
@@ -5,11 +5,14 @@
 	"fmt"
 	"io/fs"
 	"os"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/BurntSushi/toml"
 
 	"elmseam/internal/core"
+	"elmseam/internal/maintenance"
 	"elmseam/internal/membership"
 	"elmseam/internal/peers"
 )
@@ -28,8 +31,63 @@
 	Health       int      `toml:"health"`
 	Stall        duration `toml:"stall"`
 	Reclaim      int      `toml:"reclaim"`
+
+	Maintenance Maintenance `toml:"maintenance"`
+}
+
+// Maintenance is the part of the file that tells whether this softswitch takes part in its tier's ordered maintenance. What
+// it leaves out is maintenance.Defaults.
+type Maintenance struct {
+	Enabled bool     `toml:"enabled"`
+	Budget  budget   `toml:"budget"`
+	Lease   duration `toml:"lease"`
+	Work    duration `toml:"work"`
+	Round   duration `toml:"round"`
+	Drift   float64  `toml:"drift"`
+}
+
+// budget is a count, or a share of the tier: 2 or "20%".
+type budget struct {
+	Count int
+	Share float64
+}
+
+// UnmarshalTOML reads a number or a text.
+func (b *budget) UnmarshalTOML(v any) error {
+	*b = budget{}
+	switch v := v.(type) {
+	case int64:
+		b.Count = int(min(max(v, -1), maintenance.Slots+1))
+		return nil
+	case string:
+		if share, ok := strings.CutSuffix(v, "%"); ok {
+			if s, err := strconv.ParseFloat(share, 64); err == nil && s > 0 && s <= 100 {
+				b.Share = s / 100
+				return nil
+			}
+		}
+	}
+	return fmt.Errorf("maintenance.budget: %v is neither a number nor a share such as \"20%%\"", v)
+}
+
+// of is the budget of a tier: at least one.
+func (b budget) of(tier int) int {
+	if b.Share > 0 {
+		return min(max(int(b.Share*float64(tier)), 1), maintenance.Slots)
+	}
+	return b.Count
+}
+
+func (m Maintenance) limits(tier int) maintenance.Limits {
+	l := maintenance.Defaults()
+	l.Budget, l.Lease, l.Work = m.Budget.of(tier), m.Lease.Duration, m.Work.Duration
+	l.Round, l.Drift = m.Round.Duration, m.Drift
+	return l
 }
 
+// Budget is how many of a tier may be out for work at once, by the file.
+func (m Members) Budget(tier int) int { return m.Maintenance.Budget.of(tier) }
+
 // duration is a time written as text.
 type duration struct{ time.Duration }
 
@@ -64,6 +122,9 @@
 		SuspicionMax: l.SuspicionMax, Confirm: l.Confirm, Retransmit: l.Retransmit, Health: l.Health,
 		Stall: duration{l.Stall}, Reclaim: l.Reclaim,
 	}
+	w := maintenance.Defaults()
+	m.Maintenance = Maintenance{Budget: budget{Count: w.Budget}, Lease: duration{w.Lease}, Work: duration{w.Work},
+		Round: duration{w.Round}, Drift: w.Drift}
 	meta, err := toml.Decode(text, &m)
 	if err != nil {
 		return m, err
@@ -71,6 +132,12 @@
 	if unknown := meta.Undecoded(); len(unknown) > 0 {
 		return m, fmt.Errorf("%s: unknown field", unknown[0])
 	}
+	if err := m.Maintenance.limits(1).Check(); err != nil {
+		return m, fmt.Errorf("maintenance.%w", err)
+	}
+	if m.Maintenance.Enabled && !m.Enabled {
+		return m, errors.New("maintenance.enabled: needs membership (enabled = true)")
+	}
 	return m, m.limits().Check()
 }
 
@@ -82,9 +149,10 @@
 	return l
 }
 
-// Tier is what the socket of the tier's datagrams is told, and how the core joins. Needed are the platform's addresses
-// and the own number; an error names the field. Permitted says whether the settings allow datagrams at all.
-func (c *Config) Tier(m Members) (sock peers.Config, join core.Join, permitted bool, err error) {
+// Tier is what the socket of the tier's datagrams is told, and how the core joins: membership and, where the file says
+// so, maintenance. Needed are the platform's addresses and the own number; an error names the field. Permitted says
+// whether the settings allow datagrams at all.
+func (c *Config) Tier(m Members) (sock peers.Config, join []core.Event, permitted bool, err error) {
 	if !c.Node.PeerMessages {
 		return sock, join, false, nil
 	}
@@ -96,6 +164,11 @@
 		return sock, join, true, fmt.Errorf("peers: %d of them, settings.peers-total says %d", n, c.Node.Tier)
 	}
 	sock = peers.Config{Listen: c.PeerListen, Peers: c.Peers, Self: c.Node.Me, Limits: c.Limits.Peers}
-	join = core.Join{Config: membership.Config{Self: c.Node.Me, Tier: len(c.Peers), Limits: c.Limits.Member, Seed: c.Seed}}
+	join = append(join, core.Join{Config: membership.Config{Self: c.Node.Me, Tier: len(c.Peers), Limits: c.Limits.Member, Seed: c.Seed}})
+	if m.Maintenance.Enabled {
+		c.Limits.Work = m.Maintenance.limits(len(c.Peers))
+		join = append(join, core.Plan{Config: maintenance.Config{Self: c.Node.Me, Tier: len(c.Peers), Zone: c.Node.Zone, Name: c.Name,
+			Limits: c.Limits.Work, Seed: c.Seed}})
+	}
 	return sock, join, true, nil
 }
--- a/internal/core/figures.go
+++ b/internal/core/figures.go
@@ -21,6 +21,7 @@
 	Draining         bool
 	Stopping         bool
 	Members          *MemberFigures // of the tier; nil: there is no membership
+	Work             *WorkFigures   // of its maintenance; nil: there is none
 }
 
 // Figures are the figures of now. What they hold is the caller's.
@@ -28,7 +29,7 @@
 	f := c.figures
 	f.Classes = slices.Clone(f.Classes)
 	f.Current, f.Draining, f.Stopping = len(c.calls), c.draining, c.stopping
-	f.Members = c.members()
+	f.Members, f.Work = c.members(), c.maintained()
 	for _, s := range c.order {
 		if s.Phase == 0 { // gone, and kept for what is left of it
 			continue
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -82,6 +82,7 @@
 			changed = true
 			if e.Member != c.self {
 				c.do(PeerChanged{e})
+				c.peerThere(e.Member, e.Is)
 			}
 		}
 	}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"elmseam"
+	"elmseam/internal/maintenance"
 	"elmseam/internal/membership"
 )
 
@@ -311,6 +312,7 @@
 	number uint32 // the controller's token, or the attempt
 	server string
 	member membership.Token
+	work   maintenance.Token
 }
 
 type tokenKind uint8
@@ -327,6 +329,7 @@
 	tokenDrain // callers of a drained process are looked through
 	tokenFinal // and so is the longest time for what still stands
 	tokenMember
+	tokenWork
 )
 
 // Limits are the times the core keeps.
--- /dev/null
+++ b/internal/core/work.go
@@ -0,0 +1,110 @@
+package core
+
+import (
+	"slices"
+
+	"elmseam/internal/maintenance"
+	"elmseam/internal/membership"
+)
+
+// Ordered maintenance runs inside the core beside membership, which tells it who is there. When the turn of this softswitch
+// has come it drains as an operator would have it drain; when nothing is left on it, it says that it is ready for work.
+
+type (
+	// Plan begins this softswitch's part in its tier's ordered maintenance. It needs a Join before.
+	Plan struct{ Config maintenance.Config }
+	// Order is what an operator asks of the tier's maintenance: a Request or a Cancel, of members by their numbers.
+	Order struct{ Event maintenance.Event }
+)
+
+func (Plan) event()  {}
+func (Order) event() {}
+
+type (
+	// Draining says whether this softswitch drains, when its turn for work has come or is over.
+	Draining struct{ On bool }
+	// WorkTold says how far a softswitch's maintenance is now.
+	WorkTold struct{ maintenance.Told }
+)
+
+func (Draining) effect() {}
+func (WorkTold) effect() {}
+
+// plan begins maintenance. A second Plan changes nothing.
+func (c *Core) plan(ev Plan) {
+	if c.work != nil || c.fleet == nil {
+		return
+	}
+	work, out, err := maintenance.New(ev.Config, c.now)
+	if err != nil {
+		c.do(Broken{Rule: err.Error()})
+		return
+	}
+	c.work = work
+	c.works(out)
+	for m, e := range c.fleet.Members() {
+		c.toWork(maintenance.There{Member: m, Yes: e.State.There()})
+	}
+	c.toWork(maintenance.Serving{Yes: c.serving})
+}
+
+// toWork hands maintenance an event.
+func (c *Core) toWork(ev maintenance.Event) {
+	if c.work != nil {
+		c.works(c.work.Step(c.now, ev))
+	}
+}
+
+// works carries out what maintenance asks for.
+func (c *Core) works(out []maintenance.Effect) {
+	for _, e := range out {
+		switch e := e.(type) {
+		case maintenance.Send:
+			c.do(ToPeer{To: e.To, Data: e.Data})
+		case maintenance.Timer:
+			c.timer(e.At, Token{kind: tokenWork, work: e.Token})
+		case maintenance.Told:
+			c.do(WorkTold{e})
+		case maintenance.Drain:
+			c.workDrain = e.On
+			c.drain(c.handDrain || c.workDrain)
+			c.do(Draining{On: c.draining})
+		}
+	}
+}
+
+// byHand drains for an operator. One who takes callers back while the softswitch is out for work ends that.
+func (c *Core) byHand(on bool) {
+	c.handDrain = on
+	if !on && c.workDrain {
+		c.toWork(maintenance.Cancel{Members: []int{c.self}})
+	}
+	c.drain(c.handDrain || c.workDrain)
+}
+
+// empty tells maintenance, once, that nothing is left here.
+func (c *Core) empty() {
+	if c.work != nil && c.work.Waits() && c.away() && len(c.calls) == 0 {
+		c.toWork(maintenance.Drained{})
+	}
+}
+
+// peerThere tells maintenance who is there: one that is merely suspected keeps its place.
+func (c *Core) peerThere(m int, s membership.State) {
+	c.toWork(maintenance.There{Member: m, Yes: s.There() || s == membership.Suspect})
+}
+
+// WorkFigures are what operators are shown of the tier's maintenance.
+type WorkFigures struct {
+	maintenance.State
+	Self  int
+	Names []string // of the tier's softswitches, by number, where they have told them
+}
+
+// maintained are the figures of maintenance; nil where there is none.
+func (c *Core) maintained() *WorkFigures {
+	if c.work == nil {
+		return nil
+	}
+	return &WorkFigures{State: c.work.State(), Self: c.self, Names: slices.Clone(c.work.Names())}
+}
--- a/internal/explore/model.go
+++ b/internal/explore/model.go
@@ -24,6 +24,7 @@
 	Calls    = "calls"    // the core and the decision module
 	Circuits = "circuits" // the second front's circuits to a server
 	Members  = "members"  // the tier's membership
+	Works    = "works"    // its ordered maintenance
 )
 
 // New is where the exploration of a model begins.
@@ -35,7 +36,9 @@
 	case Circuits:
 		return newLine(cfg), nil
 	case Members:
-		return newTier(cfg), nil
+		return newMembers(cfg), nil
+	case Works:
+		return newWorks(cfg), nil
 	}
 	return NewWorld(cfg)
 }
--- a/internal/lab/plan.go
+++ b/internal/lab/plan.go
@@ -17,6 +17,7 @@
 	ActReset              // the connections between Places and Server reset
 	ActStall              // those connections silent (Stall) or speaking again
 	ActSlow               // Server works Factor times slower (1: as it should)
+	ActOrder              // Places asked for, or withdrawn (Retire), at the door of Via
 	ActTell               // Server told Status on the command channel; Retire where it drains or goes
 )
 
@@ -32,6 +33,7 @@
 	Factor  float64
 	Status  string
 	Retire  bool
+	Via     int
 	Weather Weather
 }
 
@@ -76,6 +78,8 @@
 		case "drain", "gone":
 			status := map[string]string{"drain": "terminating", "gone": "terminated"}[f.Kind]
 			add(Action{At: f.At.Duration, Act: ActTell, Fault: i, Server: f.Server, Status: status, Retire: true})
+		case "maintain", "withdraw":
+			add(Action{At: f.At.Duration, Act: ActOrder, Fault: i, Places: places, Via: s.names[f.Via], Retire: f.Kind == "withdraw"})
 		default: // of the network
 			weatherAt = append(weatherAt, f.At.Duration)
 			if f.For.Duration > 0 {
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
+	"net/url"
 	"os"
 	"path/filepath"
 	"slices"
@@ -15,6 +17,9 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"elmseam/internal/maintenance"
+	"elmseam/internal/mgmt"
 )
 
 // Settings are the lab's own settings for the softswitches, where a scenario names none: one class, four attempts,
@@ -63,7 +68,9 @@
 	Detections  []*Detection     `json:"detections,omitempty"`
 	FalseDeaths []FalseDeath     `json:"false_deaths,omitempty"`
 	Members     map[string]int64 `json:"members,omitempty"` // the doors' figures, all softswitches and lives together
-	Span        time.Duration    `json:"span_ns"`           // from the load's start to the end
+	Works       []*Work          `json:"works,omitempty"`
+	MostOut     int              `json:"most_out"` // softswitches out for work at one sample
+	Span        time.Duration    `json:"span_ns"`  // from the load's start to the end
 
 	seconds  []Second
 	servers  []string
@@ -115,6 +122,7 @@
 	mu       sync.Mutex // over the judge and the counts
 	judge    *Judge
 	watch    *Watcher
+	over     chan struct{} // the run's faults and samples are over
 	begin    time.Time
 	members  []*member
 	servers  map[string]*standIn
@@ -204,7 +212,7 @@
 
 func newRunner(s *Scenario, o Options, rules Rules, settings string) *runner {
 	return &runner{s: s, o: o, judge: NewJudge(rules), servers: make(map[string]*standIn), setting: json.RawMessage(settings),
-		watch: NewWatcher(s.Softswitches), pick: freePort, rand: rand.New(rand.NewPCG(s.Seed, 0x63616c6c))}
+		watch: NewWatcher(s.Softswitches), over: make(chan struct{}), pick: freePort, rand: rand.New(rand.NewPCG(s.Seed, 0x63616c6c))}
 }
 
 func (r *runner) run() (*Result, error) {
@@ -390,6 +398,7 @@
 	case <-r.o.Stop:
 	}
 	close(stop)
+	close(r.over)
 	wg.Wait()
 	select {
 	case <-r.o.Stop:
@@ -406,6 +415,7 @@
 		r.look()
 		r.mu.Lock()
 		r.watch.Agree(r.now(), func(place int) bool { return r.members[place].running() })
+		r.watch.Maintained(r.now(), r.s.places(r.s.Maintained))
 		r.mu.Unlock()
 	}
 	return nil
@@ -520,6 +530,9 @@
 		r.mu.Unlock()
 		r.look()
 		r.mu.Lock()
+		if r.s.Budget > 0 {
+			r.watch.Out(r.now(), r.s.Budget, func(place int) bool { return !r.members[place].isReady() })
+		}
 		for len(r.views) <= second {
 			r.views = append(r.views, nil)
 		}
@@ -542,11 +555,71 @@
 				r.watch.Seen(r.now(), i, v)
 			}
 			r.mu.Unlock()
+			if r.s.Budget > 0 {
+				r.work(m)
+			}
 		})
 	}
 	wg.Wait()
 }
 
+// maintain asks a softswitch's door for maintenance, or withdraws it; one that is not settled yet is asked again.
+func (r *runner) maintain(a Action) {
+	method := http.MethodPost
+	if a.Retire {
+		method = http.MethodDelete
+	}
+	names := url.Values{}
+	for _, m := range r.at(a.Places) {
+		names.Add("member", m.name)
+	}
+	for until := r.now() + 10*time.Second; r.now() < until; time.Sleep(100 * time.Millisecond) {
+		status, _ := r.members[a.Via].call(method, "/ops/maintenance?"+names.Encode())
+		if status == http.StatusAccepted {
+			return
+		}
+	}
+	r.o.Log.Error().Str("via", r.members[a.Via].name).Msg("no order for maintenance was taken")
+}
+
+// work is the lab's operator: a softswitch that is ready for work is worked on, and then released, or started anew.
+func (r *runner) work(m *member) {
+	status, text := m.call(http.MethodGet, "/ops/maintenance")
+	var t mgmt.Maintenance
+	if status != http.StatusOK || json.Unmarshal(text, &t) != nil {
+		return
+	}
+	at := slices.IndexFunc(t.Out, func(q mgmt.Request) bool { return q.Number == m.place })
+	out := at >= 0 && t.Holds
+	ready := out && t.Out[at].Stage == maintenance.Ready.String()
+	r.mu.Lock()
+	r.watch.Work(r.now(), m.place, out, ready)
+	begin := ready && !m.worked && r.s.WorkTakes.Duration > 0
+	m.worked = ready && (m.worked || begin)
+	r.mu.Unlock()
+	if !begin {
+		return
+	}
+	go func() {
+		select {
+		case <-time.After(r.s.WorkTakes.Duration):
+		case <-r.over:
+			return
+		}
+		if r.s.WorkBy == "restart" {
+			r.hinder(m, "work", true)
+			m.stop(syscall.SIGTERM, 5*time.Second)
+			if err := r.launch(m); err != nil {
+				r.o.Log.Error().Err(err).Str("softswitch", m.name).Msg("restart")
+			}
+			r.waitReady([]*member{m})
+			r.hinder(m, "", false)
+			return
+		}
+		m.call(http.MethodDelete, "/ops/maintenance?member="+m.name)
+	}()
+}
+
 // hinder says that a softswitch is in trouble from now on, or no more.
 func (r *runner) hinder(m *member, kind string, begins bool) {
 	now := r.now()
@@ -646,6 +719,8 @@
 		r.servers[a.Server].stall(a.Places, a.Stall)
 	case ActSlow:
 		r.servers[a.Server].slowBy(a.Factor)
+	case ActOrder:
+		beside(func() { r.maintain(a) })
 	case ActTell:
 		if a.Retire {
 			r.mu.Lock()
@@ -697,7 +772,7 @@
 	defer r.mu.Unlock()
 	res := &Result{Scenario: r.s.Name, Breaches: r.judge.Breaches(), Unsent: r.unsent, LagMax: r.lagMax, BlindSpans: r.blinds,
 		seconds: r.judge.Seconds(), servers: r.order, Starts: map[string]int{}, Marks: r.marks,
-		ready: r.ready, views: r.views, Detections: r.watch.detections, FalseDeaths: r.watch.deaths, Span: r.now()}
+		ready: r.ready, views: r.views, Detections: r.watch.detections, FalseDeaths: r.watch.deaths, Works: r.watch.works, MostOut: r.watch.mostOut, Span: r.now()}
 	res.Breaches = append(res.Breaches, r.watch.Breaches()...)
 	for i := range res.seconds {
 		var row []float64
--- a/internal/lab/views.go
+++ b/internal/lab/views.go
@@ -49,12 +49,15 @@
 	cutEnded   time.Duration // -1: none has
 	detections []*Detection
 	deaths     []FalseDeath
+	works      []*Work
+	over       map[int]bool // its last request is
+	mostOut    int
 	breaches   map[string]*Breach
 }
 
 // NewWatcher follows so many softswitches.
 func NewWatcher(n int) *Watcher {
-	w := &Watcher{views: make([]View, n), hindered: make([]bool, n), breaches: make(map[string]*Breach), cutEnded: -1}
+	w := &Watcher{views: make([]View, n), hindered: make([]bool, n), breaches: make(map[string]*Breach), over: make(map[int]bool), cutEnded: -1}
 	for range n {
 		w.freed = append(w.freed, -1)
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -188,7 +188,8 @@
 			case core.Serving:
 				l.log.Info().Bool("serving", e.Yes).Msg("service")
 				l.notify(e)
-			case core.Dropped, core.Able, core.ToPredecessor, core.ToSuccessor, core.ToPeer, core.PeerChanged:
+			case core.Dropped, core.Able, core.ToPredecessor, core.ToSuccessor, core.ToPeer, core.PeerChanged,
+				core.Draining, core.WorkTold:
 				l.notify(e)
 			case core.Stopped:
 				stopped = true
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -39,18 +39,18 @@
 	Peers   *peers.Peers        // nil: there is no membership
 	Log     zerolog.Logger
 
-	orders chan bool
+	orders chan core.Event
 	mu     sync.Mutex
 	open   []net.Conn // that have not made their call, oldest first
 }
 
 // Serve serves until the listener is closed.
 func (d *Door) Serve(l net.Listener) {
-	d.orders = make(chan bool, d.Limits.Drains)
+	d.orders = make(chan core.Event, d.Limits.Drains)
 	defer close(d.orders)
 	go func() { // in the order they came
-		for on := range d.orders {
-			d.Post(core.Drain{On: on})
+		for order := range d.orders {
+			d.Post(order)
 		}
 	}()
 	var calls sync.WaitGroup
@@ -111,18 +111,20 @@
 	case err != nil:
 		d.answer(conn, http.StatusBadRequest, "the call can't be read\n")
 	default:
-		status, text, allow := d.call(req.Method, req.URL.Path)
+		status, text, allow := d.call(req.Method, req.URL.Path, req.URL.Query()["member"])
 		d.answer(conn, status, text, allow...)
 	}
 }
 
 // call does what is asked for. Allow is set where the method is not the path's.
-func (d *Door) call(method, path string) (status int, text string, allow []string) {
+func (d *Door) call(method, path string, members []string) (status int, text string, allow []string) {
 	want := http.MethodGet
 	if path == pathDrain || path == pathResume {
 		want = http.MethodPost
 	}
 	switch path {
+	case pathWork:
+		return d.maintenance(method, members)
 	case pathReady, pathStats, pathMembers, pathDrain, pathResume:
 	default:
 		return http.StatusNotFound, "no such call\n", nil
@@ -141,6 +143,9 @@
 			if f.Members != nil {
 				text += memberText(*f.Members, d.Peers.Count())
 			}
+			if f.Work != nil {
+				text += workText(*f.Work)
+			}
 			return http.StatusOK, text, nil
 		case pathMembers:
 			if f.Members == nil {
@@ -154,9 +159,7 @@
 	if f.Stopping {
 		return http.StatusServiceUnavailable, "stopping\n", nil
 	}
-	select {
-	case d.orders <- on:
-	default:
+	if !d.order(core.Drain{On: on}) {
 		return http.StatusServiceUnavailable, "too many orders wait\n", nil
 	}
 	d.Drain(on)
@@ -164,6 +167,16 @@
 	return http.StatusOK, "", nil
 }
 
+// order has the loop take an order in, behind those before. It says no where too many wait.
+func (d *Door) order(ev core.Event) bool {
+	select {
+	case d.orders <- ev:
+		return true
+	default:
+		return false
+	}
+}
+
 // readiness says whether this process can serve, and what is in the way.
 func readiness(f core.Figures) (int, string, []string) {
 	why := "no server can be reached\n"
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -80,7 +80,7 @@
 
 // Run opens the socket, as soon as the address is free, has the core join, and serves until the context ends and what
 // was still to be sent is written.
-func (p *Peers) Run(ctx context.Context, join core.Join) {
+func (p *Peers) Run(ctx context.Context, join ...core.Event) {
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(p.listen))
 	for first := true; err != nil; first = false {
 		if first {
@@ -95,7 +95,9 @@
 	}
 	p.log.Info().Str("peers", conn.LocalAddr().String()).Int("self", p.cfg.Self).Int("tier", len(p.to)).Msg("membership")
 	p.wg.Go(func() { p.read(conn) })
-	p.post(join)
+	for _, ev := range join {
+		p.post(ev)
+	}
 	for {
 		select {
 		case e := <-p.queue:
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -128,6 +128,7 @@
 	LongestHold    time.Duration // the longest that calls of a class last on average
 	MaxOpen        int           // calls that may be open at once
 	Me             int           // the own number in the tier; -1: not told
+	Zone           int           // the own zone; -1: not told
 	Tier           int           // softswitches in the tier; 0: not told
 	PeerMessages   bool          // datagrams between them are permitted
 }
@@ -256,6 +257,7 @@
 			Peers     bool   `json:"peer-messages"`
 		} `json:"limits"`
 		Me         *float64 `json:"me"`
+		Zone       *float64 `json:"zone"`
 		Tier       float64  `json:"peers-total"`
 		LoadReport struct {
 			Columns []string `json:"columns"`
@@ -275,9 +277,13 @@
 		KeepAlive:      info.Limits.KeepAlive.duration(),
 		MaxOpen:        info.Limits.MaxOpen,
 		Me:             -1,
+		Zone:           -1,
 		Tier:           int(info.Tier),
 		PeerMessages:   info.Limits.Peers,
 	}
+	if info.Zone != nil {
+		n.Zone = int(min(max(*info.Zone, -1), 127))
+	}
 	if info.Me != nil {
 		n.Me = int(*info.Me)
 	}
