--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -12,6 +12,7 @@
 	"elmseam"
 	"elmseam/internal/circuits"
 	"elmseam/internal/core"
+	"elmseam/internal/maintenance"
 	"elmseam/internal/membership"
 )
 
@@ -275,3 +276,26 @@
 		}
 	}
 }
+
+// Ordered maintenance keeps its rules whatever is lost, late, killed, started anew or stopped among three members of
+// which two are asked for; a holder that stood still past its lease is seen out beside the next without its fence, or
+// without taking its callers back.
+func TestWorks(t *testing.T) {
+	cfg := Config{Model: Works, Servers: 3, Calls: 2, Attempts: 1, Faults: 1, Wait: time.Second}
+	if r, err := Run(context.Background(), cfg, Bounds{}); err != nil || !r.Complete || r.Trace != nil || r.Ends < 100 {
+		t.Fatalf("%+v, %v", r, err)
+	}
+	for _, lacks := range []maintenance.Guard{maintenance.GuardEnd, maintenance.GuardBack} {
+		cfg := Config{Model: Works, Servers: 3, Calls: 8, Attempts: 1, Pauses: 1, Wait: time.Second, Idle: lacks}
+		r, err := Run(context.Background(), cfg, Bounds{})
+		if err != nil || r.Trace == nil || r.Trace.Broken.Rule != InBudget {
+			t.Errorf("without %d: %+v, %v, want %s broken", lacks, r, err, InBudget)
+			continue
+		}
+		whole := cfg
+		whole.Idle = 0
+		if v, err := r.Trace.Play(whole, nil); err == nil && v != nil {
+			t.Errorf("without %d: the whole member breaks it too: %v", lacks, v)
+		}
+	}
+}
--- a/internal/maintenance/reducer.go
+++ b/internal/maintenance/reducer.go
@@ -41,6 +41,7 @@
 	Epoch uint64
 	Began Time
 	Lease time.Duration
+	With  []int // who is asked
 	Yes   []int
 	No    int
 }
@@ -184,6 +185,10 @@
 		r.consider()
 		r.gossip()
 		r.next(r.cfg.Limits.Round)
+	case tokenAgain: // the half of its time is over: what was lost goes out once more
+		if r.round != nil && r.round.Seq == t.seq {
+			r.askThem()
+		}
 	case tokenRound:
 		if r.round != nil && r.round.Seq == t.seq {
 			r.lose()
@@ -374,9 +379,11 @@
 	r.figures.Asked++
 	for m := range r.cfg.Tier {
 		if m != r.cfg.Self && (with == nil || slices.Contains(with, m)) {
-			r.send(m, message{Kind: ask, Seq: r.round.Seq, Slot: uint8(slot), Epoch: epoch, Lease: uint32(lease / time.Millisecond)})
+			r.round.With = append(r.round.With, m)
 		}
 	}
+	r.askThem()
+	r.do(Timer{At: r.now + r.cfg.Limits.Round/2, Token: Token{kind: tokenAgain, seq: r.round.Seq}})
 	r.do(Timer{At: r.now + r.cfg.Limits.Round, Token: Token{kind: tokenRound, seq: r.round.Seq}})
 	if yes, _ := r.vote(r.cfg.Self, slot, epoch, lease); yes {
 		r.granted(r.cfg.Self, r.round.Seq)
@@ -385,6 +392,16 @@
 	}
 }
 
+// askThem asks those who have not said yes yet.
+func (r *Reducer) askThem() {
+	w := r.round
+	for _, m := range w.With {
+		if !slices.Contains(w.Yes, m) {
+			r.send(m, message{Kind: ask, Seq: w.Seq, Slot: uint8(w.Slot), Epoch: w.Epoch, Lease: uint32(w.Lease / time.Millisecond)})
+		}
+	}
+}
+
 // renew asks those who grant the lease to go on; for as long as a machine may be away, once this member is drained.
 // Where they have not all answered the last time, it asks all.
 func (r *Reducer) renew() {
--- a/internal/maintenance/types.go
+++ b/internal/maintenance/types.go
@@ -211,7 +211,8 @@
 
 const (
 	tokenTick  tokenKind = iota // a look at the queue, and gossip
-	tokenRound                  // a round has had its time
+	tokenAgain                  // a round has had half of its time
+	tokenRound                  // or all of it
 	tokenRenew                  // the lease is to be renewed
 	tokenEnd                    // it is over by this member's clock
 )
