--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -67,7 +67,8 @@
 	// Of membership, where it is on.
 	Detections  []*Detection     `json:"detections,omitempty"`
 	FalseDeaths []FalseDeath     `json:"false_deaths,omitempty"`
-	Members     map[string]int64 `json:"members,omitempty"` // the doors' figures, all softswitches and lives together
+	Members     map[string]int64 `json:"members,omitempty"`     // the doors' figures, all softswitches and lives together
+	Maintenance map[string]int64 `json:"maintenance,omitempty"` // and these
 	Works       []*Work          `json:"works,omitempty"`
 	MostOut     int              `json:"most_out"` // softswitches out for work at one sample
 	Span        time.Duration    `json:"span_ns"`  // from the load's start to the end
@@ -772,7 +773,7 @@
 	defer r.mu.Unlock()
 	res := &Result{Scenario: r.s.Name, Breaches: r.judge.Breaches(), Unsent: r.unsent, LagMax: r.lagMax, BlindSpans: r.blinds,
 		seconds: r.judge.Seconds(), servers: r.order, Starts: map[string]int{}, Marks: r.marks,
-		ready: r.ready, views: r.views, Detections: r.watch.detections, FalseDeaths: r.watch.deaths, Works: r.watch.works, MostOut: r.watch.mostOut, Span: r.now()}
+		Members: map[string]int64{}, Maintenance: map[string]int64{}, ready: r.ready, views: r.views, Detections: r.watch.detections, FalseDeaths: r.watch.deaths, Works: r.watch.works, MostOut: r.watch.mostOut, Span: r.now()}
 	res.Breaches = append(res.Breaches, r.watch.Breaches()...)
 	for i := range res.seconds {
 		var row []float64
@@ -792,11 +793,9 @@
 	for _, m := range r.members {
 		res.DoorServed += m.figures["answered"]
 		for k, v := range m.figures {
-			if name, ok := strings.CutPrefix(k, "members."); ok && summed[name] {
-				if res.Members == nil {
-					res.Members = map[string]int64{}
-				}
-				res.Members[name] += v
+			protocol, name, _ := strings.Cut(k, ".")
+			if of := map[string]map[string]int64{"members": res.Members, "maintenance": res.Maintenance}[protocol]; of != nil && summed[name] {
+				of[name] += v
 			}
 		}
 		res.Starts[m.name] = m.starts
@@ -819,10 +818,10 @@
 	return res
 }
 
-// summed are the figures of membership that count up, so that those of all lives add up.
+// summed are the figures of membership and maintenance that count up, so that those of all lives add up.
 var summed = map[string]bool{"probes": true, "indirect": true, "acks": true, "nacks": true, "failed": true,
 	"suspicions": true, "deaths": true, "refutations": true, "stalls": true, "sent": true, "sent_bytes": true, "heard": true,
-	"dropped_garbled": true, "dropped_version": true, "dropped_stranger": true, "dropped_flood": true, "unwritten": true}
+	"asked": true, "granted": true, "renewed": true, "lost": true, "yes": true, "no": true, "dropped_garbled": true, "dropped_version": true, "dropped_stranger": true, "dropped_flood": true, "unwritten": true}
 
 func abs(f float64) float64 {
 	if f < 0 {
