--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -347,3 +347,46 @@
 		}
 	}
 }
+
+// Where three in ten datagrams are lost, suspicions are many and nobody comes to be held dead: who suspects a member tells it
+// each period, and it refutes at once.
+func TestLossKillsNobody(t *testing.T) {
+	suspicions := uint64(0)
+	for _, n := range []int{5, 8, 12} {
+		for seed := range uint64(8) {
+			o, err := swarm.Trial{Members: n, Limits: membership.Defaults(), Seed: seed, Loss: 0.3, Delay: 5 * time.Millisecond,
+				Warm: 10 * second, Span: 60 * second}.Run()
+			if err != nil || o.FalseDeaths > 0 {
+				t.Errorf("%d members, seed %d: %d held dead, %v", n, seed, o.FalseDeaths, err)
+			}
+			suspicions += o.Suspicions
+		}
+	}
+	if suspicions < 100 {
+		t.Errorf("%d suspicions: nothing was put to the test", suspicions)
+	}
+}
+
+// A member that does badly itself does not have others held dead for it: 8 of 32 stand still for 4 s of every 5 s.
+func TestBadHealthIsNotContagious(t *testing.T) {
+	limits := membership.Defaults()
+	for _, c := range []struct {
+		change func(*membership.Limits)
+		deaths bool
+	}{{func(*membership.Limits) {}, false}, {swarm.Variants[0].Change, true}} {
+		l := limits
+		c.change(&l)
+		deaths := 0
+		for seed := range uint64(2) {
+			o, err := swarm.Trial{Members: 32, Limits: l, Seed: seed + 1, Delay: 5 * time.Millisecond, Warm: 10 * second, Span: 60 * second,
+				Troubled: 8, Pause: 4 * second, Every: 5 * second}.Run()
+			if err != nil {
+				t.Fatal(err)
+			}
+			deaths += o.FalseDeaths
+		}
+		if (deaths > 0) != c.deaths {
+			t.Errorf("%+v: %d held dead", l, deaths)
+		}
+	}
+}
