--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -101,47 +101,47 @@
 
 // Core is the reducer.
 type Core struct {
-	limits               Limits
-	guard                time.Duration // the release gap
-	most                 int           // attempts a call may have
-	ctl                  *elmseam.Controller
-	now                  Time
-	out                  []Effect
-	calls                map[ID]*call
-	byCID                map[elmseam.CallID]*call
-	open                 int // set-ups with no final answer
-	bytes                int // that calls keep
-	lastCID              elmseam.CallID
-	servers              map[string]*server
-	byID                 map[elmseam.ServerID]*server
-	order                []*server
-	lastID               elmseam.ServerID
-	left                 []left           // servers that have gone, oldest first
-	routes               map[string]Route // withdrawn
-	callers              map[Link]*caller
-	links                []*caller // oldest first
-	pending              []*pendingRelease
-	ended                map[ID]Time
-	endedAt              []over
-	stopping             bool
-	graced               bool
-	stopped              bool
-	serving              bool
-	draining             bool
-	drained              Time   // when that began or ended
-	drains               uint32 // how often it did
-	figures              Figures
-	hook                 Hook
-	handing              bool                 // callers' connections are handed to a successor
-	preceded             bool                 // a predecessor has calls of callers who are here
-	halved               bool                 // which holds as many callers as are here
-	foreign              map[ID]Link          // and owes these set-ups an answer
-	stood                map[ID]Link          // calls that stand from before it handed their callers on
-	able                 bool                 // this process could serve, once
-	fleet                *membership.Reducer  // nil: this softswitch knows nothing of the others of its tier
-	self                 int                  // its number there
-	work                 *maintenance.Reducer // nil: it takes part in no ordered maintenance
-	handDrain, workDrain bool                 // who wants this softswitch drained
+	limits   Limits
+	guard    time.Duration // the release gap
+	most     int           // attempts a call may have
+	ctl      *elmseam.Controller
+	now      Time
+	out      []Effect
+	calls    map[ID]*call
+	byCID    map[elmseam.CallID]*call
+	open     int // set-ups with no final answer
+	bytes    int // that calls keep
+	lastCID  elmseam.CallID
+	servers  map[string]*server
+	byID     map[elmseam.ServerID]*server
+	order    []*server
+	lastID   elmseam.ServerID
+	left     []left           // servers that have gone, oldest first
+	routes   map[string]Route // withdrawn
+	callers  map[Link]*caller
+	links    []*caller // oldest first
+	pending  []*pendingRelease
+	ended    map[ID]Time
+	endedAt  []over
+	stopping bool
+	graced   bool
+	stopped  bool
+	serving  bool
+	draining bool
+	drained  Time   // when that began or ended
+	drains   uint32 // how often it did
+	figures  Figures
+	hook     Hook
+	handing  bool                 // callers' connections are handed to a successor
+	preceded bool                 // a predecessor has calls of callers who are here
+	halved   bool                 // which holds as many callers as are here
+	foreign  map[ID]Link          // and owes these set-ups an answer
+	stood    map[ID]Link          // calls that stand from before it handed their callers on
+	able     bool                 // this process could serve, once
+	fleet    *membership.Reducer  // nil: this softswitch knows nothing of the others of its tier
+	self     int                  // its number there
+	work     *maintenance.Reducer // nil: it takes part in no ordered maintenance
+	by       drainers             // who wants this softswitch drained
 }
 
 // pendingRelease is a release that finds no connection of its caller.
--- a/internal/core/work.go
+++ b/internal/core/work.go
@@ -30,6 +30,9 @@
 func (Draining) effect() {}
 func (WorkTold) effect() {}
 
+// drainers are those who may want a softswitch drained: it is as long as one does.
+type drainers struct{ hand, work bool }
+
 // plan begins maintenance. A second Plan changes nothing.
 func (c *Core) plan(ev Plan) {
 	if c.work != nil || c.fleet == nil {
@@ -66,8 +69,8 @@
 		case maintenance.Told:
 			c.do(WorkTold{e})
 		case maintenance.Drain:
-			c.workDrain = e.On
-			c.drain(c.handDrain || c.workDrain)
+			c.by.work = e.On
+			c.drain(c.by.hand || c.by.work)
 			c.do(Draining{On: c.draining})
 		}
 	}
@@ -75,11 +78,11 @@
 
 // byHand drains for an operator. One who takes callers back while the softswitch is out for work ends that.
 func (c *Core) byHand(on bool) {
-	c.handDrain = on
-	if !on && c.workDrain {
+	c.by.hand = on
+	if !on && c.by.work {
 		c.toWork(maintenance.Cancel{Members: []int{c.self}})
 	}
-	c.drain(c.handDrain || c.workDrain)
+	c.drain(c.by.hand || c.by.work)
 }
 
 // empty tells maintenance, once, that nothing is left here.
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -185,6 +185,8 @@
 		return http.StatusOK, "ready\n", nil
 	case f.Stopping:
 		why = "stopping\n"
+	case f.Work != nil && f.Work.Slot >= 0:
+		why = "out for maintenance\n"
 	case f.Draining:
 		why = "drained by an operator\n"
 	}
