--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -173,6 +173,31 @@
 	}
 }
 
+// Faults of every kind that can be drawn make sense when they are, and are the same for the same seed.
+func TestRandomFaults(t *testing.T) {
+	draw := func(seed uint64) []Fault {
+		s := short("random")
+		s.Seed = seed
+		for _, kind := range drawn {
+			s.Random = append(s.Random, RandomFault{Kind: kind, Count: 5, To: Duration{3 * time.Second}, For: Duration{time.Second},
+				Share: 0.2, By: Duration{10 * ms}, Factor: 3})
+		}
+		if err := s.Check(); err != nil {
+			t.Fatal(err)
+		}
+		return s.Faults
+	}
+	a, again, other := draw(1), draw(1), draw(2)
+	if fmt.Sprint(a) != fmt.Sprint(again) || fmt.Sprint(a) == fmt.Sprint(other) || len(a) != 5*len(drawn) {
+		t.Errorf("%d faults; the same seed draws the same: %t", len(a), fmt.Sprint(a) == fmt.Sprint(again))
+	}
+	for _, f := range a {
+		if f.Kind == "partition" && (len(f.Groups[0]) == 0 || len(f.Groups[1]) == 0) {
+			t.Errorf("a partition with one side: %v", f.Groups)
+		}
+	}
+}
+
 // program builds the softswitch once for the stories that start processes of it.
 func program(t *testing.T) string {
 	t.Helper()
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -93,14 +93,22 @@
 	Via    string     `toml:"via"`
 }
 
-// RandomFault draws Count faults of a kind at moments in [From, To) on targets chosen from the seed.
+// RandomFault draws Count faults of a kind at moments in [From, To): softswitches, servers and the sides of a partition
+// are chosen from the seed, and whether it is one-way; For, Share, By and Factor are every one's.
 type RandomFault struct {
-	Kind     string   `toml:"kind"`
-	Count    int      `toml:"count"`
-	From, To Duration `toml:"from"`
-	For      Duration `toml:"for"`
+	Kind   string   `toml:"kind"`
+	Count  int      `toml:"count"`
+	From   Duration `toml:"from"`
+	To     Duration `toml:"to"`
+	For    Duration `toml:"for"`
+	Share  float64  `toml:"share"`
+	By     Duration `toml:"by"`
+	Factor float64  `toml:"factor"`
 }
 
+// drawn are the kinds that can be drawn. What the channel tells, and what operators ask for, is the scenario's to say.
+var drawn = []string{"kill", "term", "pause", "partition", "loss", "duplicate", "delay", "reorder", "reset", "stall", "slow"}
+
 // Duration is a time.Duration written as text.
 type Duration struct{ time.Duration }
 
@@ -312,8 +320,10 @@
 	r := rand.New(rand.NewPCG(s.Seed, 0x6c6162))
 	for i, d := range s.Random {
 		switch {
-		case !slices.Contains([]string{"kill", "term", "pause"}, d.Kind):
-			return fmt.Errorf("random_fault[%d].kind: %q, only kill, term and pause are drawn", i, d.Kind)
+		case !slices.Contains(drawn, d.Kind):
+			return fmt.Errorf("random_fault[%d].kind: %q is none of %v", i, d.Kind, drawn)
+		case d.Kind == "partition" && s.Softswitches < 2:
+			return fmt.Errorf("random_fault[%d].kind: a partition of one softswitch", i)
 		case d.Count < 1 || d.Count > 64:
 			return fmt.Errorf("random_fault[%d].count: %d, not in [1, 64]", i, d.Count)
 		case d.To.Duration <= d.From.Duration || d.To.Duration > s.Duration.Duration:
@@ -321,13 +331,31 @@
 		}
 		for range d.Count {
 			at := d.From.Duration + time.Duration(r.Int64N(int64(d.To.Duration-d.From.Duration)))
-			s.Faults = append(s.Faults, Fault{At: Duration{at}, Kind: d.Kind, For: d.For,
-				Target: []string{Name(r.IntN(s.Softswitches))}})
+			f := Fault{At: Duration{at}, Kind: d.Kind, For: d.For, Share: d.Share, By: d.By, Factor: d.Factor,
+				Target: []string{Name(r.IntN(s.Softswitches))}, Server: s.Servers[r.IntN(len(s.Servers))].Name}
+			if d.Kind == "partition" {
+				f.Groups, f.OneWay = s.sides(r), r.IntN(2) == 0
+			}
+			s.Faults = append(s.Faults, f)
 		}
 	}
 	return nil
 }
 
+// sides are two, neither empty, drawn at random.
+func (s *Scenario) sides(r *rand.Rand) [][]string {
+	sides := make([][]string, 2)
+	order, first := r.Perm(s.Softswitches), 1+r.IntN(s.Softswitches-1)
+	for i, place := range order {
+		side := 0
+		if i >= first {
+			side = 1
+		}
+		sides[side] = append(sides[side], Name(place))
+	}
+	return sides
+}
+
 // membersText is the members file that each softswitch is given.
 func (s *Scenario) membersText() (string, error) {
 	all := map[string]any{"enabled": s.Membership != nil}
