--- a/internal/maintenance/maintenance_test.go
+++ b/internal/maintenance/maintenance_test.go
@@ -347,6 +347,43 @@
 	w.once(0, 1)
 }
 
+// A slot given back is free for the next although all heard of it too late the first time: who granted it for as long as a
+// machine may be away would else hold it that long.
+func TestLostRelease(t *testing.T) {
+	l := short()
+	l.Work = time.Hour
+	w := begin(t, 3, l)
+	w.pass(2 * second)
+	w.step(0, Request{Members: []int{0, 1}})
+	w.pass(800 * time.Millisecond)
+	if got := w.outNow(); !slices.Equal(got, []int{0}) || w.rs[0].State().Records[0].Stage != Ready {
+		t.Fatalf("out: %v", got)
+	}
+	w.cut = func(from, to int) bool { return from == 0 }
+	w.step(0, Cancel{Members: []int{0}})
+	w.cut = nil
+	w.finish(5 * second)
+	w.once(0, 1)
+
+	// So it is where who gives it back dies at once, as soon as it is back.
+	w.step(0, Request{Members: []int{0, 1}})
+	w.pass(1500 * time.Millisecond)
+	w.cut = func(from, to int) bool { return from == 0 }
+	w.step(0, Cancel{Members: []int{0}})
+	w.cut = nil
+	w.step(1, Cancel{Members: []int{0}}) // known elsewhere, but not from who held it
+	w.kill(0)
+	w.pass(second)
+	if got := w.outNow(); len(got) > 0 {
+		t.Errorf("out: %v", got)
+	}
+	w.start(0)
+	w.pass(2 * second)
+	if got := w.outNow(); !slices.Equal(got, []int{1}) {
+		t.Errorf("out: %v, want the next", got)
+	}
+}
+
 // Merge comes to the same in every order, however often, and two requests made at once for one member are one.
 func TestMerge(t *testing.T) {
 	r := rand.New(rand.NewPCG(3, 4))
--- a/internal/maintenance/recover.go
+++ b/internal/maintenance/recover.go
@@ -30,8 +30,14 @@
 	}
 }
 
+// settle begins to grant. What an earlier life held and had no more use for is given back.
 func (r *Reducer) settle() {
 	r.settled = true
+	for slot, g := range r.grants {
+		if g.Holder == r.cfg.Self && r.live(slot) && r.records[r.cfg.Self].Stage.Over() {
+			r.release(slot, g.Epoch)
+		}
+	}
 	r.consider()
 }
 
--- a/internal/maintenance/reducer.go
+++ b/internal/maintenance/reducer.go
@@ -55,6 +55,14 @@
 	By    []int // who grants it
 }
 
+// giving is a slot given back, told again a few times: who misses it would hold the slot granted for as long as the
+// lease lasts.
+type giving struct {
+	Slot  int
+	Epoch uint64
+	Left  int // times
+}
+
 // answer is one to a query, after a start.
 type answer struct {
 	Came, Settled bool
@@ -81,6 +89,7 @@
 	answers []answer
 	round   *round
 	lease   *lease
+	back    []giving
 	retry   Time
 	drained bool
 	seq     uint32
@@ -183,6 +192,7 @@
 			r.recover()
 		}
 		r.consider()
+		r.remind()
 		r.gossip()
 		r.next(r.cfg.Limits.Round)
 	case tokenAgain: // the half of its time is over: what was lost goes out once more
@@ -502,14 +512,28 @@
 	r.retry = r.now + r.cfg.Limits.Round + time.Duration(r.rng.Int64N(int64(2*r.cfg.Limits.Round)))
 }
 
-// release tells all that this member holds a slot no more by this epoch.
+// release tells all that this member holds a slot no more by this epoch, now and a few times more.
 func (r *Reducer) release(slot int, epoch uint64) {
+	r.back = append(r.back, giving{slot, epoch, r.cfg.Limits.Passes})
+	r.tellRelease(slot, epoch)
+	r.released(r.cfg.Self, slot, epoch)
+}
+
+func (r *Reducer) tellRelease(slot int, epoch uint64) {
 	for m := range r.cfg.Tier {
 		if m != r.cfg.Self {
 			r.send(m, message{Kind: release, Slot: uint8(slot), Epoch: epoch})
 		}
 	}
-	r.released(r.cfg.Self, slot, epoch)
+}
+
+// remind tells again what was given back.
+func (r *Reducer) remind() {
+	for i := range r.back {
+		r.back[i].Left--
+		r.tellRelease(r.back[i].Slot, r.back[i].Epoch)
+	}
+	r.back = slices.DeleteFunc(r.back, func(g giving) bool { return g.Left <= 0 })
 }
 
 func (r *Reducer) released(from, slot int, epoch uint64) {
