--- a/cmd/elmseamctl/main_test.go
+++ b/cmd/elmseamctl/main_test.go
@@ -10,7 +10,9 @@
 	"testing"
 	"time"
 
+	"elmseam/internal/membership"
 	"elmseam/internal/mgmt"
+	"elmseam/internal/swarm"
 )
 
 // members prints a line for each of the tier, and its exit code tells whether a majority is seen.
@@ -78,3 +80,14 @@
 		}
 	}
 }
+
+// Each play of a trial has a seed of its own: medians of one play said five times are none.
+func TestPlaysDiffer(t *testing.T) {
+	all, err := outcomes(swarm.Trial{Members: 5, Limits: membership.Defaults(), Warm: 5 * time.Second, Span: time.Second, Kill: true}, 4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if all[0] == all[1] && all[1] == all[2] && all[2] == all[3] {
+		t.Errorf("four plays of one outcome: %+v", all[0])
+	}
+}
--- a/cmd/elmseamctl/tier.go
+++ b/cmd/elmseamctl/tier.go
@@ -49,10 +49,11 @@
 	room := make(chan struct{}, runtime.GOMAXPROCS(0))
 	var wg sync.WaitGroup
 	for i := range plays {
-		t.Seed = uint64(i + 1)
+		play := t
+		play.Seed = uint64(i + 1)
 		wg.Go(func() {
 			room <- struct{}{}
-			all[i], errs[i] = t.Run()
+			all[i], errs[i] = play.Run()
 			<-room
 		})
 	}
