Maintenance: ask a few a round after a start, and not for a slot that others hold

Now eight a round, one once all have been asked; answers add up, and recover.go says why they may.

A refusal's word of the holder now counts for four rounds.

--- a/internal/maintenance/recover.go
+++ b/internal/maintenance/recover.go
@@ -10,7 +10,11 @@
 //   - or every other member answers: then any holder that believes in a lease has told of it itself;
 //   - or all that may ever have been granted has run out.
 //
-// The first of these settles it. What it hears on the way binds it at once, as that is the careful side.
+// The first of these settles it. What it hears on the way binds it at once, as that is the careful side. Answers count
+// however far apart they came: a lease granted after one has a majority without this member, which meets any other majority
+// in one that knows.
+//
+// It asks a few a round, so that a great tier that starts at once causes no storm, and after it has asked all, one.
 
 // recover asks all what they have granted.
 func (r *Reducer) recover() {
@@ -21,15 +25,27 @@
 	if r.now < r.began+2*r.cfg.Limits.Round {
 		return
 	}
-	r.asked = r.number()
-	clear(r.answers)
-	for m := range r.cfg.Tier {
-		if m != r.cfg.Self {
-			r.send(m, message{Kind: query, Seq: r.asked})
+	r.queries++
+	ask := askedAtOnce
+	if int(r.queries)*askedAtOnce > 2*r.cfg.Tier {
+		ask = 1
+	}
+	for range r.cfg.Tier {
+		m := r.asking
+		r.asking = (r.asking + 1) % r.cfg.Tier
+		if a := r.answers[m]; m == r.cfg.Self || a.Came && a.Settled {
+			continue
+		}
+		r.send(m, message{Kind: query, Seq: r.nonce})
+		if ask--; ask == 0 {
+			return
 		}
 	}
 }
 
+// askedAtOnce are how many members are asked in a round.
+const askedAtOnce = 8
+
 // settle begins to grant. What an earlier life held and had no more use for is given back.
 func (r *Reducer) settle() {
 	r.settled = true
@@ -72,7 +88,7 @@
 
 // answered takes in an answer.
 func (r *Reducer) answered(from int, m message) {
-	if r.settled || m.Seq != r.asked {
+	if r.settled || m.Seq != r.nonce {
 		return
 	}
 	for w := m.Items; len(w) > 0; w = w[itemsOfState:] {
@@ -95,14 +111,16 @@
 			g.Holder, g.Until = somebody, max(g.Until, until)
 		}
 	}
-	r.answers[from] = answer{true, m.Settled, m.Sum}
+	if m.Sum == r.sum() {
+		r.answers[from] = answer{true, m.Settled || r.answers[from].Settled}
+	}
 	all, settled := 0, 0
 	for _, a := range r.answers {
-		if a.Came && a.Sum == r.sum() {
+		if a.Came {
 			all++
-			if a.Settled {
-				settled++
-			}
+		}
+		if a.Settled {
+			settled++
 		}
 	}
 	if settled >= r.quorum() || all == r.cfg.Tier-1 {
--- a/internal/maintenance/reducer.go
+++ b/internal/maintenance/reducer.go
@@ -63,11 +63,8 @@
 	Left  int // times
 }
 
-// answer is one to a query, after a start.
-type answer struct {
-	Came, Settled bool
-	Sum           uint32
-}
+// answer is what a member has answered to queries, after a start, when its records and ours were the same.
+type answer struct{ Came, Settled bool }
 
 // Reducer is one member's part. It is not safe for concurrent use.
 type Reducer struct {
@@ -84,8 +81,11 @@
 	serving bool
 	grants  [Slots]Grant
 	tops    [Slots]uint64 // the highest epoch granted or given back
+	busy    [Slots]Time   // till then others are held to have granted the slot: it is not asked for
 	settled bool
-	asked   uint32 // the query under way
+	nonce   uint32 // of this life's queries: what answers an earlier one's is passed over
+	queries uint32 // rounds of them
+	asking  int    // who is asked next
 	answers []answer
 	round   *round
 	lease   *lease
@@ -126,6 +126,7 @@
 	for s := range r.grants {
 		r.grants[s].Holder = -1
 	}
+	r.nonce = r.rng.Uint32()
 	r.settled = r.settled || !r.has(GuardRecover)
 	r.next(time.Duration(r.rng.Int64N(int64(cfg.Limits.Round))))
 	return r, r.take(), nil
@@ -354,7 +355,7 @@
 		}
 	}
 	for slot := range r.usable() {
-		if r.live(slot) {
+		if r.live(slot) || r.now < r.busy[slot] {
 			continue
 		}
 		if place == 0 {
@@ -540,6 +541,9 @@
 	if g := &r.grants[slot]; g.Holder == from && g.Epoch <= epoch {
 		g.Holder = -1
 	}
+	if from != r.cfg.Self {
+		r.busy[slot] = 0
+	}
 	r.tops[slot] = max(r.tops[slot], epoch)
 }
 
@@ -661,6 +665,9 @@
 		r.granted(d.From, m.Seq)
 	case refuse:
 		r.tops[m.Slot] = max(r.tops[m.Slot], uint64(m.Items[2]))
+		if left := time.Duration(m.Items[1]) * time.Millisecond; m.Items[0] >= 0 && int(m.Items[0]) != r.cfg.Self && left > 0 {
+			r.busy[m.Slot] = r.now + min(left, 4*r.cfg.Limits.Round) // a word of its end may be lost
+		}
 		r.refused(m.Seq)
 	case release:
 		r.released(d.From, int(m.Slot), m.Epoch)
