--- a/internal/membership/reducer.go
+++ b/internal/membership/reducer.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"elmseam/internal/datagram"
 )
 
 // Config is what a member is told.
@@ -14,8 +16,20 @@
 	Self, Tier int // the own number, and how many members there are
 	Limits     Limits
 	Seed       uint64
+	Without    Guard // taken out, for checks that have to see a rule broken; no program sets it
 }
 
+// Guard names a part of the protocol that a check can take out.
+type Guard uint8
+
+// The guards.
+const (
+	GuardRefute  Guard = 1 << iota // a member refutes what is not so of it
+	GuardSuspect                   // a probe that failed makes a suspect
+)
+
+func (r *Reducer) has(g Guard) bool { return r.cfg.Without&g == 0 }
+
 // probe is the one under way.
 type probe struct {
 	Target int
@@ -236,7 +250,7 @@
 	} else {
 		r.feel(1)
 	}
-	if m := &r.members[p.Target]; !m.State.Down() {
+	if m := &r.members[p.Target]; !m.State.Down() && r.has(GuardSuspect) {
 		r.suspect(p.Target, m.Incarnation, r.cfg.Self)
 	}
 }
@@ -332,10 +346,10 @@
 	}
 	m, updates, err := decode(d.Data, r.cfg.Tier, r.cfg.Limits.Datagram)
 	if err == nil && r.beyond(m.Incarnation) {
-		err = errGarbled
+		err = datagram.ErrGarbled
 	}
 	switch {
-	case errors.Is(err, errVersion):
+	case errors.Is(err, datagram.ErrVersion):
 		r.figures.Versions++
 		return
 	case errors.Is(err, errTier):
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -17,7 +17,7 @@
 	"golang.org/x/time/rate"
 
 	"elmseam/internal/core"
-	"elmseam/internal/membership"
+	"elmseam/internal/datagram"
 )
 
 // Limits are the sizes, counts and times of the socket.
@@ -80,7 +80,7 @@
 
 // Run opens the socket, as soon as the address is free, has the core join, and serves until the context ends and what
 // was still to be sent is written.
-func (p *Peers) Run(ctx context.Context, join core.Join) {
+func (p *Peers) Run(ctx context.Context, join ...core.Event) {
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(p.listen))
 	for first := true; err != nil; first = false {
 		if first {
@@ -95,7 +95,9 @@
 	}
 	p.log.Info().Str("peers", conn.LocalAddr().String()).Int("self", p.cfg.Self).Int("tier", len(p.to)).Msg("membership")
 	p.wg.Go(func() { p.read(conn) })
-	p.post(join)
+	for _, ev := range join {
+		p.post(ev)
+	}
 	for {
 		select {
 		case e := <-p.queue:
@@ -130,7 +132,7 @@
 // read takes datagrams in. One from nobody of the tier is counted and leaves nothing; one too long is handed on one byte
 // too long, which membership counts.
 func (p *Peers) read(conn *net.UDPConn) {
-	var b [membership.MaxDatagram + 1]byte
+	var b [datagram.Max + 1]byte
 	pace := rate.NewLimiter(rate.Limit(p.cfg.Limits.Rate), max(int(p.cfg.Limits.Rate), 1))
 	for {
 		n, src, err := conn.ReadFromUDPAddrPort(b[:])
