--- a/cmd/elmseamctl/maintenance.go
+++ b/cmd/elmseamctl/maintenance.go
@@ -59,18 +59,7 @@
 }
 
 func askMaintenance(method, address string, members []string, wait time.Duration) (status int, text string, err error) {
-	req, err := http.NewRequest(method, "http://"+address+"/ops/maintenance?"+url.Values{"member": members}.Encode(), nil)
-	if err != nil {
-		return 0, "", err
-	}
-	client := &http.Client{Timeout: wait}
-	res, err := client.Do(req)
-	if err != nil {
-		return 0, "", err
-	}
-	defer res.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(res.Body, 1<<20))
-	return res.StatusCode, string(b), err
+	return callDoor(method, address, "/ops/maintenance?"+url.Values{"member": members}.Encode(), wait)
 }
 
 func printMaintenance(out io.Writer, m mgmt.Maintenance) {
--- a/cmd/elmseamctl/members.go
+++ b/cmd/elmseamctl/members.go
@@ -39,27 +39,37 @@
 	return cmd
 }
 
-// askTier asks a door.
+// askTier asks a door for what it holds of its tier.
 func askTier(address string, wait time.Duration) (t mgmt.Tier, err error) {
-	client := &http.Client{Timeout: wait}
-	res, err := client.Get("http://" + address + "/ops/members")
+	status, text, err := callDoor(http.MethodGet, address, "/ops/members", wait)
 	if err != nil {
 		return t, err
 	}
-	defer res.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(res.Body, 1<<20))
-	if err != nil {
-		return t, err
+	if status != http.StatusOK {
+		return t, fmt.Errorf("%s: %d: %.80s", address, status, text)
 	}
-	if res.StatusCode != http.StatusOK {
-		return t, fmt.Errorf("%s: %s: %.80s", address, res.Status, text)
-	}
-	if err := json.Unmarshal(text, &t); err != nil {
+	if err := json.Unmarshal([]byte(text), &t); err != nil {
 		return t, fmt.Errorf("%s: not a view of a tier: %w", address, err)
 	}
 	return t, nil
 }
 
+// callDoor calls a softswitch's door.
+func callDoor(method, address, path string, wait time.Duration) (status int, text string, err error) {
+	req, err := http.NewRequest(method, "http://"+address+path, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	client := &http.Client{Timeout: wait}
+	res, err := client.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(res.Body, 1<<20))
+	return res.StatusCode, string(b), err
+}
+
 func printTier(out io.Writer, t mgmt.Tier) {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "MEMBER\tADDRESS\tSTATE\tFOR\tHEARD\tINCARNATION")
