--- a/internal/lab/plan.go
+++ b/internal/lab/plan.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -21,6 +22,15 @@
 	ActTell               // Server told Status on the command channel; Retire where it drains or goes
 )
 
+var actNames = [...]string{"kill", "launch", "pause", "resume", "weather", "reset", "stall", "slow", "order", "tell"}
+
+func (a Act) String() string {
+	if a >= 0 && int(a) < len(actNames) {
+		return actNames[a]
+	}
+	return fmt.Sprintf("Act(%d)", int(a))
+}
+
 // Action is one step of a run's plan.
 type Action struct {
 	At      time.Duration
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -661,7 +661,7 @@
 		r.marks = append(r.marks, Mark{At: now.Seconds(), Kind: f.Kind, What: fmt.Sprint(f.Target, f.Groups, f.Server)})
 		r.mu.Unlock()
 	}
-	r.o.Log.Info().Int("act", int(a.Act)).Ints("places", a.Places).Str("server", a.Server).Dur("at", now).Msg("step")
+	r.o.Log.Info().Stringer("act", a.Act).Ints("places", a.Places).Str("server", a.Server).Dur("at", now).Msg("step")
 	ms := r.at(a.Places)
 	beside := func(do func()) {
 		later.Add(1)
