Module: a window after a full processor, and rates that begin with the first event

A probe of each decision a second (sent, stood, swamped, what held the others back) found two causes:

- The first choice of all was cut for nearly all of each second.
"Processor full" made a full cut; a second later the first release's report said 0 and lifted it; all five sent all that came (25 set-ups each within 0.1 s), its queue was full before a delay could show, and it was cut again.
The others, which get diverted calls at a rate, stayed at 285 of 300.
Ruled out: lines (1,024, a third in use), faults in a row (0), attempts that ran out (none).
- A second choice got 45 a second where its part was 52 and 60 were to be had: measure() credited 15 s of its lines to the time before the first event, as the clock counts from 1970 on sockets.

Now the window that a pressed server has holds as long as a report would after its processor was full, and the time that rates are measured over begins with the first event.

--- a/controller.go
+++ b/controller.go
@@ -261,7 +261,7 @@
 func (c *Controller) Handle(now Time, ev Event, out []Action) []Action {
 	c.now, c.out = now, out
 	if c.born == 0 {
-		c.born = now
+		c.born, c.measured = now, now
 	}
 	c.follow()
 	switch ev := ev.(type) {
@@ -464,7 +464,7 @@
 // share is the share of new set-ups to hold back from a server now, of ordinary calls.
 func (c *Controller) share(s *server) float64 {
 	p := c.reported(s)
-	if p < 1 && c.unanswered(s, p > windowed, 1) {
+	if p < 1 && c.unanswered(s, c.pressed(s, p), 1) {
 		return 1
 	}
 	return p
@@ -490,6 +490,12 @@
 	return p
 }
 
+// pressed says whether a server has a window now: where it asks to hold back, and for a while after its
+// processor was full. A report of ease lifts that cut, and all that comes would fill its queue again at once.
+func (c *Controller) pressed(s *server, p float64) bool {
+	return p > windowed || s.fullAt > 0 && c.now < s.fullAt+c.gaps(reportLapse)
+}
+
 // unanswered says whether a server leaves this sender's set-ups without an answer so that no other may
 // follow for now: the oldest for too long, or of a pressed one more than it answers in that time. Senders
 // so clock themselves by the answers, whatever the redials that a share lets pass, and none piles up at a
@@ -592,7 +598,7 @@
 		need = lowCredit
 	case c.great(k):
 		need = highDebt
-		if p = c.reported(s); p < 1 && c.unanswered(s, p > windowed, greatWindow) {
+		if p = c.reported(s); p < 1 && c.unanswered(s, c.pressed(s, p), greatWindow) {
 			return false
 		}
 	}
--- a/controller_test.go
+++ b/controller_test.go
@@ -374,6 +374,50 @@
 	}
 }
 
+// A first choice whose processor was full is at ease again by its first report; in the lab (three equal servers, twice the
+// load) all that came in the next tenth of a second filled its queue anew, and it was cut for all but that of each second.
+func TestWindowAfterAFullProcessor(t *testing.T) {
+	b := newBench(t, settings(), 1)
+	b.steady(1)
+	id, _ := b.call(1)
+	b.on(Outcome{Call: id, Server: 1, Cause: CauseFull, Refusal: RefusalProcessor, Final: true})
+	b.pass(b.c.gaps(fullHold) + ms)
+	b.report(1, 500, 1000, 0)
+	sent := 0
+	for range 100 {
+		if _, acts := b.call(1); sentTo(acts) == 1 {
+			sent++
+		}
+	}
+	if sent == 0 || sent > 3 {
+		t.Errorf("%d unanswered set-ups at a server that was full a second ago and answers ten a second, want 1 to 3", sent)
+	}
+}
+
+// On sockets the clock counts from 1970, in the simulator from the start: a sender's rates begin with its first event on
+// both. They began with 15 s of nothing on sockets, and a second choice got half of its part for half a minute.
+func TestRatesBeginWithTheFirstEvent(t *testing.T) {
+	part := func(epoch Time) float64 {
+		c, err := New(settings(), 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b := &bench{t: t, c: c, now: epoch}
+		b.on(ListFull{Entries: ready(2), Cached: true})
+		b.report(1, 900, 1000, 0)
+		b.report(2, 900, 1000, 0)
+		for i := range 50 {
+			b.pass(100 * ms)
+			b.answered(1+i%2, 20*ms)
+		}
+		b.call(1)
+		return c.partOf(c.byID[1])
+	}
+	if early, late := part(time.Millisecond), part(1_700_000_000*time.Second); math.Abs(early-late) > 0.1 || late < 4 {
+		t.Errorf("a part of %.1f a second where the clock began just now, of %.1f where it began in 1970; want 5", early, late)
+	}
+}
+
 // After a stall of the proxy a call can come in with its time used up; it is answered at once, and so is
 // one whose attempt was not sent when its time is all but up (incident i057cfa).
 func TestRuleNoCallLostAfterAStall(t *testing.T) {
