Parts of a cold server's budget move: leases of a majority, loans between two, off by default

Need: all softswitches together may send a just-started server 2.5 times what it can do, and each had a fixed part of that for ever: the part of one that dies was lost while its callers came to the others, and one that sees no majority gave up a part that nobody could use.

internal/budget, a reducer beside maintenance's: each part is eight units. One is sure, its owner's always. Seven are leases that a majority of the tier grants, to the owner or, when that lease has run out and the owner is not there, to an heir (rendezvous hashing); what an owner holds it may lend for a shorter time, which needs no third. What a part is worth is fixed for a server's start, so that nobody's grows with the callers of the dead. The core tells it of cold servers and of their use, and hands the module what may be used, before every event. Off unless the members' file says [parts] enabled = true; tiers of over 32 keep fixed parts.

Each guard taken out is seen to break it.

--- a/cmd/elmseamctl/check.go
+++ b/cmd/elmseamctl/check.go
@@ -41,7 +41,7 @@
 		},
 	}
 	f := cmd.Flags()
-	f.StringVar(&cfg.Model, "model", explore.Calls, "what is explored: calls, circuits of the second front, or members of a tier")
+	f.StringVar(&cfg.Model, "model", explore.Calls, "what is explored: calls, circuits of the second front; members of a tier, their works, or their parts of budgets")
 	f.IntVar(&cfg.Servers, "servers", 2, "servers, circuits, or members")
 	f.IntVar(&cfg.Calls, "calls", 2, "calls, or periods of turmoil")
 	f.IntVar(&cfg.Attempts, "attempts", 4, "attempts that a call may have")
--- a/controller.go
+++ b/controller.go
@@ -95,6 +95,7 @@
 	size    float64 // lines in all, 0: not told
 	most    float64 // the most that it has had: its processor is still there for those
 	cold    bucket  // budget while cold
+	allot   float64 // what the tier allots of that budget; negative: nothing, the own part counts
 	divert  bucket  // budget of diverted calls
 	trials  bucket  // budget of trials after a full cut
 }
@@ -254,9 +255,6 @@
 	return nil
 }
 
-// Caution sets the part, up to 1, of its own part of a cold server's budget that this sender takes.
-func (c *Controller) Caution(part float64) { c.careful = min(max(part, 0), 1) }
-
 // Handle takes in one event and appends what is to be done to out.
 func (c *Controller) Handle(now Time, ev Event, out []Action) []Action {
 	c.now, c.out = now, out
@@ -333,7 +331,7 @@
 
 // newServer is a server that the list names; of one that comes back some things are known.
 func (c *Controller) newServer(id ServerID) *server {
-	s := &server{id: id}
+	s := &server{id: id, allot: -1}
 	for _, p := range c.past {
 		if p.id == id {
 			s.most, s.took, s.floor = p.most, p.took, p.floor
@@ -350,7 +348,7 @@
 		c.byID[e.Server] = s
 		c.servers = append(c.servers, s)
 	} else if s.started != e.Started {
-		*s = server{id: s.id, out: s.out, floor: s.floor, most: s.most, took: c.tookBy(s)}
+		*s = server{id: s.id, allot: -1, out: s.out, floor: s.floor, most: s.most, took: c.tookBy(s)}
 	}
 	s.cell, s.phase, s.started = e.Cell, e.Phase, e.Started
 	if s.cold.at == 0 { // from the telling on, or what came due before would go out at once
@@ -516,17 +514,6 @@
 	return pressed && float64(n) >= max(wider, c.rate(s.stands)*(limit+s.way()).Seconds())
 }
 
-// Avoids says whether a server gets nothing new for now: it is not ready, or its cut is a full one.
-func (c *Controller) Avoids(id ServerID, now Time) bool {
-	s := c.byID[id]
-	return s == nil || s.phase != Ready || s.full || s.told >= 1 && now < s.lapse || s.lines >= 1
-}
-
-// Knows says whether a call is in hand, and Calls how many are.
-func (c *Controller) Knows(id CallID) bool { return c.calls[id] != nil }
-
-func (c *Controller) Calls() int { return len(c.calls) }
-
 // usable says whether a call may go to a server at all.
 func (c *Controller) usable(s *server, k *call) bool {
 	if s.phase != Ready || s.cell == c.set.OwnCell && c.set.OwnCell >= 0 {
@@ -633,12 +620,26 @@
 	if !c.isCold(s) {
 		return true
 	}
-	warm := c.set.ColdFrom + (1-c.set.ColdFrom)*float64(c.now-s.started)/float64(c.set.ColdRamp)
-	part := s.took // what it took before it started anew: lines say little of a processor
-	if part <= 0 {
-		part = c.partOf(s)
+	part := s.allot
+	if part < 0 {
+		part = c.careful * c.coldPart(s)
+	}
+	return s.cold.spread(c.now, c.coldTimes(s, c.now)*part, coldBurst, c.gaps(coldGaps))
+}
+
+// coldTimes is how many set-ups a cold server may get for each that it takes when warm.
+func (c *Controller) coldTimes(s *server, now Time) float64 {
+	warm := c.set.ColdFrom + (1-c.set.ColdFrom)*float64(now-s.started)/float64(c.set.ColdRamp)
+	return coldSafety * c.set.TipMultiple * warm
+}
+
+// coldPart is this sender's own part of a cold server, as set-ups a second of a warm one: what it took before
+// it started anew, as lines say little of a processor.
+func (c *Controller) coldPart(s *server) float64 {
+	if s.took > 0 {
+		return s.took
 	}
-	return s.cold.spread(c.now, c.careful*coldSafety*c.set.TipMultiple*warm*part, coldBurst, c.gaps(coldGaps))
+	return c.partOf(s)
 }
 
 // linePasses says whether a server has a line for one more call. Where few are free, all senders hear of the
--- a/internal/config/members.go
+++ b/internal/config/members.go
@@ -11,6 +11,7 @@
 
 	"github.com/BurntSushi/toml"
 
+	budgets "elmseam/internal/budget"
 	"elmseam/internal/core"
 	"elmseam/internal/maintenance"
 	"elmseam/internal/membership"
@@ -33,6 +34,22 @@
 	Reclaim      int      `toml:"reclaim"`
 
 	Maintenance Maintenance `toml:"maintenance"`
+	Parts       Parts       `toml:"parts"`
+}
+
+// Parts is the part of the file that tells whether parts of a just-started server's budget move between softswitches. What
+// it leaves out is budget.Defaults.
+type Parts struct {
+	Enabled bool     `toml:"enabled"`
+	Lease   duration `toml:"lease"`
+	Drift   float64  `toml:"drift"`
+	Members int      `toml:"members"`
+}
+
+func (p Parts) limits() budgets.Limits {
+	l := budgets.Defaults()
+	l.Lease, l.Drift, l.Members = p.Lease.Duration, p.Drift, p.Members
+	return l
 }
 
 // Maintenance is the part of the file that tells whether this softswitch takes part in its tier's ordered maintenance. What
@@ -125,6 +142,8 @@
 	w := maintenance.Defaults()
 	m.Maintenance = Maintenance{Budget: budget{Count: w.Budget}, Lease: duration{w.Lease}, Work: duration{w.Work},
 		Round: duration{w.Round}, Drift: w.Drift}
+	b := budgets.Defaults()
+	m.Parts = Parts{Lease: duration{b.Lease}, Drift: b.Drift, Members: b.Members}
 	meta, err := toml.Decode(text, &m)
 	if err != nil {
 		return m, err
@@ -135,6 +154,12 @@
 	if err := m.Maintenance.limits(1).Check(); err != nil {
 		return m, fmt.Errorf("maintenance.%w", err)
 	}
+	if err := m.Parts.limits().Check(); err != nil {
+		return m, fmt.Errorf("parts.%w", err)
+	}
+	if m.Parts.Enabled && !m.Enabled {
+		return m, errors.New("parts.enabled: needs membership (enabled = true)")
+	}
 	if m.Maintenance.Enabled && !m.Enabled {
 		return m, errors.New("maintenance.enabled: needs membership (enabled = true)")
 	}
@@ -170,5 +195,8 @@
 		join = append(join, core.Plan{Config: maintenance.Config{Self: c.Node.Me, Tier: len(c.Peers), Zone: c.Node.Zone, Name: c.Name,
 			Limits: c.Limits.Work, Seed: c.Seed}})
 	}
+	if m.Parts.Enabled {
+		join = append(join, core.Share{Config: budgets.Config{Self: c.Node.Me, Tier: len(c.Peers), Limits: m.Parts.limits(), Seed: c.Seed}})
+	}
 	return sock, join, true, nil
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"elmseam"
+	"elmseam/internal/budget"
 	"elmseam/internal/maintenance"
 	"elmseam/internal/membership"
 )
@@ -67,7 +68,10 @@
 	standing  map[ID]*call
 	out       map[ID]*call // attempts out, those that are ending included
 	redialing bool         // a timer runs
-	owed      []ID         // releases that wait for a connection
+	coldAt    Time         // the start of which budget was told
+	coldFrom  Time         // since when set-ups to it are counted
+	coldSent  int
+	owed      []ID // releases that wait for a connection
 }
 
 // left remembers under which id the module knew a server that has gone: one that comes back is the same.
@@ -142,6 +146,7 @@
 	self     int                  // its number there
 	work     *maintenance.Reducer // nil: it takes part in no ordered maintenance
 	by       drainers             // who wants this softswitch drained
+	parts    *budget.Reducer      // nil: its parts of cold servers' budgets are fixed
 }
 
 // pendingRelease is a release that finds no connection of its caller.
@@ -181,6 +186,7 @@
 // next Step. A time before that of the last Step counts as the last one's.
 func (c *Core) Step(now Time, ev Event) []Effect {
 	c.now, c.out = max(now, c.now), c.out[:0]
+	c.allot()
 	switch ev := ev.(type) {
 	case CallerUp:
 		c.callerUp(ev)
@@ -233,14 +239,12 @@
 		c.plan(ev)
 	case Order:
 		c.toWork(ev.Event)
+	case Share:
+		c.share(ev)
 	case Join:
 		c.join(ev)
 	case Peer:
-		if c.work != nil && len(ev.Data) > 0 && ev.Data[0] == maintenance.Version {
-			c.toWork(maintenance.Datagram{From: ev.From, Data: ev.Data})
-		} else {
-			c.toPeers(membership.Datagram{From: ev.From, Data: ev.Data})
-		}
+		c.peer(ev)
 	case HandOver:
 		c.handOver()
 	case Parked:
@@ -502,6 +506,7 @@
 		c.dial(s)
 	default:
 		k.out.phase, k.out.line, k.out.at, l.used = sent, l, c.now, c.now
+		s.coldSent++
 		if l.mute == 0 {
 			l.mute = c.now
 		}
@@ -881,6 +886,10 @@
 		}
 	case tokenMember:
 		c.toPeers(membership.Due{Token: t.member})
+	case tokenParts:
+		c.toParts(budget.Use{Parts: c.coldUse()})
+		c.toParts(budget.Due{Token: t.parts})
+		c.allot()
 	case tokenWork:
 		c.toWork(maintenance.Due{Token: t.work})
 	}
--- a/internal/core/figures.go
+++ b/internal/core/figures.go
@@ -22,6 +22,7 @@
 	Stopping         bool
 	Members          *MemberFigures // of the tier; nil: there is no membership
 	Work             *WorkFigures   // of its maintenance; nil: there is none
+	Parts            *PartFigures   // of its parts of cold servers' budgets; nil: they don't move
 }
 
 // Figures are the figures of now. What they hold is the caller's.
@@ -29,7 +30,7 @@
 	f := c.figures
 	f.Classes = slices.Clone(f.Classes)
 	f.Current, f.Draining, f.Stopping = len(c.calls), c.draining, c.stopping
-	f.Members, f.Work = c.members(), c.maintained()
+	f.Members, f.Work, f.Parts = c.members(), c.maintained(), c.shared()
 	for _, s := range c.order {
 		if s.Phase == 0 { // gone, and kept for what is left of it
 			continue
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"elmseam/internal/budget"
+	"elmseam/internal/maintenance"
 	"elmseam/internal/membership"
 )
 
@@ -62,6 +64,23 @@
 	}
 }
 
+// peer hands a datagram to the protocol that its first byte names; what none knows, membership counts.
+func (c *Core) peer(ev Peer) {
+	version := byte(membership.Version)
+	if len(ev.Data) > 0 {
+		version = ev.Data[0]
+	}
+	switch {
+	case c.work != nil && version == maintenance.Version:
+		c.toWork(maintenance.Datagram{From: ev.From, Data: ev.Data})
+	case c.parts != nil && version == budget.Version:
+		c.toParts(budget.Datagram{From: ev.From, Data: ev.Data})
+		c.allot()
+	default:
+		c.toPeers(membership.Datagram{From: ev.From, Data: ev.Data})
+	}
+}
+
 // toPeers hands membership an event.
 func (c *Core) toPeers(ev membership.Event) {
 	if c.fleet != nil {
@@ -83,6 +102,7 @@
 			if e.Member != c.self {
 				c.do(PeerChanged{e})
 				c.peerThere(e.Member, e.Is)
+				c.partThere(e.Member, e.Is)
 			}
 		}
 	}
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -60,6 +60,7 @@
 	} else {
 		c.tell(elmseam.ListDelta{Entries: entries})
 	}
+	c.colds()
 	for _, s := range changed {
 		if s.told == elmseam.Ready {
 			c.dial(s)
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"elmseam"
+	"elmseam/internal/budget"
 	"elmseam/internal/maintenance"
 	"elmseam/internal/membership"
 )
@@ -313,6 +314,7 @@
 	server string
 	member membership.Token
 	work   maintenance.Token
+	parts  budget.Token
 }
 
 type tokenKind uint8
@@ -330,6 +332,7 @@
 	tokenFinal // and so is the longest time for what still stands
 	tokenMember
 	tokenWork
+	tokenParts
 )
 
 // Limits are the times the core keeps.
--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"elmseam"
+	"elmseam/internal/budget"
 	"elmseam/internal/circuits"
 	"elmseam/internal/core"
 	"elmseam/internal/maintenance"
@@ -299,3 +300,29 @@
 		}
 	}
 }
+
+// Parts of a cold server's budget keep their rules whatever is lost, late, killed, started anew or stopped among three
+// members of which one lends and borrows: no unit is used by two, and in the end none is left unused. Each guard taken
+// out is seen to let two use one.
+func TestParts(t *testing.T) {
+	cfg := Config{Model: Parts, Servers: 3, Calls: 1, Attempts: 1, Faults: 1, Wait: time.Second}
+	if r, err := Run(context.Background(), cfg, Bounds{}); err != nil || !r.Complete || r.Trace != nil || r.Ends < 20 {
+		t.Fatalf("%+v, %v", r, err)
+	}
+	for _, c := range []struct {
+		lacks          budget.Guard
+		faults, pauses int
+	}{{budget.GuardEnd, 1, 0}, {budget.GuardOther, 1, 0}, {budget.GuardLife, 1, 0}, {budget.GuardForget, 2, 0}} {
+		cfg := Config{Model: Parts, Servers: 3, Calls: 2, Attempts: 1, Faults: c.faults, Pauses: c.pauses, Wait: time.Second, Loose: c.lacks}
+		r, err := Run(context.Background(), cfg, Bounds{Time: time.Minute})
+		if err != nil || r.Trace == nil || r.Trace.Broken.Rule != Whole {
+			t.Errorf("without %d: %+v, %v, want %s broken", c.lacks, r, err, Whole)
+			continue
+		}
+		whole := cfg
+		whole.Loose = 0
+		if v, err := r.Trace.Play(whole, nil); err == nil && v != nil {
+			t.Errorf("without %d: the whole member breaks it too: %v", c.lacks, v)
+		}
+	}
+}
--- a/internal/explore/model.go
+++ b/internal/explore/model.go
@@ -25,6 +25,7 @@
 	Circuits = "circuits" // the second front's circuits to a server
 	Members  = "members"  // the tier's membership
 	Works    = "works"    // its ordered maintenance
+	Parts    = "parts"    // its parts of a cold server's budget
 )
 
 // New is where the exploration of a model begins.
@@ -39,6 +40,8 @@
 		return newMembers(cfg), nil
 	case Works:
 		return newWorks(cfg), nil
+	case Parts:
+		return newParts(cfg), nil
 	}
 	return NewWorld(cfg)
 }
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"elmseam"
+	"elmseam/internal/budget"
 	"elmseam/internal/circuits"
 	"elmseam/internal/core"
 	"elmseam/internal/maintenance"
@@ -31,6 +32,7 @@
 
 	Lacks membership.Guard  `json:"-"` // and the members
 	Idle  maintenance.Guard `json:"-"` // and their maintenance
+	Loose budget.Guard      `json:"-"` // and their parts of budgets
 }
 
 // Check names the first figure that is out of range.
@@ -43,7 +45,7 @@
 			return fmt.Errorf("%s: %d, between %d and %d is possible", f.name, f.value, f.least, f.top)
 		}
 	}
-	if models := []string{"", Calls, Circuits, Members, Works}; !slices.Contains(models, c.Model) {
+	if models := []string{"", Calls, Circuits, Members, Works, Parts}; !slices.Contains(models, c.Model) {
 		return fmt.Errorf("model: %q, there are %s", c.Model, strings.Join(models[1:], ", "))
 	}
 	if c.Wait < 100*time.Millisecond || c.Wait > time.Minute {
