Knowledge: what each softswitch has seen of the servers rides on membership's datagrams

internal/knowledge, a reducer: one entry a server and observer, the writer's newest wins; ages travel, and what a datagram took longer than its sender's quickest is added. Entries ride behind membership's array within its checksum, so no more datagrams are sent; who has just started asks three and, unanswered, three more. The module takes it in by one event, Learn: a report heard later than the own last one stands for one, a sender just back begins with its peers' rates and ways, one that fails for most of them is cut at the next bad ending. A death scales the rates that a sender holds for its own (Carry) by what the dead took. Neither lifts a full cut, names a server, or makes a cold budget grow; that a server drains by a peer's newer list holds back for 10 s. Off unless the members' file says so.

The lab's verdict now has that for each one that comes back.

--- a/controller.go
+++ b/controller.go
@@ -71,6 +71,8 @@
 	started Time
 
 	told   float64 // hold-back share last told
+	own    float64 // and here, not to others of the tier
+	ownAt  Time
 	lapse  Time    // when that is forgotten
 	full   bool    // the cut is a full one: when it lapses, a trial comes first
 	fullAt Time    // when it began
@@ -182,6 +184,8 @@
 	askAt      Time
 	asked      bool
 	careful    float64 // part of its own part of a cold server's budget that this sender takes
+	foreign    float64 // share of its rates that is not of calls from here, when that changed
+	foreignAt  Time
 }
 
 // New makes a controller. The seed sets the phases of its budgets: those of many senders are not in step.
@@ -364,6 +368,31 @@
 		return
 	}
 	s.told, s.lapse, s.full, s.trial = share, c.now+c.gaps(reportLapse), false, false
+	s.own, s.ownAt = share, c.now
+}
+
+// Learn takes in what others of the tier have seen of a server. A report that came to them after the last one
+// here stands for one, but lifts no full cut. One that fails for them is cut at its next bad ending here. A
+// sender just back begins with the rates that they have; no budget while cold grows by that, see coldPart.
+func (c *Controller) Learn(now Time, id ServerID, l Learned) {
+	s := c.byID[id]
+	if s == nil {
+		return
+	}
+	if lapse := l.ShareAt + c.gaps(reportLapse); l.ShareAt > 0 && lapse > s.lapse && !s.full {
+		s.told, s.lapse = l.Share, lapse
+	}
+	if l.Failing {
+		s.faults = max(s.faults, failLimit-1)
+	}
+	if s.floor == 0 {
+		s.floor = l.Floor
+	}
+	if c.young(now) && s.stands.count == 0 && l.Rate > 0 {
+		n := l.Rate * rateMemory * (1 - decay(minMemory))
+		s.stands, c.stands = counter{n, now}, counter{c.stands.now(now) + n, now}
+		c.foreign, c.foreignAt = 1-offeredPart, now
+	}
 }
 
 // freeLines takes in how many lines a server has left, which it tells by itself at short intervals.
@@ -639,7 +668,7 @@
 	if s.took > 0 {
 		return s.took
 	}
-	return c.partOf(s)
+	return c.partOf(s) * (1 - c.foreignNow(c.now))
 }
 
 // linePasses says whether a server has a line for one more call. Where few are free, all senders hear of the
@@ -667,9 +696,12 @@
 		part *= easePart
 	}
 	room := s.divert.spread(c.now, part, divertBurst, c.gaps(savedGaps))
-	return room || c.great(k) || (c.now-c.born).Seconds() < minMemory // one just back knows no rate
+	return room || c.great(k) || c.young(c.now) && c.foreign == 0 // one just back knows no rate
 }
 
+// young says whether this sender has just started, and has no rate of its own.
+func (c *Controller) young(now Time) bool { return c.born == 0 || (now-c.born).Seconds() < minMemory }
+
 // partOf is a server's part, by its lines, of the set-ups a second that warm servers take from here.
 func (c *Controller) partOf(s *server) float64 { return c.perLine * c.linesOf(s) }
 
@@ -705,41 +737,6 @@
 	c.perLine = max(c.stands.now(c.now), offeredPart*c.offered.now(c.now)) / max(c.lineTime, all*minMemory)
 }
 
-// bucket is a budget of set-ups that refills with time.
-type bucket struct {
-	tokens float64
-	at     Time
-}
-
-// refill adds what has come in at a rate since the last time and says whether one set-up has room.
-func (b *bucket) refill(now Time, rate, burst float64) bool {
-	b.tokens = min(b.tokens+rate*(now-b.at).Seconds(), burst)
-	b.at = now
-	return b.tokens >= 1
-}
-
-// spread is refill for a budget that is small beside one set-up: a set-up that has room is not kept for later
-// than within, so that those of many senders, saved up, do not come at once.
-func (b *bucket) spread(now Time, rate, burst float64, within time.Duration) bool {
-	room := rate * within.Seconds()
-	if b.refill(now, rate, burst); room < 1 && b.tokens > 1+room {
-		b.tokens = math.Mod(b.tokens, 1)
-	}
-	return b.tokens >= 1
-}
-
-// counter is a count in which what is long ago fades.
-type counter struct {
-	count float64
-	at    Time // last added to
-}
-
-// now is the count with what has faded.
-func (n counter) now(now Time) float64 { return n.count * decay((now - n.at).Seconds()) }
-
-// add counts one more.
-func (n *counter) add(now Time) { n.count, n.at = n.now(now)+1, now }
-
 // rate is the rate a second of what a counter has counted.
 func (c *Controller) rate(n counter) float64 { return c.rateAt(n, c.now) }
 
@@ -748,9 +745,6 @@
 	return n.now(at) / (rateMemory * (1 - decay(max((at-c.born).Seconds(), minMemory))))
 }
 
-// decay is the weight of what happened dt seconds ago.
-func decay(dt float64) float64 { return math.Exp(-dt / rateMemory) }
-
 func (c *Controller) send(k *call, s *server) {
 	a := &attempt{call: k, server: s, sent: c.now}
 	if s.full {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -208,6 +208,7 @@
 			Left:         16,
 			Owed:         1000,
 			ServerLost:   5 * time.Second,        // releases are owed 8 s after the end at the latest
+			Hearsay:      10 * time.Second,       // a list is up to 7 s late
 			DrainGrace:   500 * time.Millisecond, // the front asks every 0.1 s and sends new ones for 0.2 s more
 			DrainTake:    1500 * time.Millisecond,
 			DrainSweep:   20 * time.Millisecond,
--- a/internal/config/members.go
+++ b/internal/config/members.go
@@ -13,6 +13,7 @@
 
 	budgets "elmseam/internal/budget"
 	"elmseam/internal/core"
+	"elmseam/internal/knowledge"
 	"elmseam/internal/maintenance"
 	"elmseam/internal/membership"
 	"elmseam/internal/peers"
@@ -35,6 +36,23 @@
 
 	Maintenance Maintenance `toml:"maintenance"`
 	Parts       Parts       `toml:"parts"`
+	Knowledge   Knowledge   `toml:"knowledge"`
+}
+
+// Knowledge is the part of the file that tells whether this softswitch shares what it has seen of the servers with its tier.
+// What it leaves out is knowledge.Defaults.
+type Knowledge struct {
+	Enabled  bool     `toml:"enabled"`
+	HalfLife duration `toml:"half_life"`
+	Lasting  duration `toml:"lasting"`
+	Forget   duration `toml:"forget"`
+	Ask      int      `toml:"ask"`
+}
+
+func (k Knowledge) limits() knowledge.Limits {
+	l := knowledge.Defaults()
+	l.HalfLife, l.Lasting, l.Forget, l.Ask = k.HalfLife.Duration, k.Lasting.Duration, k.Forget.Duration, k.Ask
+	return l
 }
 
 // Parts is the part of the file that tells whether parts of a just-started server's budget move between softswitches. What
@@ -144,6 +162,8 @@
 		Round: duration{w.Round}, Drift: w.Drift}
 	b := budgets.Defaults()
 	m.Parts = Parts{Lease: duration{b.Lease}, Drift: b.Drift, Members: b.Members}
+	k := knowledge.Defaults()
+	m.Knowledge = Knowledge{HalfLife: duration{k.HalfLife}, Lasting: duration{k.Lasting}, Forget: duration{k.Forget}, Ask: k.Ask}
 	meta, err := toml.Decode(text, &m)
 	if err != nil {
 		return m, err
@@ -157,6 +177,12 @@
 	if err := m.Parts.limits().Check(); err != nil {
 		return m, fmt.Errorf("parts.%w", err)
 	}
+	if err := m.Knowledge.limits().Check(); err != nil {
+		return m, fmt.Errorf("knowledge.%w", err)
+	}
+	if m.Knowledge.Enabled && !m.Enabled {
+		return m, errors.New("knowledge.enabled: needs membership (enabled = true)")
+	}
 	if m.Parts.Enabled && !m.Enabled {
 		return m, errors.New("parts.enabled: needs membership (enabled = true)")
 	}
@@ -195,6 +221,9 @@
 		join = append(join, core.Plan{Config: maintenance.Config{Self: c.Node.Me, Tier: len(c.Peers), Zone: c.Node.Zone, Name: c.Name,
 			Limits: c.Limits.Work, Seed: c.Seed}})
 	}
+	if m.Knowledge.Enabled {
+		join = append(join, core.Know{Config: knowledge.Config{Self: c.Node.Me, Tier: len(c.Peers), Limits: m.Knowledge.limits(), Seed: c.Seed}})
+	}
 	if m.Parts.Enabled {
 		join = append(join, core.Share{Config: budgets.Config{Self: c.Node.Me, Tier: len(c.Peers), Limits: m.Parts.limits(), Seed: c.Seed}})
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -12,6 +12,7 @@
 
 	"elmseam"
 	"elmseam/internal/budget"
+	"elmseam/internal/knowledge"
 	"elmseam/internal/maintenance"
 	"elmseam/internal/membership"
 )
@@ -71,6 +72,7 @@
 	coldAt    Time         // the start of which budget was told
 	coldFrom  Time         // since when set-ups to it are counted
 	coldSent  int
+	hears     hearsay
 	owed      []ID // releases that wait for a connection
 }
 
@@ -146,6 +148,7 @@
 	self     int                  // its number there
 	work     *maintenance.Reducer // nil: it takes part in no ordered maintenance
 	by       drainers             // who wants this softswitch drained
+	knows    *knowledge.Reducer   // nil: it shares nothing of the servers with the tier
 	parts    *budget.Reducer      // nil: its parts of cold servers' budgets are fixed
 }
 
@@ -241,6 +244,8 @@
 		c.toWork(ev.Event)
 	case Share:
 		c.share(ev)
+	case Know:
+		c.know(ev)
 	case Join:
 		c.join(ev)
 	case Peer:
@@ -886,6 +891,11 @@
 		}
 	case tokenMember:
 		c.toPeers(membership.Due{Token: t.member})
+	case tokenKnow:
+		c.seen()
+		c.toKnow(knowledge.Due{Token: t.know})
+	case tokenHearsay:
+		c.unhear(t.server)
 	case tokenParts:
 		c.toParts(budget.Use{Parts: c.coldUse()})
 		c.toParts(budget.Due{Token: t.parts})
--- a/internal/core/figures.go
+++ b/internal/core/figures.go
@@ -22,6 +22,7 @@
 	Stopping         bool
 	Members          *MemberFigures // of the tier; nil: there is no membership
 	Work             *WorkFigures   // of its maintenance; nil: there is none
+	Knows            *KnowFigures   // of what the tier knows of the servers; nil: it is off
 	Parts            *PartFigures   // of its parts of cold servers' budgets; nil: they don't move
 }
 
@@ -30,7 +31,7 @@
 	f := c.figures
 	f.Classes = slices.Clone(f.Classes)
 	f.Current, f.Draining, f.Stopping = len(c.calls), c.draining, c.stopping
-	f.Members, f.Work, f.Parts = c.members(), c.maintained(), c.shared()
+	f.Members, f.Work, f.Parts, f.Knows = c.members(), c.maintained(), c.shared(), c.known()
 	for _, s := range c.order {
 		if s.Phase == 0 { // gone, and kept for what is left of it
 			continue
--- /dev/null
+++ b/internal/core/know.go
@@ -0,0 +1,185 @@
+package core
+
+import (
+	"github.com/zeebo/xxh3"
+
+	"elmseam"
+	"elmseam/internal/knowledge"
+	"elmseam/internal/membership"
+)
+
+// What the tier knows of the servers (internal/knowledge) runs inside the core: what the module has seen rides on
+// membership's datagrams, and what others have seen is weighed there and handed to the module by one event, Learn. It
+// names no servers. Only that a server drains reaches past the module, and only for the less.
+
+// Know begins this softswitch's part in sharing what the tier knows of the servers. It needs a Join before.
+type Know struct{ Config knowledge.Config }
+
+func (Know) event() {}
+
+// hearsay is what peers' lists say of a server beyond the own list.
+type hearsay struct {
+	told  Time // when the own list spoke of it last
+	until Time // till then it is held for draining, as a peer's list says so that is newer
+}
+
+// know begins. A second Know changes nothing.
+func (c *Core) know(ev Know) {
+	if c.knows != nil || c.fleet == nil {
+		return
+	}
+	knows, out, err := knowledge.New(ev.Config, c.now)
+	if err != nil {
+		c.do(Broken{Rule: err.Error()})
+		return
+	}
+	c.knows = knows
+	c.learnt(out)
+	for m, e := range c.fleet.Members() {
+		c.toKnow(knowledge.There{Member: m, Yes: e.State.There()})
+	}
+}
+
+// toKnow hands knowledge an event.
+func (c *Core) toKnow(ev knowledge.Event) {
+	if c.knows != nil {
+		c.learnt(c.knows.Step(c.now, ev))
+	}
+}
+
+// learnt carries out what knowledge asks for.
+func (c *Core) learnt(out []knowledge.Effect) {
+	for _, e := range out {
+		switch e := e.(type) {
+		case knowledge.Send:
+			c.do(ToPeer{To: e.To, Data: e.Data})
+		case knowledge.Timer:
+			c.timer(e.At, Token{kind: tokenKnow, know: e.Token})
+		case knowledge.Learned:
+			for _, key := range e.Servers {
+				c.learn(key)
+			}
+		}
+	}
+}
+
+// learn hands the module what the tier knows of a server.
+func (c *Core) learn(key uint32) {
+	s := c.named()[key]
+	if s == nil {
+		return
+	}
+	v := c.knows.View(c.now, key)
+	c.ctl.Learn(c.now, s.id, elmseam.Learned{Share: v.Share, ShareAt: v.ShareAt, Rate: v.Rate, Failing: v.Others > 1 && v.Bad > 0.5, Floor: v.Floor})
+	if h := &s.hears; v.Drains > h.told && h.until == 0 && s.Phase == elmseam.Ready {
+		h.until = c.now + c.limits.Hearsay
+		c.timer(h.until, Token{kind: tokenHearsay, server: s.Name})
+		c.phases([]*server{s}, false, false)
+	}
+}
+
+// unhear forgets that a server is held for draining: the own list, which is late, has not confirmed it.
+func (c *Core) unhear(name string) {
+	if s := c.servers[name]; s != nil && s.hears.until > 0 && c.now >= s.hears.until {
+		s.hears = hearsay{told: c.now}
+		c.phases([]*server{s}, false, false)
+	}
+}
+
+// named are the servers by the hash of their names; two that hash alike are left out.
+func (c *Core) named() map[uint32]*server {
+	all := make(map[uint32]*server, len(c.order))
+	for _, s := range c.order {
+		if s.Phase == elmseam.Gone {
+			continue
+		}
+		key := uint32(xxh3.HashString(s.Name))
+		if _, twice := all[key]; twice {
+			all[key] = nil
+			continue
+		}
+		all[key] = s
+	}
+	return all
+}
+
+// seen tells knowledge what this softswitch has seen itself.
+func (c *Core) seen() {
+	own := make(map[uint32]knowledge.Seen)
+	for key, s := range c.named() {
+		if s == nil {
+			continue
+		}
+		k, _ := c.ctl.Known(s.id, c.now)
+		e := knowledge.Seen{Share: k.Share, ShareAt: k.ShareAt, Rate: k.Rate, Lines: k.Lines, Bad: k.Bad, Floor: k.Floor}
+		if s.Phase == elmseam.Draining {
+			e.Drains = s.hears.told
+		}
+		own[key] = e
+	}
+	c.toKnow(knowledge.Own{Servers: own})
+}
+
+// ride has what this softswitch has seen ride on a datagram of membership.
+func (c *Core) ride(data []byte) []byte {
+	if c.knows == nil {
+		return data
+	}
+	c.seen()
+	return c.knows.Ride(c.now, data)
+}
+
+// knowThere tells knowledge who is there. Who dies leaves its callers to the others, who serve them at rates that would
+// follow slowly; who comes back takes them back.
+func (c *Core) knowThere(m int, was, is membership.State) {
+	c.toKnow(knowledge.There{Member: m, Yes: is.There()})
+	if c.knows == nil {
+		return
+	}
+	v := c.fleet.View()
+	switch there := v.There + v.Suspects; {
+	case is.Down() && (was.There() || was == membership.Suspect):
+		c.ctl.Carry(c.now, c.knows.Carried([]int{m}, there))
+	case is.There() && was == membership.Dead && there > 1:
+		c.ctl.Carry(c.now, float64(there-1)/float64(there))
+	}
+}
+
+// ServerKnown is what is known of a server, for operators.
+type ServerKnown struct {
+	Name  string
+	Phase elmseam.Phase
+	Heard bool // it is held for draining by a peer's word alone
+	View  knowledge.View
+	Told  []knowledge.Told
+	Rate  float64 // that may be used of its budget, while it is cold; negative: the own part counts
+}
+
+// KnowFigures are what operators are shown of what the tier knows.
+type KnowFigures struct {
+	knowledge.Figures
+	Servers []ServerKnown
+}
+
+// known are the figures of knowledge; nil where it is off.
+func (c *Core) known() *KnowFigures {
+	if c.knows == nil {
+		return nil
+	}
+	f := &KnowFigures{Figures: c.knows.Figures()}
+	named := c.named()
+	for _, s := range c.order {
+		key := uint32(xxh3.HashString(s.Name))
+		if named[key] != s {
+			continue
+		}
+		e := ServerKnown{Name: s.Name, Phase: s.told, Heard: s.hears.until > 0, View: c.knows.View(c.now, key), Told: c.knows.Of(key), Rate: -1}
+		if c.parts != nil && c.parts.Active() {
+			if rate, known := c.parts.Rate(c.now, startOf(s)); known {
+				e.Rate = rate
+			}
+		}
+		f.Servers = append(f.Servers, e)
+	}
+	return f
+}
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -2,6 +2,8 @@
 
 import (
 	"elmseam/internal/budget"
+	"elmseam/internal/datagram"
+	"elmseam/internal/knowledge"
 	"elmseam/internal/maintenance"
 	"elmseam/internal/membership"
 )
@@ -76,8 +78,18 @@
 	case c.parts != nil && version == budget.Version:
 		c.toParts(budget.Datagram{From: ev.From, Data: ev.Data})
 		c.allot()
+	case c.knows != nil && version == knowledge.Version:
+		c.seen()
+		c.toKnow(knowledge.Datagram{From: ev.From, Data: ev.Data})
 	default:
-		c.toPeers(membership.Datagram{From: ev.From, Data: ev.Data})
+		bare, rider, err := datagram.Split(ev.Data)
+		if err != nil { // membership counts it
+			bare = ev.Data
+		}
+		c.toPeers(membership.Datagram{From: ev.From, Data: bare})
+		if len(rider) > 0 && c.knows != nil {
+			c.toKnow(knowledge.Rider{From: ev.From, Data: rider})
+		}
 	}
 }
 
@@ -94,7 +106,7 @@
 	for _, e := range out {
 		switch e := e.(type) {
 		case membership.Send:
-			c.do(ToPeer{To: e.To, Data: e.Data})
+			c.do(ToPeer{To: e.To, Data: c.ride(e.Data)})
 		case membership.Timer:
 			c.timer(e.At, Token{kind: tokenMember, member: e.Token})
 		case membership.Changed:
@@ -103,6 +115,7 @@
 				c.do(PeerChanged{e})
 				c.peerThere(e.Member, e.Is)
 				c.partThere(e.Member, e.Is)
+				c.knowThere(e.Member, e.Was, e.Is)
 			}
 		}
 	}
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -25,7 +25,7 @@
 			c.hangUp(s)
 			s.owed = nil // of the process that is no more
 		}
-		s.Server, s.source = e, ev.Source
+		s.Server, s.source, s.hears = e, ev.Source, hearsay{told: c.now}
 		changed = append(changed, s)
 	}
 	if ev.Full {
@@ -50,7 +50,7 @@
 		switch {
 		case s.told == elmseam.Ready && c.cutOff(s):
 			s.told = elmseam.Gone
-		case s.told == elmseam.Ready && s.paused:
+		case s.told == elmseam.Ready && (s.paused || s.hears.until > 0):
 			s.told = elmseam.Draining
 		}
 		entries = append(entries, elmseam.ListEntry{Server: s.id, Cell: s.Cell, Phase: s.told, Started: s.Started})
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -5,6 +5,7 @@
 
 	"elmseam"
 	"elmseam/internal/budget"
+	"elmseam/internal/knowledge"
 	"elmseam/internal/maintenance"
 	"elmseam/internal/membership"
 )
@@ -315,6 +316,7 @@
 	member membership.Token
 	work   maintenance.Token
 	parts  budget.Token
+	know   knowledge.Token
 }
 
 type tokenKind uint8
@@ -333,6 +335,8 @@
 	tokenMember
 	tokenWork
 	tokenParts
+	tokenKnow
+	tokenHearsay // a server is held for draining by a peer's word no longer
 )
 
 // Limits are the times the core keeps.
@@ -361,5 +365,6 @@
 	RetryHint    time.Duration  // told with a refusal for want of room
 	Remember     time.Duration  // a call that is over is remembered for so long
 	Ended        int            // and of so many; 0: of any
+	Hearsay      time.Duration  // a server is held for draining by a peer's word for so long
 	Routes       int            // withdrawn ones that concern no server of the list
 }
--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -47,22 +47,13 @@
 
 // Encode writes v, a struct that stands as an array, under this version byte.
 func Encode(version byte, v any) []byte {
-	body, err := encoding.Marshal(v)
-	if err != nil {
-		panic(err) // no field of ours has no form
-	}
+	body := EncodeItem(v)
 	data := append(append(make([]byte, 0, len(body)+Overhead), version), body...)
 	return binary.BigEndian.AppendUint32(data, sum(data))
 }
 
 // Size is what an array takes by itself, in bytes.
-func Size(v any) int {
-	body, err := encoding.Marshal(v)
-	if err != nil {
-		panic(err)
-	}
-	return len(body)
-}
+func Size(v any) int { return len(EncodeItem(v)) }
 
 // IntSize is what an integer takes in an array, in bytes.
 func IntSize(w int64) int {
@@ -100,6 +91,52 @@
 	return nil
 }
 
+// Ride has something else ride on a datagram, behind its array and within the checksum, so that no more datagrams are sent
+// for it. Who does not look for a rider takes the datagram for garbled; so all of a tier must.
+func Ride(data, rider []byte) []byte {
+	body := data[:len(data)-sumSize]
+	all := append(append(make([]byte, 0, len(data)+len(rider)), body...), rider...)
+	return binary.BigEndian.AppendUint32(all, sum(all))
+}
+
+// Split takes a datagram and what rides on it apart: what it was without a rider, and the rider, empty if there is none.
+func Split(data []byte) (bare, rider []byte, err error) {
+	if len(data) < Overhead || len(data) > Max {
+		return nil, nil, ErrGarbled
+	}
+	body, tail := data[:len(data)-sumSize], data[len(data)-sumSize:]
+	if sum(body) != binary.BigEndian.Uint32(tail) {
+		return nil, nil, ErrGarbled
+	}
+	var first cbor.RawMessage
+	rider, err = decoding.UnmarshalFirst(body[1:], &first)
+	if err != nil {
+		return nil, nil, ErrGarbled
+	}
+	if len(rider) == 0 {
+		return data, nil, nil
+	}
+	bare = body[:len(body)-len(rider)]
+	return binary.BigEndian.AppendUint32(append(make([]byte, 0, len(bare)+sumSize), bare...), sum(bare)), rider, nil
+}
+
+// DecodeItem reads one array by itself, such as a rider, into v. The error is ErrGarbled.
+func DecodeItem(data []byte, v any) error {
+	if decoding.Unmarshal(data, v) != nil {
+		return ErrGarbled
+	}
+	return nil
+}
+
+// EncodeItem writes one array by itself.
+func EncodeItem(v any) []byte {
+	body, err := encoding.Marshal(v)
+	if err != nil {
+		panic(err) // no field of ours has no form
+	}
+	return body
+}
+
 // Seal gives a datagram, whose last four bytes don't matter, the checksum that it should have.
 func Seal(data []byte) []byte {
 	if len(data) < sumSize {
--- /dev/null
+++ b/internal/knowledge/weigh.go
@@ -0,0 +1,113 @@
+package knowledge
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// View is what the tier knows of a server at a time.
+type View struct {
+	Share   float64       // to be held back, of all that is known: the newest reports weigh most
+	ShareAt Time          // of the newest that another has heard; 0: none
+	Rate    float64       // set-ups a second that a server takes from another member when warm, on the mean; 0: not known
+	Bad     float64       // share of the others' weight that holds it for failing
+	Drains  Time          // since when another's list says that it drains; 0: none does
+	Others  int           // observers that have told of it
+	Floor   time.Duration // the longest of the others' shortest set-up times: ways differ; 0: not known
+}
+
+// badAt is the weight of bad endings in a row from which on a member holds a server for failing.
+const badAt = 8
+
+func weight(age, half time.Duration) float64 {
+	return math.Exp2(-float64(max(age, 0)) / float64(half))
+}
+
+// View weighs what is known of a server: each entry halves its weight with each half-life of its age, so a stale peer, or
+// two that contradict each other, are outweighed by whoever has heard of it later; the own entry counts beside the rest.
+func (r *Reducer) View(now Time, server uint32) (v View) {
+	now = max(now, r.now)
+	share, shares, rate, rates, bad, all := 0.0, 0.0, 0.0, 0.0, 0.0, 0.0
+	l := r.cfg.Limits
+	report := func(s Seen) {
+		if s.ShareAt > 0 && now-s.ShareAt < l.Forget {
+			w := weight(now-s.ShareAt, l.HalfLife)
+			share, shares = share+w*s.Share, shares+w
+		}
+	}
+	for _, o := range r.observers {
+		e, known := o.Entries[server]
+		if !known || now-e.At >= l.Forget {
+			continue
+		}
+		v.Others++
+		v.Floor = max(v.Floor, e.Floor)
+		report(e.Seen)
+		v.ShareAt, v.Drains = max(v.ShareAt, e.ShareAt), max(v.Drains, e.Drains)
+		w := weight(now-e.At, l.Lasting)
+		if e.Rate > 0 {
+			rate, rates = rate+w*e.Rate, rates+w
+		}
+		if all += w; e.Bad >= badAt {
+			bad += w
+		}
+	}
+	if report(r.own[server]); shares > 0 {
+		v.Share = share / shares
+	}
+	if rates > 0 {
+		v.Rate = rate / rates
+	}
+	if all > 0 {
+		v.Bad = bad / all
+	}
+	return v
+}
+
+// Carried is by how much the rates of this member grow when some others have died: those leave their callers to all that
+// are there, each as many, as far as anybody knows. Where too little is known each is held to have had as many.
+func (r *Reducer) Carried(died []int, there int) float64 {
+	own, left, known := 0.0, 0.0, true
+	for _, s := range r.own {
+		own += s.Rate
+	}
+	for _, m := range died {
+		rate, any := 0.0, false
+		for _, e := range r.observers[m].Entries {
+			if r.now-e.At < r.cfg.Limits.Forget {
+				rate, any = rate+e.Rate, any || e.Rate > 0
+			}
+		}
+		left, known = left+rate, known && any
+	}
+	there = max(there, 1)
+	if !known || own <= 0 {
+		return float64(there+len(died)) / float64(there)
+	}
+	return 1 + min(left/float64(there)/own, float64(len(died)))
+}
+
+// Told is an observer's entry, for operators.
+type Told struct {
+	Observer int
+	Seen
+	At Time
+}
+
+// Of is all that is known of a server, by observer, the own entry included.
+func (r *Reducer) Of(server uint32) (all []Told) {
+	for m, o := range r.observers {
+		if e, known := o.Entries[server]; known {
+			all = append(all, Told{m, e.Seen, e.At})
+		}
+	}
+	if s, listed := r.own[server]; listed {
+		all = append(all, Told{r.cfg.Self, s, r.now})
+	}
+	slices.SortFunc(all, func(a, b Told) int { return a.Observer - b.Observer })
+	return all
+}
+
+// Figures are the figures of now.
+func (r *Reducer) Figures() Figures { return r.figures }
--- a/internal/lab/judge.go
+++ b/internal/lab/judge.go
@@ -61,8 +61,10 @@
 
 type setup struct {
 	sent, giveUp time.Duration
+	to           int // softswitch
 	finals       int
 	settled      bool // judged, answered or excused
+	served       bool
 }
 
 type callState struct {
@@ -133,9 +135,9 @@
 	}
 }
 
-// SetUp is a caller's set-up, written whole, that its caller waits for until giveUp.
-func (j *Judge) SetUp(at time.Duration, id uint64, giveUp time.Duration) {
-	j.setups[id] = &setup{sent: at, giveUp: giveUp}
+// SetUp is a caller's set-up to a softswitch, written whole, that its caller waits for until giveUp.
+func (j *Judge) SetUp(at time.Duration, id uint64, to int, giveUp time.Duration) {
+	j.setups[id] = &setup{sent: at, giveUp: giveUp, to: to}
 	j.second(at).Offered++
 }
 
@@ -163,13 +165,58 @@
 		return // the refusal of one given up, crossing
 	}
 	s.settled = true
-	if served {
+	if s.served = served; served {
 		j.second(at).Served++
 	} else {
 		j.second(at).Refused++
 	}
 }
 
+// Return is how a softswitch served that came back: its share of the set-ups sent to it that were answered, and its peers'
+// of theirs, in each second since its first call.
+type Return struct {
+	Name  string
+	First time.Duration // its first call
+	Share []float64     // negative: no call came in that second
+	Peers []float64
+}
+
+// Return says how the softswitch at a place served in so many seconds from its first call after a moment on; nil: none came.
+func (j *Judge) Return(place int, after time.Duration, seconds int) *Return {
+	first := time.Duration(-1)
+	for _, s := range j.setups {
+		if s.to == place && s.sent >= after && (first < 0 || s.sent < first) {
+			first = s.sent
+		}
+	}
+	if first < 0 {
+		return nil
+	}
+	r := &Return{Name: Name(place), First: first, Share: make([]float64, seconds), Peers: make([]float64, seconds)}
+	offered, served := make([][2]float64, seconds), make([][2]float64, seconds)
+	for _, s := range j.setups {
+		i := int((s.sent - first) / time.Second)
+		if s.sent < first || i >= seconds {
+			continue
+		}
+		who := 0
+		if s.to != place {
+			who = 1
+		}
+		if offered[i][who]++; s.served {
+			served[i][who]++
+		}
+	}
+	for i := range seconds {
+		for who, share := range [][]float64{r.Share, r.Peers} {
+			if share[i] = -1; offered[i][who] > 0 {
+				share[i] = served[i][who] / offered[i][who]
+			}
+		}
+	}
+	return r
+}
+
 // Unanswered says that a set-up's caller gave up without a final answer, or lost its connection. excused says that
 // a fault the lab made (a kill, a pause, a stop) stood in its way; such a set-up is counted, not judged.
 func (j *Judge) Unanswered(at time.Duration, id uint64, excused bool) {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -34,20 +34,20 @@
 		story      func(j *Judge)
 	}{
 		{"two answers", "two final answers", func(j *Judge) {
-			j.SetUp(0, 1, 1500*ms)
+			j.SetUp(0, 1, 0, 1500*ms)
 			j.Final(10*ms, 1, true)
 			j.Final(20*ms, 1, false)
 		}},
 		{"none before give-up", "no final answer before give-up", func(j *Judge) {
-			j.SetUp(0, 1, 1500*ms)
+			j.SetUp(0, 1, 0, 1500*ms)
 			j.Unanswered(1500*ms, 1, false)
 		}},
 		{"none at the end", "no final answer before give-up", func(j *Judge) {
-			j.SetUp(0, 1, 1500*ms)
+			j.SetUp(0, 1, 0, 1500*ms)
 			j.Close(2 * time.Second)
 		}},
 		{"lost with its connection", "set-up lost", func(j *Judge) {
-			j.SetUp(0, 1, 1500*ms)
+			j.SetUp(0, 1, 0, 1500*ms)
 			j.Unanswered(100*ms, 1, false)
 		}},
 		{"two out", "two attempts out", func(j *Judge) {
@@ -91,13 +91,13 @@
 	j := NewJudge(testRules)
 	j.Server("a", 100, -1)
 	j.Server("c", 100, 0)
-	j.SetUp(0, 1, 1500*ms)
+	j.SetUp(0, 1, 0, 1500*ms)
 	j.Attempt(0, "a", 1)
 	j.Ended(10*ms, "a", 1, Reset)
 	j.Attempt(260*ms, "a", 1) // after the gap
 	j.Ended(270*ms, "a", 1, Answered)
 	j.Final(271*ms, 1, true)
-	j.SetUp(0, 2, 1500*ms)
+	j.SetUp(0, 2, 0, 1500*ms)
 	j.Unanswered(300*ms, 2, true) // excused: a fault of the lab's stood in its way
 	j.Retire("a", 300*ms)
 	j.Attempt(590*ms, "a", 3) // within the grace and its slack
@@ -116,7 +116,7 @@
 // Where the lab lagged, a lateness is its own, not the fleet's.
 func TestJudgeBlindWhereTheLabLagged(t *testing.T) {
 	j := NewJudge(testRules)
-	j.SetUp(0, 1, 1500*ms)
+	j.SetUp(0, 1, 0, 1500*ms)
 	j.Blind(1400*ms, 1600*ms)
 	j.Unanswered(1500*ms, 1, false)
 	if got := rules(j); len(got) > 0 {
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -70,8 +70,9 @@
 	Members     map[string]int64 `json:"members,omitempty"`     // the doors' figures, all softswitches and lives together
 	Maintenance map[string]int64 `json:"maintenance,omitempty"` // and these
 	Works       []*Work          `json:"works,omitempty"`
-	MostOut     int              `json:"most_out"` // softswitches out for work at one sample
-	Span        time.Duration    `json:"span_ns"`  // from the load's start to the end
+	Returns     []*Return        `json:"returns,omitempty"` // of softswitches that were killed and started again
+	MostOut     int              `json:"most_out"`          // softswitches out for work at one sample
+	Span        time.Duration    `json:"span_ns"`           // from the load's start to the end
 
 	seconds  []Second
 	servers  []string
@@ -170,7 +171,7 @@
 
 func (r *runner) sent(id uint64, to int, giveUp time.Duration) {
 	r.mu.Lock()
-	r.judge.SetUp(r.now(), id, giveUp)
+	r.judge.SetUp(r.now(), id, to, giveUp)
 	r.mu.Unlock()
 }
 
@@ -775,6 +776,13 @@
 		seconds: r.judge.Seconds(), servers: r.order, Starts: map[string]int{}, Marks: r.marks,
 		Members: map[string]int64{}, Maintenance: map[string]int64{}, ready: r.ready, views: r.views, Detections: r.watch.detections, FalseDeaths: r.watch.deaths, Works: r.watch.works, MostOut: r.watch.mostOut, Span: r.now()}
 	res.Breaches = append(res.Breaches, r.watch.Breaches()...)
+	for _, f := range r.s.Faults {
+		for _, place := range r.s.places(f.Target) {
+			if back := r.judge.Return(place, f.At.Duration+f.For.Duration, returnSeconds); f.Kind == "kill" && f.For.Duration > 0 && back != nil {
+				res.Returns = append(res.Returns, back)
+			}
+		}
+	}
 	for i := range res.seconds {
 		var row []float64
 		for _, name := range r.order {
@@ -818,6 +826,9 @@
 	return res
 }
 
+// returnSeconds are the seconds for which one that came back is compared with its peers.
+const returnSeconds = 5
+
 // summed are the figures of membership and maintenance that count up, so that those of all lives add up.
 var summed = map[string]bool{"probes": true, "indirect": true, "acks": true, "nacks": true, "failed": true,
 	"suspicions": true, "deaths": true, "refutations": true, "stalls": true, "sent": true, "sent_bytes": true, "heard": true,
--- a/tier.go
+++ b/tier.go
@@ -2,6 +2,8 @@
 
 // What the embedding softswitch asks of the module and tells it of its tier. Nothing here decides.
 
+import "time"
+
 // Caution sets the part, up to 1, of its own part of a cold server's budget that this sender takes.
 func (c *Controller) Caution(part float64) { c.careful = min(max(part, 0), 1) }
 
@@ -13,6 +15,60 @@
 	}
 }
 
+// Known is what this sender has seen of a server itself.
+type Known struct {
+	Share   float64       // hold-back share last told to it
+	ShareAt Time          // when; 0: never
+	Rate    float64       // set-ups a second that the server takes from here when warm; 0: not known
+	Lines   float64       // 0: not told
+	Bad     int           // weight of the bad endings in a row
+	Floor   time.Duration // shortest set-up time: the way there and back; 0: none stood yet
+}
+
+// Known is what this sender has seen of a server itself, at a time.
+func (c *Controller) Known(id ServerID, now Time) (k Known, listed bool) {
+	s := c.byID[id]
+	if s == nil {
+		return k, false
+	}
+	k = Known{Share: s.own, ShareAt: s.ownAt, Lines: s.most, Bad: s.faults, Floor: s.floor}
+	switch {
+	case s.started > 0 && now < s.started+c.set.ColdRamp:
+		k.Rate = s.took
+	case !c.young(now) && c.foreignNow(now) < 0.5: // what was heard is not told on
+		k.Rate = c.rateAt(s.stands, now)
+	}
+	return k, true
+}
+
+// Learned is what others of the tier have seen of a server.
+type Learned struct {
+	Share   float64       // to hold back, by their reports
+	ShareAt Time          // of the newest of these; 0: there is none
+	Rate    float64       // set-ups a second that it takes from one of them when warm, on the mean; 0: not known
+	Failing bool          // most of them hold it for failing
+	Floor   time.Duration // the longest of their ways there and back; 0: not known
+}
+
+// Carry scales the rates that this sender holds for its own: others of the tier have left it their callers, or taken them
+// back. Counting would show it within the memory of rates; budgets while cold go by counting alone (see coldPart).
+func (c *Controller) Carry(now Time, times float64) {
+	if !(times > 0) || c.born == 0 {
+		return
+	}
+	for _, s := range c.servers {
+		s.stands.count *= times
+	}
+	c.stands.count *= times
+	c.offered.count *= times
+	c.foreign, c.foreignAt = max(1-(1-c.foreignNow(now))/times, 0), now
+}
+
+// foreignNow is the share of the rates that is not of calls from here: it fades as these do.
+func (c *Controller) foreignNow(now Time) float64 {
+	return c.foreign * decay((now - c.foreignAt).Seconds())
+}
+
 // Cold is what this sender holds of a server that is cold.
 type Cold struct {
 	Until Time    // it is warm then
