--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"elmseam"
+	"elmseam/internal/budget"
+	"elmseam/internal/knowledge"
 	"elmseam/internal/maintenance"
 	"elmseam/internal/membership"
 )
@@ -67,7 +69,11 @@
 	standing  map[ID]*call
 	out       map[ID]*call // attempts out, those that are ending included
 	redialing bool         // a timer runs
-	owed      []ID         // releases that wait for a connection
+	coldAt    Time         // the start of which budget was told
+	coldFrom  Time         // since when set-ups to it are counted
+	coldSent  int
+	hears     hearsay
+	owed      []ID // releases that wait for a connection
 }
 
 // left remembers under which id the module knew a server that has gone: one that comes back is the same.
@@ -142,6 +148,8 @@
 	self     int                  // its number there
 	work     *maintenance.Reducer // nil: it takes part in no ordered maintenance
 	by       drainers             // who wants this softswitch drained
+	knows    *knowledge.Reducer   // nil: it shares nothing of the servers with the tier
+	parts    *budget.Reducer      // nil: its parts of cold servers' budgets are fixed
 }
 
 // pendingRelease is a release that finds no connection of its caller.
@@ -181,6 +189,7 @@
 // next Step. A time before that of the last Step counts as the last one's.
 func (c *Core) Step(now Time, ev Event) []Effect {
 	c.now, c.out = max(now, c.now), c.out[:0]
+	c.allot()
 	switch ev := ev.(type) {
 	case CallerUp:
 		c.callerUp(ev)
@@ -233,14 +242,14 @@
 		c.plan(ev)
 	case Order:
 		c.toWork(ev.Event)
+	case Share:
+		c.share(ev)
+	case Know:
+		c.know(ev)
 	case Join:
 		c.join(ev)
 	case Peer:
-		if c.work != nil && len(ev.Data) > 0 && ev.Data[0] == maintenance.Version {
-			c.toWork(maintenance.Datagram{From: ev.From, Data: ev.Data})
-		} else {
-			c.toPeers(membership.Datagram{From: ev.From, Data: ev.Data})
-		}
+		c.peer(ev)
 	case HandOver:
 		c.handOver()
 	case Parked:
@@ -502,6 +511,7 @@
 		c.dial(s)
 	default:
 		k.out.phase, k.out.line, k.out.at, l.used = sent, l, c.now, c.now
+		s.coldSent++
 		if l.mute == 0 {
 			l.mute = c.now
 		}
@@ -881,6 +891,15 @@
 		}
 	case tokenMember:
 		c.toPeers(membership.Due{Token: t.member})
+	case tokenKnow:
+		c.seen()
+		c.toKnow(knowledge.Due{Token: t.know})
+	case tokenHearsay:
+		c.unhear(t.server)
+	case tokenParts:
+		c.toParts(budget.Use{Parts: c.coldUse()})
+		c.toParts(budget.Due{Token: t.parts})
+		c.allot()
 	case tokenWork:
 		c.toWork(maintenance.Due{Token: t.work})
 	}
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -1,6 +1,10 @@
 package core
 
 import (
+	"elmseam/internal/budget"
+	"elmseam/internal/datagram"
+	"elmseam/internal/knowledge"
+	"elmseam/internal/maintenance"
 	"elmseam/internal/membership"
 )
 
@@ -62,6 +66,33 @@
 	}
 }
 
+// peer hands a datagram to the protocol that its first byte names; what none knows, membership counts.
+func (c *Core) peer(ev Peer) {
+	version := byte(membership.Version)
+	if len(ev.Data) > 0 {
+		version = ev.Data[0]
+	}
+	switch {
+	case c.work != nil && version == maintenance.Version:
+		c.toWork(maintenance.Datagram{From: ev.From, Data: ev.Data})
+	case c.parts != nil && version == budget.Version:
+		c.toParts(budget.Datagram{From: ev.From, Data: ev.Data})
+		c.allot()
+	case c.knows != nil && version == knowledge.Version:
+		c.seen()
+		c.toKnow(knowledge.Datagram{From: ev.From, Data: ev.Data})
+	default:
+		bare, rider, err := datagram.Split(ev.Data)
+		if err != nil { // membership counts it
+			bare = ev.Data
+		}
+		c.toPeers(membership.Datagram{From: ev.From, Data: bare})
+		if len(rider) > 0 && c.knows != nil {
+			c.toKnow(knowledge.Rider{From: ev.From, Data: rider})
+		}
+	}
+}
+
 // toPeers hands membership an event.
 func (c *Core) toPeers(ev membership.Event) {
 	if c.fleet != nil {
@@ -75,7 +106,7 @@
 	for _, e := range out {
 		switch e := e.(type) {
 		case membership.Send:
-			c.do(ToPeer{To: e.To, Data: e.Data})
+			c.do(ToPeer{To: e.To, Data: c.ride(e.Data)})
 		case membership.Timer:
 			c.timer(e.At, Token{kind: tokenMember, member: e.Token})
 		case membership.Changed:
@@ -83,6 +114,8 @@
 			if e.Member != c.self {
 				c.do(PeerChanged{e})
 				c.peerThere(e.Member, e.Is)
+				c.partThere(e.Member, e.Is)
+				c.knowThere(e.Member, e.Was, e.Is)
 			}
 		}
 	}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"elmseam"
+	"elmseam/internal/budget"
+	"elmseam/internal/knowledge"
 	"elmseam/internal/maintenance"
 	"elmseam/internal/membership"
 )
@@ -313,6 +315,8 @@
 	server string
 	member membership.Token
 	work   maintenance.Token
+	parts  budget.Token
+	know   knowledge.Token
 }
 
 type tokenKind uint8
@@ -330,6 +334,9 @@
 	tokenFinal // and so is the longest time for what still stands
 	tokenMember
 	tokenWork
+	tokenParts
+	tokenKnow
+	tokenHearsay // a server is held for draining by a peer's word no longer
 )
 
 // Limits are the times the core keeps.
@@ -358,5 +365,6 @@
 	RetryHint    time.Duration  // told with a refusal for want of room
 	Remember     time.Duration  // a call that is over is remembered for so long
 	Ended        int            // and of so many; 0: of any
+	Hearsay      time.Duration  // a server is held for draining by a peer's word for so long
 	Routes       int            // withdrawn ones that concern no server of the list
 }
