--- a/controller.go
+++ b/controller.go
@@ -41,8 +41,9 @@
 	minMemory     = 3.0                    // s, least time over which a rate is taken
 	coldSafety    = 0.9                    // part of the tipping multiple that cold servers may get
 	coldBurst     = 2.0                    // set-ups that may go to a cold server at once
-	divertPart    = 1.0                    // times its part of the set-ups that a server may get diverted
+	divertPart    = 0.5                    // times its part of the set-ups that a server may get diverted
 	easePart      = 3.0                    // times as many where a live report tells of ease
+	easeShare     = 0.25                   // the less of it the nearer the share asked for comes to this
 	trialShare    = 0.5                    // share over which a lapse is followed by a trial
 	trialPart     = 0.25                   // part of its part that a server gets as trials after a full cut
 	savedGaps     = 4.0                    // gaps for which a budget of less than a set-up is kept
@@ -692,8 +693,8 @@
 // that, but not by so much that the others are kept out for long.
 func (c *Controller) divertPasses(s *server, k *call) bool {
 	part := divertPart * c.partOf(s)
-	if c.now < s.lapse && c.reported(s) == 0 {
-		part *= easePart
+	if c.now < s.lapse {
+		part *= 1 + (easePart-1)*max(1-c.reported(s)/easeShare, 0)
 	}
 	room := s.divert.spread(c.now, part, divertBurst, c.gaps(savedGaps))
 	return room || c.great(k) || c.young(c.now) && c.foreign == 0 // one just back knows no rate
