Tests: knowledge and moving parts in the core, each failing without its part

In the core: a peer's newer word that a server drains holds back for a while and no longer (fails with no hold, or with any word), and a softswitch that stood still past its leases wakes with the sure eighth of its part (fails where the allotment is not looked at before each event).

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -27,7 +27,7 @@
 		TipMultiple: 2.5, TipAfter: time.Second,
 	}, 1, Limits{
 		AnswerMargin: 15 * ms, Rebind: 100 * ms, RedialLeast: 100 * ms, RedialMost: 500 * ms,
-		ServerLost: 6 * time.Second, StopGrace: 700 * ms, StopMost: 9 * time.Second, Callers: 100, MaxOpen: 100, OpenBytes: 100, Remember: time.Minute,
+		ServerLost: 6 * time.Second, StopGrace: 700 * ms, StopMost: 9 * time.Second, Callers: 100, MaxOpen: 100, OpenBytes: 100, Remember: time.Minute, Hearsay: 5 * time.Second,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/core/tier_test.go
+++ b/internal/core/tier_test.go
@@ -1,10 +1,17 @@
 package core
 
 import (
+	"math"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
+	"elmseam"
+	"elmseam/internal/budget"
+	"elmseam/internal/datagram"
+	"elmseam/internal/knowledge"
 	"elmseam/internal/maintenance"
 	"elmseam/internal/membership"
 )
@@ -84,3 +91,89 @@
 		t.Errorf("drained by hand all along: %+v, %v", f, stage())
 	}
 }
+
+// hears hands the core a peer's word on server a.
+func (r *rig) hears(peer *knowledge.Reducer, s knowledge.Seen) string {
+	peer.Step(r.now, knowledge.Own{Servers: map[uint32]knowledge.Seen{uint32(xxh3.HashString("a")): s}})
+	bare := datagram.Encode(membership.Version, []int{}) // nonsense to membership; its rider counts all the same
+	return r.step(Peer{From: 1, Data: peer.Ride(r.now, bare)})
+}
+
+// A peer's word that a server drains holds back where it is newer than the own list, and only for a while: the own list
+// has the last word, and an older word or a share changes nothing of that.
+func TestAPeersWordThatAServerDrains(t *testing.T) {
+	r := newRig(t)
+	r.join(2)
+	r.step(Know{Config: knowledge.Config{Tier: 2, Limits: knowledge.Defaults(), Seed: 1}})
+	peer, _, _ := knowledge.New(knowledge.Config{Self: 1, Tier: 2, Limits: knowledge.Defaults(), Seed: 1}, r.now)
+	id := ID(0)
+	want := func(what string, there bool) {
+		t.Helper()
+		id++
+		said := r.setUp(id, 5*time.Second)
+		r.step(ServerAnswer{Server: "a", ID: id})
+		r.step(ServerAnswer{Server: "b", ID: id})
+		if strings.Contains(said, "@10") != there {
+			t.Errorf("%s: %swant it at the server: %t", what, said, there)
+		}
+	}
+	r.pass(time.Second)
+	r.hears(peer, knowledge.Seen{Drains: r.now - 3*time.Second}) // older than the own list
+	want("an older word", true)
+	r.pass(time.Second)
+	r.hears(peer, knowledge.Seen{Drains: r.now})
+	r.pass(time.Second)
+	want("a newer word", false)
+	r.pass(r.c.limits.Hearsay + time.Second) // not confirmed
+	want("one that the own list does not confirm", true)
+	r.pass(time.Second)
+	r.hears(peer, knowledge.Seen{Drains: r.now})
+	r.pass(10 * ms)
+	r.list(elmseam.Ready, elmseam.Ready)
+	want("the own list has spoken since", true)
+	r.list(elmseam.Draining, elmseam.Ready)
+	r.pass(time.Second)
+	r.hears(peer, knowledge.Seen{Rate: 100, Share: 0, ShareAt: r.now})
+	want("a word of ease, and the own list says that it drains", false)
+}
+
+// What may be used of a cold server's budget is looked at before every event: a softswitch that stood still past its leases
+// wakes with the sure eighth of its part.
+func TestWakesWithTheSurePart(t *testing.T) {
+	r := newRig(t)
+	r.join(1)
+	r.step(Share{Config: budget.Config{Tier: 1, Limits: budget.Defaults(), Seed: 1}})
+	for id := ID(1); id < 400; id++ {
+		r.pass(10 * ms)
+		if strings.Contains(r.setUp(id, 5*time.Second), "@10") {
+			r.step(ServerAnswer{Server: "a", ID: id})
+			r.step(ServerEnd{Server: "a", ID: id, Reason: Normal})
+		}
+	}
+	r.step(List{Servers: []Server{{Name: "a", Address: "a:1", Phase: elmseam.Ready, Started: r.now}}})
+	id := ID(400)
+	sent := func() (n int) { // in 300 ms, in which no timer runs
+		for range 30 {
+			id++
+			r.now += 10 * ms
+			if strings.Contains(r.setUp(id, 5*time.Second), "@10") {
+				n++
+				r.step(ServerAnswer{Server: "a", ID: id})
+				r.step(ServerEnd{Server: "a", ID: id, Reason: Normal})
+			}
+		}
+		return n
+	}
+	r.step(ServerUp{Server: "a", Address: "a:1", Link: 10})
+	r.pass(time.Second)
+	whole := sent()
+	r.now += 3 * time.Second
+	if sure := sent(); whole < 6 || sure > whole/2 {
+		t.Errorf("%d set-ups to a cold server on waking, %d before", sure, whole)
+	}
+	rate, known := r.c.parts.Rate(r.now, startOf(r.c.servers["a"]))
+	r.pass(time.Second)
+	if again, _ := r.c.parts.Rate(r.now, startOf(r.c.servers["a"])); !known || math.Abs(again/rate-budget.Units) > 1e-9 {
+		t.Errorf("%v a second on waking, %v a second later, want eight times as much", rate, again)
+	}
+}
