The door and elmseamctl servers show who knows what of each server, and who holds which part

/ops/servers and elmseamctl servers ADDRESS: each server's reports, rates, ways and bad endings by observer with their ages, what all of it weighs to, and the eighths of cold servers' budgets as this softswitch uses and has granted them. Figures app.knowledge.* and app.parts.* at /ops/stats. A bad field of [knowledge] or [parts] ends the start with a line that names it, which is tested with the rest.

--- a/cmd/elmseam/main_test.go
+++ b/cmd/elmseam/main_test.go
@@ -457,6 +457,11 @@
 	for field, c := range map[string]struct{ members, tier, settings string }{
 		"period":      {"enabled = true\nperiod = \"1ms\"", tier, numbered},
 		"who":         {"who = 1", tier, numbered},
+
+		"knowledge.half_life": {"enabled = true\n[knowledge]\nenabled = true\nhalf_life = \"0s\"", tier, numbered},
+		"knowledge.enabled":   {"[knowledge]\nenabled = true", tier, numbered},
+		"parts.lease":         {"enabled = true\n[parts]\nenabled = true\nlease = \"1ms\"", tier, numbered},
+		"parts.enabled":       {"[parts]\nenabled = true", tier, numbered},
 		"peers":       {"enabled = true", "", numbered},
 		"peers[0]":    {"enabled = true", `"peer_listen":"127.0.0.1:1","peers":["x","y"],`, numbered},
 		"peer_listen": {"enabled = true", `"peers":["127.0.0.1:1","127.0.0.1:2"],`, numbered},
--- a/cmd/elmseamctl/main.go
+++ b/cmd/elmseamctl/main.go
@@ -32,7 +32,7 @@
 		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return errors.New("no command; see --help") },
 	}
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(checkCommand(), labCommand(), membersCommand(), maintenanceCommand())
+	root.AddCommand(checkCommand(), labCommand(), membersCommand(), maintenanceCommand(), serversCommand())
 	root.SetArgs(args)
 	err := root.Execute()
 	var o outcome
--- a/cmd/elmseamctl/main_test.go
+++ b/cmd/elmseamctl/main_test.go
@@ -47,6 +47,31 @@
 	}
 }
 
+// servers prints who knows what of each server, and who holds which part; its exit code tells of one that fails, or that
+// drains by a peer's word alone.
+func TestServersCommand(t *testing.T) {
+	age := int64(300)
+	view := mgmt.Servers{Self: 1, Active: true, Servers: []mgmt.Server{{Name: "hlr-1", State: "ready",
+		Told: []mgmt.Told{{Number: 0, ShareMS: &age, Rate: 12.5, FloorUS: 8800, AgeMS: 700}, {Number: 1, Drains: true}}}},
+		Parts: []mgmt.Part{{Number: 0, Use: 3, Holders: []int{-1, 0, 0, 1, 1, 1, 0, -1}}}}
+	door := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(view) }))
+	defer door.Close()
+	var text strings.Builder
+	printServers(&text, view)
+	for _, want := range []string{"hlr-1", "700ms", "300ms ago", "8.8ms", "1 (itself)", "none", "3 of 8", "own 0 0 1 1 1 0 -"} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("no %q in\n%s", want, &text)
+		}
+	}
+	for want, spoil := range map[int]func(s *mgmt.Server){exitPassed: func(*mgmt.Server) {}, exitBroken: func(s *mgmt.Server) { s.Failing = 0.9 }} {
+		view.Servers[0].Failing = 0
+		spoil(&view.Servers[0])
+		if got := run([]string{"servers", strings.TrimPrefix(door.URL, "http://")}); got != want {
+			t.Errorf("exit code %d, want %d", got, want)
+		}
+	}
+}
+
 // The exit code tells what came of it: scripts and CI go by it alone.
 func TestExitCodes(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/budget/loans.go
+++ b/internal/budget/loans.go
@@ -56,7 +56,7 @@
 				again[p] |= 1 << u
 			}
 		}
-		needs -= bits.OnesCount8(uint8(own &^ again[p]))
+		needs -= (own &^ again[p]).Count()
 		if n := r.spare[p]; p != r.cfg.Self && r.there[p] && n > 0 && (best < 0 || n > r.spare[best]) {
 			best = p
 		}
@@ -64,9 +64,9 @@
 	r.want++
 	r.wantAt = r.now
 	for m, units := range again {
-		for ; bits.OnesCount8(uint8(units)) > max(needs, 0); units &= units - 1 {
+		for ; units.Count() > max(needs, 0); units &= units - 1 {
 		}
-		needs -= bits.OnesCount8(uint8(units))
+		needs -= units.Count()
 		again[m] = units
 	}
 	for m, units := range again {
@@ -107,7 +107,7 @@
 			r.lent[u] = loan{to, max(until, r.lent[u].Until)}
 		}
 	}
-	r.figures.Lent += uint64(bits.OnesCount8(uint8(units)))
+	r.figures.Lent += uint64(units.Count())
 	r.send(to, message{Kind: lend, Seq: m.Seq, Items: []int64{int64(units), int64(left / time.Millisecond)}, Rates: r.rates()})
 }
 
@@ -126,7 +126,7 @@
 				r.borrowed[from][u] = max(r.borrowed[from][u], until)
 			}
 		}
-		r.figures.Borrowed += uint64(bits.OnesCount8(uint8(m.Items[0])))
+		r.figures.Borrowed += uint64(Mask(m.Items[0]).Count())
 	}
 }
 
@@ -156,7 +156,7 @@
 	}
 	for p, own := range c.Rates {
 		if own > 0 {
-			rate += own * float64(bits.OnesCount8(uint8(r.Use(now, p)))) / Units
+			rate += own * float64(r.Use(now, p).Count()) / Units
 		}
 	}
 	return rate, true
--- a/internal/budget/reducer.go
+++ b/internal/budget/reducer.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"math/bits"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -359,8 +358,8 @@
 	for _, w := range m.Items {
 		p, units := int(w>>Units), Mask(w)
 		yes := r.vote(from, m.Life, m.Seq, p, units)
-		r.figures.Yes += uint64(bits.OnesCount8(uint8(yes)))
-		r.figures.No += uint64(bits.OnesCount8(uint8(units &^ yes)))
+		r.figures.Yes += uint64(yes.Count())
+		r.figures.No += uint64((units &^ yes).Count())
 		if yes != 0 {
 			items = append(items, int64(p)<<Units|int64(yes))
 		}
@@ -429,7 +428,7 @@
 }
 
 func (r *Reducer) send(to int, m message) {
-	m.Tier, m.Life, m.Spare = uint16(r.cfg.Tier), r.life, uint8(bits.OnesCount8(uint8(r.idle())))
+	m.Tier, m.Life, m.Spare = uint16(r.cfg.Tier), r.life, uint8(r.idle().Count())
 	if m.Items == nil {
 		m.Items = []int64{}
 	}
--- a/internal/budget/types.go
+++ b/internal/budget/types.go
@@ -14,6 +14,7 @@
 
 import (
 	"fmt"
+	"math/bits"
 	"time"
 
 	"elmseam/internal/datagram"
@@ -31,6 +32,9 @@
 // Mask names units of one part, the first by its lowest bit.
 type Mask uint8
 
+// Count is how many units are named.
+func (m Mask) Count() int { return bits.OnesCount8(uint8(m)) }
+
 const (
 	sure    Mask = 1
 	movable Mask = 1<<Units - 1 - sure
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -125,7 +125,7 @@
 	switch path {
 	case pathWork:
 		return d.maintenance(method, members)
-	case pathReady, pathStats, pathMembers, pathDrain, pathResume:
+	case pathReady, pathStats, pathMembers, pathServers, pathDrain, pathResume:
 	default:
 		return http.StatusNotFound, "no such call\n", nil
 	}
@@ -146,7 +146,18 @@
 			if f.Work != nil {
 				text += workText(*f.Work)
 			}
+			if f.Knows != nil {
+				text += knowText(*f.Knows)
+			}
+			if f.Parts != nil {
+				text += partText(*f.Parts)
+			}
 			return http.StatusOK, text, nil
+		case pathServers:
+			if f.Knows == nil && f.Parts == nil {
+				return http.StatusNotFound, "knowledge and parts are off\n", nil
+			}
+			return http.StatusOK, serversJSON(f), nil
 		case pathMembers:
 			if f.Members == nil {
 				return http.StatusNotFound, "membership is off\n", nil
--- a/internal/mgmt/stats.go
+++ b/internal/mgmt/stats.go
@@ -12,6 +12,7 @@
 	pathReady   = "/ops/readiness"
 	pathStats   = "/ops/stats"
 	pathMembers = "/ops/members"
+	pathServers = "/ops/servers"
 	pathWork    = "/ops/maintenance"
 	pathDrain   = "/ops/drain/start"
 	pathResume  = "/ops/drain/stop"
