--- a/cmd/elmseam/main_test.go
+++ b/cmd/elmseam/main_test.go
@@ -455,17 +455,17 @@
 	permitted := strings.Replace(settingsText, `"max-open"`, `"peer-messages":true,"max-open"`, 1)
 	numbered := strings.Replace(permitted, `{"request-classes"`, `{"me":1,"peers-total":2,"request-classes"`, 1)
 	for field, c := range map[string]struct{ members, tier, settings string }{
-		"period":      {"enabled = true\nperiod = \"1ms\"", tier, numbered},
-		"who":         {"who = 1", tier, numbered},
+		"period": {"enabled = true\nperiod = \"1ms\"", tier, numbered},
+		"who":    {"who = 1", tier, numbered},
 
 		"knowledge.half_life": {"enabled = true\n[knowledge]\nenabled = true\nhalf_life = \"0s\"", tier, numbered},
 		"knowledge.enabled":   {"[knowledge]\nenabled = true", tier, numbered},
 		"parts.lease":         {"enabled = true\n[parts]\nenabled = true\nlease = \"1ms\"", tier, numbered},
 		"parts.enabled":       {"[parts]\nenabled = true", tier, numbered},
-		"peers":       {"enabled = true", "", numbered},
-		"peers[0]":    {"enabled = true", `"peer_listen":"127.0.0.1:1","peers":["x","y"],`, numbered},
-		"peer_listen": {"enabled = true", `"peers":["127.0.0.1:1","127.0.0.1:2"],`, numbered},
-		"settings.me": {"enabled = true", tier, permitted},
+		"peers":               {"enabled = true", "", numbered},
+		"peers[0]":            {"enabled = true", `"peer_listen":"127.0.0.1:1","peers":["x","y"],`, numbered},
+		"peer_listen":         {"enabled = true", `"peers":["127.0.0.1:1","127.0.0.1:2"],`, numbered},
+		"settings.me":         {"enabled = true", tier, permitted},
 	} {
 		dir := t.TempDir()
 		config, members := filepath.Join(dir, "c.json"), filepath.Join(dir, "members.toml")
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -166,11 +166,22 @@
 			t.Errorf("%q: %v, want one line naming %s", c.text, err, c.field)
 		}
 	}
-	for _, name := range []string{"calm", "kill-and-return", "pause-beyond-give-up", "partition-3-2", "one-way", "loss-30", "fleet-restart"} {
-		if _, err := ReadScenario(filepath.Join("..", "..", "lab", "scenarios", name+".toml")); err != nil {
-			t.Errorf("%s: %v", name, err)
+	shipped, _ := filepath.Glob(filepath.Join("..", "..", "lab", "scenarios", "*.toml"))
+	for _, path := range shipped {
+		if _, err := ReadScenario(path); err != nil {
+			t.Errorf("%s: %v", path, err)
 		}
 	}
+	if len(shipped) < 40 {
+		t.Errorf("%d scenarios shipped", len(shipped))
+	}
+	credit, got := make([]float64, 3), [3]int{}
+	for range 120 {
+		got[whose(credit, []float64{10, 1, 1})]++
+	}
+	if got != [3]int{100, 10, 10} {
+		t.Errorf("of 120 set-ups by shares of 10, 1 and 1 go %v", got)
+	}
 }
 
 // Faults of every kind that can be drawn make sense when they are, and are the same for the same seed.
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -428,6 +428,7 @@
 func (r *runner) load() {
 	const tick = 5 * time.Millisecond
 	owed, turn, class := 0.0, 0, 0
+	credit := make([]float64, len(r.members))
 	next := time.Duration(0)
 	for next < r.s.Duration.Duration {
 		select {
@@ -447,6 +448,9 @@
 		}
 		owed += r.s.Rate(next) * tick.Seconds()
 		for ; owed >= 1; owed-- {
+			if shares := r.s.Shares(next); shares != nil {
+				turn = whose(credit, shares)
+			}
 			if !r.send(&turn, r.s.Classes[class%len(r.s.Classes)]) {
 				r.mu.Lock()
 				r.unsent++
@@ -461,6 +465,19 @@
 	}
 }
 
+// whose turn it is by shares: each gains its share, and who has most gives all of one turn (smooth weighted round robin).
+func whose(credit, shares []float64) (best int) {
+	all := 0.0
+	for i, share := range shares {
+		credit[i] += share
+		if all += share; credit[i] > credit[best] {
+			best = i
+		}
+	}
+	credit[best] -= all
+	return best
+}
+
 // send sends one set-up to the next ready softswitch, on one of its callers' connections.
 func (r *runner) send(turn *int, class string) bool {
 	for range len(r.members) {
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -63,8 +63,9 @@
 
 // Step is the callers' rate from a moment on.
 type Step struct {
-	At   Duration `toml:"at"`
-	Rate float64  `toml:"rate"`
+	At     Duration  `toml:"at"`
+	Rate   float64   `toml:"rate"`
+	Shares []float64 `toml:"shares"` // of each softswitch, in any unit; none: all alike
 }
 
 // Fault is one entry of the schedule. Which fields count depends on the kind:
@@ -239,6 +240,9 @@
 		if l.Rate < 0 || l.Rate > Limits.Rate || (i > 0 && l.At.Duration < s.Load[i-1].At.Duration) {
 			return fmt.Errorf("load[%d]: rate %v or time %v out of order", i, l.Rate, l.At)
 		}
+		if n := len(l.Shares); n > 0 && (n != s.Softswitches || slices.Min(l.Shares) < 0 || slices.Max(l.Shares) <= 0) {
+			return fmt.Errorf("load[%d].shares: %v, not one of each softswitch, none under and one over 0", i, l.Shares)
+		}
 	}
 	if err := s.draw(); err != nil {
 		return err
@@ -376,6 +380,16 @@
 // Name is the name of the softswitch at a place, from 0.
 func Name(i int) string { return fmt.Sprintf("n%d", i+1) }
 
+// Shares are those of the softswitches at a moment; nil: all alike.
+func (s *Scenario) Shares(at time.Duration) (shares []float64) {
+	for _, l := range s.Load {
+		if l.At.Duration <= at {
+			shares = l.Shares
+		}
+	}
+	return shares
+}
+
 // Rate is the callers' rate at a moment.
 func (s *Scenario) Rate(at time.Duration) float64 {
 	rate := 0.0
