--- a/cmd/elmseamctl/tier.go
+++ b/cmd/elmseamctl/tier.go
@@ -34,7 +34,7 @@
 			if err := growth(w, sizes, plays, out); err != nil {
 				return err
 			}
-			return badly(w, plays)
+			return errors.Join(badly(w, plays), told(w, plays))
 		},
 	}
 	cmd.Flags().StringVar(&out, "out", ".", "folder for the plots")
@@ -114,6 +114,35 @@
 		lab.PlotGrowth(filepath.Join(out, "tier-load.png"), "what a member sends", "bytes a second", names, load))
 }
 
+// told measures what it costs that members tell each other of servers, and how fresh what they know is.
+func told(w io.Writer, plays int) error {
+	fmt.Fprintf(w, "\nWhat members know of servers, medians of %d plays of 20 s, each 30 s after the start.\n\n", plays)
+	fmt.Fprintln(w, "| members | servers | a report comes to each | loss | datagrams a member and s | bytes | bytes without | newest own report | newest known |")
+	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, c := range []struct {
+		members, servers int
+		hear             time.Duration
+		loss             float64
+	}{{5, 3, 200 * time.Millisecond, 0}, {8, 3, 200 * time.Millisecond, 0}, {8, 3, 200 * time.Millisecond, 0.3},
+		{300, 24, 10 * time.Second, 0}, {300, 24, 10 * time.Second, 0.3}} {
+		t := swarm.Trial{Members: c.members, Limits: membership.Defaults(), Loss: c.loss, Delay: trialDelay, Warm: 30 * time.Second, Span: 20 * time.Second}
+		without, err := outcomes(t, plays)
+		if err != nil {
+			return err
+		}
+		t.Servers, t.Hear = c.servers, c.hear
+		with, err := outcomes(t, plays)
+		if err != nil {
+			return err
+		}
+		bytes := func(o swarm.Outcome) float64 { return o.Bytes }
+		fmt.Fprintf(w, "| %d | %d | every %v | %.0f %% | %.1f | %.0f | %.0f | %.1f s | %.1f s |\n", c.members, c.servers, c.hear, 100*c.loss,
+			middle(with, func(o swarm.Outcome) float64 { return o.Datagrams }), middle(with, bytes), middle(without, bytes),
+			middle(with, func(o swarm.Outcome) float64 { return o.OwnAge.Seconds() }), middle(with, func(o swarm.Outcome) float64 { return o.AnyAge.Seconds() }))
+	}
+	return nil
+}
+
 // badly measures whom members that do badly have held dead, step by step from SWIM alone.
 func badly(w io.Writer, plays int) error {
 	fmt.Fprintf(w, "\nMembers held dead that were there and did well, in %d plays of 120 s with 32 members; suspicions beside.\n\n", plays)
--- a/internal/swarm/swarm.go
+++ b/internal/swarm/swarm.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"time"
 
+	"elmseam/internal/knowledge"
 	"elmseam/internal/membership"
 )
 
@@ -24,6 +25,10 @@
 	Seed    uint64
 	// Net says after which delays a datagram arrives: none, it is lost; two, it is doubled. Nil: after 1 ms.
 	Net func(at Time, from, to int, r *rand.Rand) []time.Duration
+	// Servers are those of which each member tells the others (internal/knowledge); 0: nothing is told. Hear is how long
+	// passes, on the mean, between two reports that a member has of one.
+	Servers int
+	Hear    time.Duration
 }
 
 // what happens next.
@@ -59,6 +64,9 @@
 	slow   time.Duration
 	skew   time.Duration      // of its clock
 	before membership.Figures // of earlier lives
+	knows  *knowledge.Reducer // nil: nothing is told of servers
+	seen   map[uint32]knowledge.Seen
+	seenAt Time
 }
 
 // Swarm is a run.
@@ -99,6 +107,9 @@
 	}
 	s.members[m].r = r
 	s.members[m].life++
+	if err := s.know(m); err != nil {
+		return err
+	}
 	s.carry(m, out)
 	return nil
 }
@@ -181,7 +192,7 @@
 				to.held = append(to.held, e)
 			}
 		default:
-			s.carry(e.to, to.r.Step(s.now+to.skew, e.ev))
+			s.carry(e.to, to.r.Step(s.now+to.skew, s.rider(e.to, e.ev)))
 		}
 	}
 	s.now = max(s.now, until)
@@ -198,8 +209,9 @@
 	for _, e := range out {
 		switch e := e.(type) {
 		case membership.Send:
+			data := s.ride(m, e.Data)
 			for _, d := range s.cfg.Net(s.now, m, e.To, s.rng) {
-				s.push(event{at: s.now + d + s.members[e.To].slow, to: e.To, ev: membership.Datagram{From: m, Data: e.Data}})
+				s.push(event{at: s.now + d + s.members[e.To].slow, to: e.To, ev: membership.Datagram{From: m, Data: data}})
 			}
 		case membership.Timer:
 			s.push(event{at: e.At - s.members[m].skew + s.members[m].slow, to: m, life: s.members[m].life, ev: membership.Due{Token: e.Token}})
--- a/internal/swarm/trial.go
+++ b/internal/swarm/trial.go
@@ -22,6 +22,8 @@
 	Pause    time.Duration // they stand still together for so long,
 	Every    time.Duration // so often;
 	Slow     time.Duration // they take in all so much later
+	Servers  int           // of which members tell each other
+	Hear     time.Duration // between two reports of one that a member has itself
 }
 
 // Outcome is what a trial saw. Times are since the kill; negative: it did not come to that.
@@ -31,12 +33,13 @@
 	AllDead          time.Duration // by every one
 	FalseDeaths      int           // a member held dead that is not troubled, by any
 	Suspicions       uint64        // in the measured span, all members together
+	OwnAge, AnyAge   time.Duration // of the newest report of a server that a member has itself, or knows of, on the mean
 }
 
 // Run runs a trial: the same one has the same outcome on any machine.
 func (t Trial) Run() (Outcome, error) {
 	o := Outcome{Suspected: -1, Dead: -1, AllDead: -1}
-	s, err := New(Config{Members: t.Members, Limits: t.Limits, Seed: t.Seed, Net: func(_ Time, _, _ int, r *rand.Rand) []time.Duration {
+	s, err := New(Config{Servers: t.Servers, Hear: t.Hear, Members: t.Members, Limits: t.Limits, Seed: t.Seed, Net: func(_ Time, _, _ int, r *rand.Rand) []time.Duration {
 		if r.Float64() < t.Loss {
 			return nil
 		}
@@ -48,6 +51,7 @@
 	const victim = 0 // and the troubled ones are the last
 	s.Run(Epoch + t.Warm)
 	began, killed, dead := s.Figures(), Time(0), make([]bool, t.Members)
+	rode := s.Rode()
 	s.Watch = func(at Time, observer int, c membership.Changed) {
 		switch {
 		case killed > 0 && c.Member == victim:
@@ -82,6 +86,8 @@
 	per := float64(t.Members) * t.Span.Seconds()
 	o.Datagrams, o.Bytes = float64(f.Sent-began.Sent)/per, float64(f.SentBytes-began.SentBytes)/per
 	o.Suspicions = f.Suspicions - began.Suspicions
+	o.Bytes += float64(s.Rode()-rode) / per
+	o.OwnAge, o.AnyAge = s.Fresh()
 	if !t.Kill {
 		return o, nil
 	}
