--- a/internal/knowledge/reducer.go
+++ b/internal/knowledge/reducer.go
@@ -245,7 +245,7 @@
 func (r *Reducer) answer(to int) {
 	r.figures.Answered++
 	for left := len(r.order); left > 0; {
-		m, n := r.tell(datagram.Max - datagram.Overhead)
+		m, n := r.tell(datagram.Max-datagram.Overhead, len(r.order))
 		if n == 0 {
 			return
 		}
@@ -254,26 +254,42 @@
 	}
 }
 
-// tell is a message with as many of the own entries as fit, those that were told longest ago first.
-func (r *Reducer) tell(room int) (m message, n int) {
+// tell is a message with as many of the own entries as fit, those that were told longest ago first: the fresh ones, and of
+// the others no more than so many.
+func (r *Reducer) tell(room, others int) (m message, n int) {
 	m = r.stamped(message{Kind: tell, Items: []int64{}})
 	room -= datagram.Size(m) + 2 // two more for the count of the items
-	for n < len(r.order) {
-		words := r.own[r.order[n]].words(r.order[n], r.now)
+	var told, left []uint32
+	for _, server := range r.order {
+		s := r.own[server]
+		fresh := s.ShareAt > 0 && r.now-s.ShareAt < freshLives*r.cfg.Limits.HalfLife || s.Drains > 0
+		words, size := s.words(server, r.now), 0
 		for _, w := range words {
-			room -= datagram.IntSize(w)
+			size += datagram.IntSize(w)
 		}
-		if room < 0 {
-			break
+		if !fresh && others <= 0 || size > room {
+			left = append(left, server)
+			continue
+		}
+		if !fresh {
+			others--
 		}
+		room -= size
 		m.Items = append(m.Items, words...)
-		n++
+		told = append(told, server)
 	}
-	r.order = append(slices.Clone(r.order[n:]), r.order[:n]...)
-	r.figures.Told += uint64(n)
-	return m, n
+	r.order = append(left, told...)
+	r.figures.Told += uint64(len(told))
+	return m, len(told)
 }
 
+// freshLives are the half-lives for which a report is worth its bytes; othersRide is how many entries ride that have none
+// so fresh, for what lasts longer.
+const (
+	freshLives = 4
+	othersRide = 1
+)
+
 func (r *Reducer) stamped(m message) message {
 	m.Tier, m.Life, m.Stamp = uint16(r.cfg.Tier), uint32(r.began/time.Millisecond), uint32((r.now-r.began)/time.Millisecond)
 	return m
@@ -289,7 +305,7 @@
 // Ride has what this member has seen ride on a datagram, as far as there is room.
 func (r *Reducer) Ride(now Time, data []byte) []byte {
 	r.now = max(now, r.now)
-	m, n := r.tell(datagram.Max - len(data))
+	m, n := r.tell(datagram.Max-len(data), othersRide)
 	if n == 0 {
 		return data
 	}
