Knowledge: who has seen nothing says so in one small datagram, and a start ends its asking by that

At a start of the whole tier each of 300 softswitches asked twelve others for the lists of servers of which nobody had seen anything; all of it is priced on the platform.

--- a/internal/knowledge/knowledge_test.go
+++ b/internal/knowledge/knowledge_test.go
@@ -137,6 +137,19 @@
 	if out := r.Step(due.At, Due{due.Token}); len(out) != 0 {
 		t.Errorf("answered, it asks on: %v", out)
 	}
+	// Where all have just started nobody has anything to tell: each says so in one datagram, and the asking ends.
+	peer, _ := node(t, 1, tier, epoch, 7, 8, 9)
+	told := peer.Step(now, Datagram{0, datagram.Encode(Version, message{Kind: ask, Tier: tier, Items: []int64{}})})
+	if len(told) != 1 || len(told[0].(Send).Data) > 40 {
+		t.Errorf("who has seen nothing answers %v", told)
+	}
+	young, _ := node(t, 0, tier, epoch, 7)
+	for m := range r.cfg.Limits.Ask {
+		young.Step(now, Datagram{m + 1, told[0].(Send).Data})
+	}
+	if !young.answered {
+		t.Error("among those who have seen nothing it asks on")
+	}
 }
 
 // Entries ride where there is room, those told longest ago first, and no datagram grows over 256 bytes; garbage is counted.
--- a/internal/knowledge/reducer.go
+++ b/internal/knowledge/reducer.go
@@ -44,6 +44,7 @@
 	asked     map[int]bool
 	tries     int
 	answered  bool
+	empty     int // answers of members that had nothing to tell
 	seq       uint32
 	figures   Figures
 }
@@ -183,7 +184,10 @@
 		r.answer(from)
 		return
 	}
-	r.answered = r.answered || len(m.Items) > 0
+	if len(m.Items) == 0 {
+		r.empty++
+	}
+	r.answered = r.answered || len(m.Items) > 0 || r.empty >= r.cfg.Limits.Ask
 	r.learn(&r.observers[from], m, late)
 }
 
@@ -244,13 +248,16 @@
 // answer tells one that asks all that this member has seen.
 func (r *Reducer) answer(to int) {
 	r.figures.Answered++
-	for left := len(r.order); left > 0; {
-		m, n := r.tell(datagram.Max-datagram.Overhead, len(r.order))
-		if n == 0 {
-			return
+	left := 0
+	for _, s := range r.own {
+		if s.any() {
+			left++
 		}
+	}
+	for first := true; first || left > 0; first = false { // one in any case: nothing has been seen
+		m, n := r.tell(datagram.Max-datagram.Overhead, len(r.order))
 		r.send(to, m)
-		left -= n
+		left -= max(n, 1)
 	}
 }
 
@@ -262,6 +269,10 @@
 	var told, left []uint32
 	for _, server := range r.order {
 		s := r.own[server]
+		if !s.any() {
+			left = append(left, server)
+			continue
+		}
 		fresh := s.ShareAt > 0 && r.now-s.ShareAt < freshLives*r.cfg.Limits.HalfLife || s.Drains > 0
 		words, size := s.words(server, r.now), 0
 		for _, w := range words {
--- a/internal/knowledge/types.go
+++ b/internal/knowledge/types.go
@@ -82,6 +82,9 @@
 	Drains  Time          // since when the list says that it drains; 0: it doesn't
 }
 
+// any says whether there is anything in it that is worth telling.
+func (s Seen) any() bool { return s.ShareAt > 0 || s.Rate > 0 || s.Bad > 0 || s.Drains > 0 }
+
 // Event is something that has happened; see the types below.
 type Event interface{ event() }
 
