Tier: a returning one begins at its fair rate, a suspicion carries, a part of nothing grows

Each had written its part down as nothing, for good. One that has just started tells it anew for 15 s.

Each has a test that fails without it, as have Learn and Carry.

--- a/controller.go
+++ b/controller.go
@@ -389,7 +389,10 @@
 	if s.floor == 0 {
 		s.floor = l.Floor
 	}
-	if c.young(now) && s.stands.count == 0 && l.Rate > 0 {
+	if (c.young(now) || c.foreign > 0) && s.stands.count == 0 && l.Rate > 0 {
+		if c.foreign == 0 { // as if it had counted for so long
+			c.born, c.measured = c.born-minMemory*Time(time.Second), c.measured-minMemory*Time(time.Second)
+		}
 		n := l.Rate * rateMemory * (1 - decay(minMemory))
 		s.stands, c.stands = counter{n, now}, counter{c.stands.now(now) + n, now}
 		c.foreign, c.foreignAt = 1-offeredPart, now
--- a/controller_test.go
+++ b/controller_test.go
@@ -1373,3 +1373,106 @@
 	b.want("after a moment", b.answered(1, 20*ms), 1)
 	b.want("when that stood", b.answered(1, 20*ms), 1)
 }
+
+// A sender just back that learns what others take begins with that, neither more nor less as it counts its own, and takes no
+// more of a cold server's budget for it than what it has counted itself. Without, it knew nothing: it let all that was
+// diverted pass for three seconds, and held the way to a full queue for the way.
+func TestLearnedRates(t *testing.T) {
+	c, err := New(settings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{t: t, c: c, now: 1_700_000_000 * time.Second}
+	b.on(ListFull{Entries: ready(2), Cached: true})
+	for s := ServerID(1); s <= 2; s++ {
+		b.report(s, 900, 1000, 0)
+		c.Learn(b.now, s, Learned{Rate: 5, Floor: 15 * ms})
+	}
+	if f := c.byID[1].floor; f != 15*ms {
+		t.Errorf("a way of %v, the others' is 15ms", f)
+	}
+	check := func(when string, least, most float64) {
+		t.Helper()
+		c.now = b.now
+		c.measure()
+		if part := c.partOf(c.byID[1]); part < 4 || part > 6 {
+			t.Errorf("%s its part is %.1f a second, the others' is 5", when, part)
+		}
+		if own := c.coldPart(c.byID[2]); own < least || own > most {
+			t.Errorf("%s it takes %.1f a second for its part of a cold server, want %v to %v", when, own, least, most)
+		}
+	}
+	check("at first", 0.5, 2)
+	for range 40 {
+		b.pass(100 * ms)
+		b.answered(1+int(b.next)%2, 20*ms)
+	}
+	check("after four seconds", 1.5, 3)
+	for range 300 {
+		b.pass(100 * ms)
+		b.answered(1+int(b.next)%2, 20*ms)
+	}
+	check("after half a minute", 4, 6)
+}
+
+// A report that a peer heard later than the own last one stands for one; one that it heard before does not, and none lifts
+// a full cut. A server that fails for most is cut at the next bad ending, and not before.
+func TestLearnedReports(t *testing.T) {
+	set := settings()
+	set.Report = []Figure{FigureShare}
+	b := newBench(t, set, 2)
+	s := b.c.byID[1]
+	b.on(Health{Server: 1, OK: true, Report: Report{0.2}})
+	b.c.Learn(b.now, 1, Learned{Share: 0.9, ShareAt: b.now - ms})
+	if b.c.share(s) > 0.3 {
+		t.Errorf("an older report stands: %v", b.c.share(s))
+	}
+	b.pass(ms)
+	b.c.Learn(b.now, 1, Learned{Share: 0.9, ShareAt: b.now})
+	b.c.now = b.now
+	if b.c.share(s) < 0.8 {
+		t.Errorf("a newer report does not stand: %v", b.c.share(s))
+	}
+	if k, _ := b.c.Known(1, b.now); k.Share != 0.2 {
+		t.Errorf("what was heard is told on for the own: %+v", k)
+	}
+	id, _ := b.call(2)
+	b.on(Outcome{Call: id, Server: 2, Cause: CauseFull, Refusal: RefusalProcessor, Final: true})
+	b.c.Learn(b.now, 2, Learned{Share: 0, ShareAt: b.now + ms})
+	if !b.c.Avoids(2, b.now) {
+		t.Error("a peer's word of ease lifts a full cut")
+	}
+	b = newBench(t, set, 2)
+	b.c.Learn(b.now, 1, Learned{Failing: true})
+	if b.c.Avoids(1, b.now) {
+		t.Error("cut by the word alone")
+	}
+	id, _ = b.call(1)
+	b.on(Outcome{Call: id, Server: 1, Cause: CauseBusy})
+	if !b.c.Avoids(1, b.now) {
+		t.Error("not cut at the next bad ending")
+	}
+}
+
+// What the dead leave is let through at once, and no cold server's budget grows by it.
+func TestCarry(t *testing.T) {
+	b := newBench(t, settings(), 2)
+	b.report(1, 900, 1000, 0)
+	b.report(2, 900, 1000, 0)
+	b.steady(2)
+	s := b.c.byID[2]
+	part, own := b.c.partOf(s), b.c.coldPart(s)
+	b.c.Carry(b.now, 5.0/3)
+	b.call(1)
+	if got := b.c.partOf(s); math.Abs(got-part*5/3) > 0.1*part {
+		t.Errorf("a part of %.2f when two of five have died, of %.2f before", got, part)
+	}
+	if got := b.c.coldPart(s); math.Abs(got-own) > 0.1*own {
+		t.Errorf("a cold server's part of %.2f when two of five have died, of %.2f before", got, own)
+	}
+	b.c.Carry(b.now, 3.0/5)
+	b.call(1)
+	if got := b.c.partOf(s); math.Abs(got-part) > 0.1*part {
+		t.Errorf("a part of %.2f when they are back, of %.2f before", got, part)
+	}
+}
--- a/internal/budget/reducer.go
+++ b/internal/budget/reducer.go
@@ -131,8 +131,9 @@
 func (r *Reducer) has(g Guard) bool { return r.cfg.Without&g == 0 }
 func (r *Reducer) quorum() int      { return r.cfg.Tier/2 + 1 }
 
-// cold takes in that a server is cold. The own rate of one holds for its whole start: parts of the others that are used
-// here are counted in theirs, and nobody's may grow with the callers of those who are dead.
+// cold takes in that a server is cold. The own rate of one never falls while it is: parts of the others that are used here
+// are counted in theirs, and nobody's should grow with the callers of those who are dead. It is for who tells it to say
+// until when it may grow.
 func (r *Reducer) cold(ev Cold) {
 	if ev.Until <= r.now || !(ev.Rate >= 0) {
 		return
@@ -142,9 +143,7 @@
 		return
 	}
 	c.Until = max(c.Until, ev.Until)
-	if c.Rates[r.cfg.Self] < 0 {
-		c.Rates[r.cfg.Self] = ev.Rate
-	}
+	c.Rates[r.cfg.Self] = max(c.Rates[r.cfg.Self], ev.Rate)
 	if r.Moves() && !r.ticking {
 		r.ticking = true
 		r.tick()
--- a/internal/budget/types.go
+++ b/internal/budget/types.go
@@ -118,7 +118,7 @@
 		Yes    bool
 	}
 	// Cold says that a server, by the hash of its name and its start, is cold until a time, and what rate, in set-ups a
-	// second, this member's own whole part of it is: it holds for all of that time.
+	// second, this member's own whole part of it is: it holds for all of that time, unless a greater one is told.
 	Cold struct {
 		Server uint32
 		Rate   float64
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -148,6 +148,8 @@
 	self     int                  // its number there
 	work     *maintenance.Reducer // nil: it takes part in no ordered maintenance
 	by       drainers             // who wants this softswitch drained
+	since    Time                 // its first event
+	carried  map[int]float64      // by how much rates grew for members that are not there
 	knows    *knowledge.Reducer   // nil: it shares nothing of the servers with the tier
 	parts    *budget.Reducer      // nil: its parts of cold servers' budgets are fixed
 }
@@ -190,6 +192,9 @@
 func (c *Core) Step(now Time, ev Event) []Effect {
 	c.now, c.out = max(now, c.now), c.out[:0]
 	c.allot()
+	if c.since == 0 {
+		c.since = c.now
+	}
 	switch ev := ev.(type) {
 	case CallerUp:
 		c.callerUp(ev)
@@ -898,6 +903,7 @@
 		c.unhear(t.server)
 	case tokenParts:
 		c.toParts(budget.Use{Parts: c.coldUse()})
+		c.colds()
 		c.toParts(budget.Due{Token: t.parts})
 		c.allot()
 	case tokenWork:
--- a/internal/core/know.go
+++ b/internal/core/know.go
@@ -33,7 +33,7 @@
 		c.do(Broken{Rule: err.Error()})
 		return
 	}
-	c.knows = knows
+	c.knows, c.carried = knows, make(map[int]float64)
 	c.learnt(out)
 	for m, e := range c.fleet.Members() {
 		c.toKnow(knowledge.There{Member: m, Yes: e.State.There()})
@@ -70,7 +70,7 @@
 		return
 	}
 	v := c.knows.View(c.now, key)
-	c.ctl.Learn(c.now, s.id, elmseam.Learned{Share: v.Share, ShareAt: v.ShareAt, Rate: v.Rate, Failing: v.Others > 1 && v.Bad > 0.5, Floor: v.Floor})
+	c.ctl.Learn(c.now, s.id, elmseam.Learned{Share: v.Share, ShareAt: v.ShareAt, Rate: v.Fair, Failing: v.Others > 1 && v.Bad > 0.5, Floor: v.Floor})
 	if h := &s.hears; v.Drains > h.told && h.until == 0 && s.Phase == elmseam.Ready {
 		h.until = c.now + c.limits.Hearsay
 		c.timer(h.until, Token{kind: tokenHearsay, server: s.Name})
@@ -130,18 +130,21 @@
 }
 
 // knowThere tells knowledge who is there. Who dies leaves its callers to the others, who serve them at rates that would
-// follow slowly; who comes back takes them back.
+// follow slowly; who comes back takes them back. A suspicion is enough: the callers of one that answers nobody leave it long
+// before it is held dead, and a rate that is held too high for a while costs little.
 func (c *Core) knowThere(m int, was, is membership.State) {
 	c.toKnow(knowledge.There{Member: m, Yes: is.There()})
 	if c.knows == nil {
 		return
 	}
-	v := c.fleet.View()
-	switch there := v.There + v.Suspects; {
-	case is.Down() && (was.There() || was == membership.Suspect):
-		c.ctl.Carry(c.now, c.knows.Carried([]int{m}, there))
-	case is.There() && was == membership.Dead && there > 1:
-		c.ctl.Carry(c.now, float64(there-1)/float64(there))
+	switch times := c.carried[m]; {
+	case was.There() && !is.There():
+		times = c.knows.Carried([]int{m}, c.fleet.View().There)
+		c.carried[m] = times
+		c.ctl.Carry(c.now, times)
+	case times > 0 && is.There():
+		delete(c.carried, m)
+		c.ctl.Carry(c.now, 1/times)
 	}
 }
 
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/zeebo/xxh3"
 
@@ -59,14 +60,23 @@
 	return uint32(xxh3.HashString(s.Name + " " + strconv.FormatInt(int64(s.Started), 10)))
 }
 
+// settling is how long a softswitch that has just started tells anew what its part of a cold server is: at first it has
+// counted nothing, and a part of nothing would stay so until the server is warm.
+const settling = 15 * time.Second
+
 // colds tells budget of the servers that are cold.
 func (c *Core) colds() {
 	if c.parts == nil {
 		return
 	}
 	for _, s := range c.order {
-		if cold, yes := c.ctl.Cold(s.id, c.now); yes && s.coldAt != s.Started {
+		cold, yes := c.ctl.Cold(s.id, c.now)
+		if yes && s.coldAt != s.Started {
 			s.coldAt, s.coldFrom, s.coldSent = s.Started, c.now, 0
+		} else if c.now > c.since+settling {
+			yes = false
+		}
+		if yes {
 			c.toParts(budget.Cold{Server: startOf(s), Rate: cold.Part, Until: cold.Until})
 		}
 	}
--- a/internal/core/tier_test.go
+++ b/internal/core/tier_test.go
@@ -177,3 +177,30 @@
 		t.Errorf("%v a second on waking, %v a second later, want eight times as much", rate, again)
 	}
 }
+
+// Who starts while a server is cold has counted nothing yet: its part of it grows as it counts, or it would stay nothing
+// until the server is warm (the whole tier restarted: a cold server got nothing for ten seconds).
+func TestAPartThatBeganAsNothingGrows(t *testing.T) {
+	r := newRig(t)
+	r.join(1)
+	r.step(Share{Config: budget.Config{Tier: 1, Limits: budget.Defaults(), Seed: 1}})
+	r.step(List{Servers: []Server{{Name: "a", Address: "a:1", Phase: elmseam.Ready, Started: r.now}}})
+	r.step(ServerUp{Server: "a", Address: "a:1", Link: 10})
+	cold := 0
+	for id := ID(1); id < 500; id++ {
+		r.pass(10 * ms)
+		said := r.setUp(id, 5*time.Second)
+		for server, link := range map[string]string{"a": "@10 ", "b": "@11 "} {
+			if strings.Contains(said, link) {
+				r.step(ServerAnswer{Server: server, ID: id})
+				r.step(ServerEnd{Server: server, ID: id, Reason: Normal})
+				if server == "a" && id > 250 {
+					cold++
+				}
+			}
+		}
+	}
+	if cold < 25 {
+		t.Errorf("%d set-ups in 2.5 s to a server that was cold when this softswitch started", cold)
+	}
+}
--- a/internal/knowledge/weigh.go
+++ b/internal/knowledge/weigh.go
@@ -11,6 +11,7 @@
 	Share   float64       // to be held back, of all that is known: the newest reports weigh most
 	ShareAt Time          // of the newest that another has heard; 0: none
 	Rate    float64       // set-ups a second that a server takes from another member when warm, on the mean; 0: not known
+	Fair    float64       // the same, when this member has its part of the callers again
 	Bad     float64       // share of the others' weight that holds it for failing
 	Drains  Time          // since when another's list says that it drains; 0: none does
 	Others  int           // observers that have told of it
@@ -29,6 +30,12 @@
 func (r *Reducer) View(now Time, server uint32) (v View) {
 	now = max(now, r.now)
 	share, shares, rate, rates, bad, all := 0.0, 0.0, 0.0, 0.0, 0.0, 0.0
+	there := 1.0
+	for _, yes := range r.there {
+		if yes {
+			there++
+		}
+	}
 	l := r.cfg.Limits
 	report := func(s Seen) {
 		if s.ShareAt > 0 && now-s.ShareAt < l.Forget {
@@ -58,6 +65,7 @@
 	}
 	if rates > 0 {
 		v.Rate = rate / rates
+		v.Fair = v.Rate * max(there-1, 1) / there
 	}
 	if all > 0 {
 		v.Bad = bad / all
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -69,6 +69,8 @@
 	FalseDeaths []FalseDeath     `json:"false_deaths,omitempty"`
 	Members     map[string]int64 `json:"members,omitempty"`     // the doors' figures, all softswitches and lives together
 	Maintenance map[string]int64 `json:"maintenance,omitempty"` // and these
+	Knowledge   map[string]int64 `json:"knowledge,omitempty"`   // and these
+	Parts       map[string]int64 `json:"parts,omitempty"`
 	Works       []*Work          `json:"works,omitempty"`
 	Returns     []*Return        `json:"returns,omitempty"` // of softswitches that were killed and started again
 	MostOut     int              `json:"most_out"`          // softswitches out for work at one sample
@@ -791,7 +793,7 @@
 	defer r.mu.Unlock()
 	res := &Result{Scenario: r.s.Name, Breaches: r.judge.Breaches(), Unsent: r.unsent, LagMax: r.lagMax, BlindSpans: r.blinds,
 		seconds: r.judge.Seconds(), servers: r.order, Starts: map[string]int{}, Marks: r.marks,
-		Members: map[string]int64{}, Maintenance: map[string]int64{}, ready: r.ready, views: r.views, Detections: r.watch.detections, FalseDeaths: r.watch.deaths, Works: r.watch.works, MostOut: r.watch.mostOut, Span: r.now()}
+		Members: map[string]int64{}, Maintenance: map[string]int64{}, Knowledge: map[string]int64{}, Parts: map[string]int64{}, ready: r.ready, views: r.views, Detections: r.watch.detections, FalseDeaths: r.watch.deaths, Works: r.watch.works, MostOut: r.watch.mostOut, Span: r.now()}
 	res.Breaches = append(res.Breaches, r.watch.Breaches()...)
 	for _, f := range r.s.Faults {
 		for _, place := range r.s.places(f.Target) {
@@ -819,7 +821,7 @@
 		res.DoorServed += m.figures["answered"]
 		for k, v := range m.figures {
 			protocol, name, _ := strings.Cut(k, ".")
-			if of := map[string]map[string]int64{"members": res.Members, "maintenance": res.Maintenance}[protocol]; of != nil && summed[name] {
+			if of := map[string]map[string]int64{"members": res.Members, "maintenance": res.Maintenance, "knowledge": res.Knowledge, "parts": res.Parts}[protocol]; of != nil && summed[name] {
 				of[name] += v
 			}
 		}
@@ -848,6 +850,7 @@
 
 // summed are the figures of membership and maintenance that count up, so that those of all lives add up.
 var summed = map[string]bool{"probes": true, "indirect": true, "acks": true, "nacks": true, "failed": true,
+	"told": true, "stale": true, "unlisted": true, "answered": true, "claims": true, "inherited": true, "expired": true, "borrowed": true, "lent": true,
 	"suspicions": true, "deaths": true, "refutations": true, "stalls": true, "sent": true, "sent_bytes": true, "heard": true,
 	"asked": true, "granted": true, "renewed": true, "lost": true, "yes": true, "no": true, "dropped_garbled": true, "dropped_version": true, "dropped_stranger": true, "dropped_flood": true, "unwritten": true}
 
