--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -197,7 +197,7 @@
 			switch name, _ := strings.CutPrefix(k, "app."); {
 			case strings.HasPrefix(name, "transactions.") && strings.HasSuffix(name, ".answered"):
 				figures["answered"] += n
-			case strings.HasPrefix(name, "members."), strings.HasPrefix(name, "maintenance."):
+			case strings.HasPrefix(name, "members."), strings.HasPrefix(name, "knowledge."), strings.HasPrefix(name, "parts."), strings.HasPrefix(name, "maintenance."):
 				figures[name] = n
 			}
 		}
