--- a/internal/knowledge/weigh.go
+++ b/internal/knowledge/weigh.go
@@ -1,7 +1,6 @@
 package knowledge
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -104,18 +103,13 @@
 	At Time
 }
 
-// shown are the entries of a server that operators are shown.
-const shown = 16
-
-// Of are the newest entries of a server, by observer, the own one included.
+// Of is all that is known of a server, by observer, the own entry included.
 func (r *Reducer) Of(server uint32) (all []Told) {
 	for m, o := range r.observers {
 		if e, known := o.Entries[server]; known {
 			all = append(all, Told{m, e.Seen, e.At})
 		}
 	}
-	slices.SortFunc(all, func(a, b Told) int { return cmp.Compare(b.At, a.At) })
-	all = all[:min(len(all), shown-1)]
 	if s, listed := r.own[server]; listed {
 		all = append(all, Told{r.cfg.Self, s, r.now})
 	}
