--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -197,7 +198,7 @@
 			switch name, _ := strings.CutPrefix(k, "app."); {
 			case strings.HasPrefix(name, "transactions.") && strings.HasSuffix(name, ".answered"):
 				figures["answered"] += n
-			case strings.HasPrefix(name, "members."), strings.HasPrefix(name, "knowledge."), strings.HasPrefix(name, "parts."), strings.HasPrefix(name, "maintenance."):
+			case slices.ContainsFunc(protocols, func(p string) bool { return strings.HasPrefix(name, p+".") }):
 				figures[name] = n
 			}
 		}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -184,6 +184,31 @@
 	}
 }
 
+// One that came back is compared with its peers by the second in which each set-up was sent, from its first call after it
+// was started again; what came to it before is not its return.
+func TestReturn(t *testing.T) {
+	j := NewJudge(Rules{Slack: 50 * ms})
+	id := uint64(0)
+	call := func(at time.Duration, to int, served bool) {
+		id++
+		j.SetUp(at, id, to, at+1500*ms)
+		j.Final(at+1100*ms, id, served)
+	}
+	call(1000*ms, 1, false)
+	for i, served := range []bool{true, true, false, true} {
+		call(5000*ms+time.Duration(i)*100*ms, 1, served)
+		call(5050*ms+time.Duration(i)*100*ms, 2, i < 1)
+	}
+	call(6500*ms, 2, true)
+	r := j.Return(1, 4000*ms, 3)
+	if r == nil || r.First != 5000*ms || r.Share[0] != 0.75 || r.Peers[0] != 0.25 || r.Share[1] != -1 || r.Peers[1] != 1 || r.Peers[2] != -1 {
+		t.Errorf("%+v", r)
+	}
+	if j.Return(1, 6000*ms, 3) != nil {
+		t.Error("a return without a call")
+	}
+}
+
 // Faults of every kind that can be drawn make sense when they are, and are the same for the same seed.
 func TestRandomFaults(t *testing.T) {
 	draw := func(seed uint64) []Fault {
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -817,11 +817,12 @@
 		res.Excused += s.Excused
 	}
 	restarted := false
+	sums := map[string]map[string]int64{"members": res.Members, "maintenance": res.Maintenance, "knowledge": res.Knowledge, "parts": res.Parts}
 	for _, m := range r.members {
 		res.DoorServed += m.figures["answered"]
 		for k, v := range m.figures {
 			protocol, name, _ := strings.Cut(k, ".")
-			if of := map[string]map[string]int64{"members": res.Members, "maintenance": res.Maintenance, "knowledge": res.Knowledge, "parts": res.Parts}[protocol]; of != nil && summed[name] {
+			if of := sums[protocol]; of != nil && summed[name] {
 				of[name] += v
 			}
 		}
@@ -848,7 +849,10 @@
 // returnSeconds are the seconds for which one that came back is compared with its peers.
 const returnSeconds = 5
 
-// summed are the figures of membership and maintenance that count up, so that those of all lives add up.
+// protocols are those of the tier whose figures the doors show.
+var protocols = []string{"members", "maintenance", "knowledge", "parts"}
+
+// summed are the figures of these that count up, so that those of all lives add up.
 var summed = map[string]bool{"probes": true, "indirect": true, "acks": true, "nacks": true, "failed": true,
 	"told": true, "stale": true, "unlisted": true, "answered": true, "claims": true, "inherited": true, "expired": true, "borrowed": true, "lent": true,
 	"suspicions": true, "deaths": true, "refutations": true, "stalls": true, "sent": true, "sent_bytes": true, "heard": true,
