--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -234,6 +234,7 @@
 		},
 		Feed: feed.Limits{
 			Connect: time.Second, Silence: 2500 * time.Millisecond, // a comment comes each second
+			Renew: 5 * time.Second, // what is told counts as heard after 7 s
 			Retry: 100 * time.Millisecond, Event: 1 << 20, First: 4 << 10,
 		},
 		Dial:    n.ConnectTimeout,
