Hand-over survives the newer one's death, floods wait in the backlog; crossings forced over sockets

- A newer process that died before it had a connection cost the caller that connection and what was held for it; so did a core that was slower than 500 ms to say how (a goroutine's timer closed it).
The older one goes on with it (Kept).
- At their limit, connections were accepted and closed with their set-ups unread: they stay in the backlog (Acceptor), and when the listener is to be closed those in it are accepted first.
- internal/platform/crossings_test.go forces over sockets: idle close, half and malformed messages with a set-up open, floods, spoilt and second answers, a caller who leaves in the gap and in the queue for a connection, settings changed between attempts, a successor that dies half way, and a stop under callers that go on asking. goleak and a count of descriptors stand behind that package's tests.

--- a/cmd/elmseam/main.go
+++ b/cmd/elmseam/main.go
@@ -94,7 +94,7 @@
 		case core.Able:
 			close(able)
 		case core.Unlisten:
-			link.Drain(up.listener)
+			front.Load().Unlisten()
 		case core.ToPeer:
 			tier.Send(e)
 		case core.PeerChanged:
--- a/cmd/elmseam/upgrade.go
+++ b/cmd/elmseam/upgrade.go
@@ -268,11 +268,21 @@
 func (u *upgrade) Take(pass core.Pass, rest []byte, conn syscall.Conn) error {
 	u.mu.Lock()
 	next := u.next
-	if u.passed != nil {
+	u.mu.Unlock()
+	err := next.SendFile(handover.Message{Kind: handover.Caller, Link: pass.To, Rest: rest, Open: pass.Open, Stand: pass.Stand, Asked: pass.Asked}, conn)
+	if err != nil {
+		return err
+	}
+	u.mu.Lock()
+	gone := u.passed == nil
+	if !gone {
 		u.passed[pass.To] = true
 	}
 	u.mu.Unlock()
-	return next.SendFile(handover.Message{Kind: handover.Caller, Link: pass.To, Rest: rest, Open: pass.Open, Stand: pass.Stand, Asked: pass.Asked}, conn)
+	if gone { // it may have read of it: nobody can go on there
+		u.loop.Post(core.CallerDown{Link: pass.To})
+	}
+	return nil
 }
 
 // Tell passes on what is for a caller whose connection the successor has, or with a link of 0 any.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -220,6 +220,7 @@
 			StopMost:     max(n.LongestWait, 3*time.Second) + 600*time.Millisecond,
 			StopLinger:   60 * time.Millisecond, // what crosses a close does so within 50 ms
 			Callers:      callers - callers/8,   // the rest are on their way in or out
+			Fresh:        250 * time.Millisecond,
 			MaxOpen:      n.MaxOpen,
 			Ended:        int(memory / 8 / endedSize),
 			Routes:       10000,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -99,6 +99,7 @@
 	asked  bool // it has brought a set-up
 	stood  bool // one of them stood
 	handed bool // to a successor: its effects go there
+	kept   bool // it could not be
 	spoilt bool // nothing more is read from it: it goes when no set-up is open on it
 	heard  Time // of last
 }
@@ -131,6 +132,7 @@
 	routes   map[string]Route // withdrawn
 	callers  map[Link]*caller
 	links    []*caller // oldest first
+	room     bool      // a timer runs that looks for some
 	pending  []*pendingRelease
 	ended    map[ID]Time
 	endedAt  []over
@@ -278,6 +280,10 @@
 		c.handOver()
 	case Parked:
 		c.moved(ev.Link)
+	case Kept:
+		if l := c.callers[ev.Link]; l != nil {
+			l.handed, l.kept = false, true
+		}
 	case Predecessor:
 		c.predecessor(ev)
 	case Relayed:
@@ -369,7 +375,7 @@
 func (c *Core) end() {
 	c.ending = true
 	c.toPeers(membership.Leave{})
-	if c.handing || c.limits.StopLinger == 0 {
+	if !slices.ContainsFunc(c.links, func(l *caller) bool { return !l.handed }) && c.handing || c.limits.StopLinger == 0 {
 		c.stop()
 		return
 	}
@@ -430,7 +436,7 @@
 	case ev.Class >= len(c.figures.Classes): // it comes with a configuration that is on its way here
 		c.do(Rejected{To: ev.From, ID: ev.ID, Reason: Congested, RetryAfter: c.limits.RetryHint})
 		return
-	case left <= 0 || c.away() || c.graced && !c.handing || c.open >= c.limits.MaxOpen || c.bytes+size > c.limits.OpenBytes:
+	case left <= 0 || c.away() || c.graced && !c.handing || c.ending || c.open >= c.limits.MaxOpen || c.bytes+size > c.limits.OpenBytes:
 		c.do(Rejected{To: ev.From, ID: ev.ID, Reason: Congested, RetryAfter: c.limits.RetryHint})
 		c.count(ev.Class, false, Congested)
 		return
@@ -942,6 +948,10 @@
 	for len(c.links) > most {
 		victim := c.spare(busy)
 		if victim == nil {
+			if !c.room && c.limits.Fresh > 0 {
+				c.room = true
+				c.timer(c.now+c.limits.Fresh, Token{kind: tokenRoom})
+			}
 			return
 		}
 		c.part(victim)
@@ -955,11 +965,11 @@
 }
 
 // spare is the connection that can be missed first: one that has never asked for anything, the oldest of them,
-// or else the one that has been idle longest. The newest is not: what it asks is on its way.
+// or else the one that has been idle longest. One that has just come can't: what it asks is on its way.
 func (c *Core) spare(busy map[Link]bool) (victim *caller) {
 	for _, l := range c.links[:max(len(c.links)-1, 0)] {
 		switch {
-		case busy[l.link], l.handed:
+		case busy[l.link], l.handed, !l.asked && c.now < l.heard+c.limits.Fresh:
 		case victim == nil, victim.asked && !l.asked, victim.asked == l.asked && l.heard < victim.heard:
 			victim = l
 		}
@@ -1030,6 +1040,9 @@
 			c.cease()
 			c.end()
 		}
+	case tokenRoom:
+		c.room = false
+		c.settle()
 	case tokenPart:
 		c.stop()
 	case tokenMember:
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -53,7 +53,7 @@
 
 // keeps says whether callers' connections are still here that have to be handed on.
 func (c *Core) keeps() bool {
-	return c.handing && slices.ContainsFunc(c.links, func(l *caller) bool { return !l.handed && !l.spoilt && c.limits.Transient[l.front] })
+	return c.handing && slices.ContainsFunc(c.links, func(l *caller) bool { return !l.handed && !l.kept && !l.spoilt && c.limits.Transient[l.front] })
 }
 
 // adopt takes in what a predecessor says of a connection that it has handed on.
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -181,8 +181,9 @@
 	}
 	// HandOver hands the callers on to a successor that serves, and ends this process when nothing is owed.
 	HandOver struct{}
-	// Parked says that a connection is read no further.
+	// Parked says that a connection is read no further, Kept that it could not be handed on and is read again.
 	Parked struct{ Link Link }
+	Kept   struct{ Link Link }
 	// Predecessor says whether there is another process that owns calls of callers who come here.
 	// Moving: it hands its callers on by now.
 	Predecessor struct{ Present, Moving bool }
@@ -223,6 +224,7 @@
 func (Sent) event()          {}
 func (HandOver) event()      {}
 func (Parked) event()        {}
+func (Kept) event()          {}
 func (Predecessor) event()   {}
 func (Relayed) event()       {}
 func (Over) event()          {}
@@ -364,6 +366,7 @@
 	tokenStop  // the grace of a stop is over
 	tokenDrain // callers of a drained process are looked through
 	tokenFinal // and so is the longest time for what still stands
+	tokenRoom  // there may be connections of callers that can be missed by now
 	tokenPart  // and callers have been refused for long enough
 	tokenMember
 	tokenWork
@@ -394,6 +397,7 @@
 	StopMost     time.Duration  // and standing calls are waited for this long
 	StopLinger   time.Duration  // what crosses the end is refused for this long before connections are closed
 	Callers      int            // connections of callers
+	Fresh        time.Duration  // one that has asked for nothing is not missed before this: its set-up is on its way
 	MaxOpen      int            // set-ups open at once
 	OpenBytes    int            // that calls in hand may keep
 	RetryHint    time.Duration  // told with a refusal for want of room
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"errors"
+	"io"
 	"net"
+	"sync"
 	"testing"
 	"time"
 )
@@ -84,3 +86,89 @@
 	defer o.mu.Unlock()
 	return o.bytes
 }
+
+// A connection ends while its peer reads nothing for a while: all that was queued is written all the same, then the peer
+// hears that there is no more, and it is no reset, though it goes on sending. What had not been written within 50 ms was
+// cut off.
+func TestFinishWritesAllFirst(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	peer, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	o := NewOutbox(conn, Limits{ReadFirst: 1 << 10, Outbox: 64 << 20, WriteStall: time.Minute, Stuck: time.Millisecond})
+	total := 0
+	for n := 64 << 10; total < 16<<20; total += n { // more than the machine buffers
+		o.Post(Item{Data: make([]byte, n)})
+	}
+	done := make(chan struct{})
+	o.Finish(func() { close(done) })
+	o.Finish(func() { t.Error("it ends twice") })
+	o.Post(Item{Data: []byte("too late")})
+	if o.Flush() {
+		t.Error("it has been written, and the test has not met its case")
+	}
+	peer.Write([]byte("goes on"))
+	if told, err := io.ReadAll(peer); err != nil || len(told) != total {
+		t.Errorf("%d bytes of %d, then %v", len(told), total, err)
+	}
+	<-done
+}
+
+// Connections beyond the limit wait in the backlog, and none of those that have connected is reset when the listener is
+// closed: each is accepted, also where there was no room.
+func TestDrainAcceptsTheBacklog(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var open sync.WaitGroup
+	let := make(chan struct{})
+	a := NewAcceptor(func() int { return 1 }, func(c net.Conn) {
+		defer open.Done()
+		<-let
+		io.WriteString(c, "x")
+	})
+	var callers []net.Conn
+	for range 5 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		callers = append(callers, c)
+		open.Add(1)
+	}
+	ended := make(chan struct{})
+	go func() { a.Serve(l); close(ended) }()
+	for a.held.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if n := a.held.Load(); n != 1 {
+		t.Errorf("%d served at once, want 1", n)
+	}
+	a.Drain()
+	a.Drain()
+	<-ended
+	close(let)
+	open.Wait()
+	for i, c := range callers {
+		if b, err := io.ReadAll(c); string(b) != "x" || err != nil {
+			t.Errorf("connection %d: %q, %v", i, b, err)
+		}
+	}
+	if c, err := net.Dial("tcp", l.Addr().String()); err == nil {
+		c.Close()
+		t.Error("the listener is still open")
+	}
+}
--- a/internal/link/listen.go
+++ b/internal/link/listen.go
@@ -5,21 +5,41 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 )
 
-// Serve accepts connections and gives each a goroutine, at most so many at once: those beyond wait in the listener's
-// backlog, where nothing is lost. It returns when the listener is closed, by Drain or otherwise.
-func Serve(l net.Listener, most func() int, serve func(net.Conn)) {
-	var held atomic.Int64
-	freed := make(chan struct{}, 1)
+// Acceptor accepts connections and gives each a goroutine, at most so many at once: those beyond wait in the listener's
+// backlog, where nothing is lost.
+type Acceptor struct {
+	most   func() int
+	handle func(net.Conn)
+	held   atomic.Int64
+	freed  chan struct{}
+
+	mu       sync.Mutex
+	listener net.Listener
+	drain    chan struct{} // closed when it drains
+	drains   bool
+}
+
+// NewAcceptor makes an acceptor for so many connections at once.
+func NewAcceptor(most func() int, handle func(net.Conn)) *Acceptor {
+	return &Acceptor{most: most, handle: handle, freed: make(chan struct{}, 1), drain: make(chan struct{})}
+}
+
+// Serve accepts until the listener is closed, by Drain or otherwise.
+func (a *Acceptor) Serve(l net.Listener) {
+	a.mu.Lock()
+	if a.listener = l; a.drains {
+		a.until(l)
+	}
+	a.mu.Unlock()
 	for {
-		for held.Load() >= int64(most()) {
-			<-freed
-		}
+		a.room()
 		conn, err := l.Accept()
 		switch {
 		case errors.Is(err, net.ErrClosed):
@@ -31,24 +51,50 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		held.Add(1)
+		a.held.Add(1)
 		go func() {
 			defer func() {
-				held.Add(-1)
+				a.held.Add(-1)
 				select {
-				case freed <- struct{}{}:
+				case a.freed <- struct{}{}:
 				default:
 				}
 			}()
 			defer conn.Close()
-			serve(conn)
+			a.handle(conn)
 		}()
 	}
 }
 
-// Drain has a listener that is served closed when those who have connected by now have been accepted. To close it at
-// once would reset them.
-func Drain(l net.Listener) {
+// room waits until one more connection can be had. While it drains there is no waiting: those in the backlog are to hear
+// that they are refused.
+func (a *Acceptor) room() {
+	for a.held.Load() >= int64(a.most()) {
+		select {
+		case <-a.freed:
+		case <-a.drain:
+			return
+		}
+	}
+}
+
+// Drain has the listener closed when those who have connected by now have been accepted. To close it at once would reset
+// them. It does not wait.
+func (a *Acceptor) Drain() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.drains {
+		return
+	}
+	a.drains = true
+	close(a.drain)
+	if a.listener != nil {
+		a.until(a.listener)
+	}
+}
+
+// until sets the end of accepting.
+func (a *Acceptor) until(l net.Listener) {
 	if d, ok := l.(interface{ SetDeadline(time.Time) error }); !ok || d.SetDeadline(time.Now().Add(drainTime)) != nil {
 		l.Close()
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -74,6 +74,9 @@
 // When turns a time of the core into one of the clock.
 func (l *Loop) When(t core.Time) time.Time { return l.start.Add(t - l.epoch) }
 
+// Done is closed when the loop has ended.
+func (l *Loop) Done() <-chan struct{} { return l.done }
+
 // NewLink names a connection.
 func (l *Loop) NewLink() core.Link { return core.Link(l.links.Add(1)) }
 
--- a/internal/m3ua/caller.go
+++ b/internal/m3ua/caller.go
@@ -21,7 +21,7 @@
 
 // Serve serves callers until the listener is closed.
 func (m *M3UA) Serve(l net.Listener) {
-	link.Serve(l, func() int { return m.told.Load().Callers }, func(conn net.Conn) {
+	link.NewAcceptor(func() int { return m.told.Load().Callers }, func(conn net.Conn) {
 		c := &caller{session: m.session(conn, m.told.Load().Link)}
 		c.handle = c.take
 		c.late = time.AfterFunc(c.limits.First, func() { conn.Close() })
@@ -32,7 +32,7 @@
 		if _, bad := err.(*protocolError); bad { // the ERR is still to be read
 			c.out.Linger(conn)
 		}
-	})
+	}).Serve(l)
 }
 
 // Dropped frees the circuit of a call whose caller will not be told of its end.
--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -151,12 +151,14 @@
 	successor atomic.Pointer[Successor]
 	pulse     pulse
 	open      sync.WaitGroup // connections of callers
+	acceptor  *link.Acceptor
 }
 
 // New makes the front.
 func New(cfg Config, l *loop.Loop, log zerolog.Logger) *Platform {
 	p := &Platform{loop: l, log: log, loud: link.Sparse(log)}
 	p.Configure(cfg)
+	p.acceptor = link.NewAcceptor(func() int { return p.told.Load().Callers }, p.caller)
 	return p
 }
 
@@ -195,12 +197,16 @@
 func (p *Platform) Serve(l net.Listener) {
 	p.open.Add(1)
 	defer p.open.Done()
-	link.Serve(l, func() int { return p.told.Load().Callers }, p.caller)
+	p.acceptor.Serve(l)
 }
 
+// Unlisten has the listener closed when who has connected by now is served. It does not wait.
+func (p *Platform) Unlisten() { p.acceptor.Drain() }
+
 // Successor is the process that callers are handed to.
 type Successor interface {
-	// Take is handed a connection, with what was read of it and not yet taken. It may wait.
+	// Take is handed a connection, with what was read of it and not yet taken. It may wait. An error says that the
+	// successor never got it.
 	Take(pass core.Pass, rest []byte, conn syscall.Conn) error
 	// Tell passes on what is for a caller whose connection it has. It must not wait.
 	Tell(link core.Link, e core.Effect)
@@ -217,7 +223,7 @@
 	parting atomic.Bool
 	moving  atomic.Bool
 	pass    chan core.Pass
-	ended   chan struct{} // closed by Close
+	ended   chan struct{} // closed when it is being closed
 
 	mu     sync.Mutex
 	partBy time.Time     // the connection ends by then; zero: it isn't to
@@ -236,13 +242,18 @@
 
 // Close closes the connection at once.
 func (c *caller) Close() {
+	c.end()
+	c.out.Close()
+}
+
+// end says that the connection is being closed, to whoever waits for more of it.
+func (c *caller) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.closed {
 		c.closed = true
 		close(c.ended)
 	}
-	c.out.Close()
 }
 
 // Flush waits, not for long, until all is with the caller or the successor.
@@ -260,6 +271,7 @@
 // read. Neither is waited for without an end.
 func (c *caller) part() {
 	c.endBy(c.stall + c.linger)
+	c.end()
 	c.out.Finish(func() { c.endBy(c.linger) })
 }
 
@@ -299,33 +311,45 @@
 	}
 }
 
-// hand passes the connection, of which nothing is read here any more, to the successor. It says whether it did.
-func (c *caller) hand(rest []byte) bool {
+// hand passes the connection, of which nothing is read here any more, to the successor. It says whether it did, and if
+// not, whether it goes on here: a successor that dies half way costs no caller its connection.
+func (c *caller) hand(rest []byte) (handed, kept bool) {
 	c.p.loop.Post(core.Parked{Link: c.link})
 	var pass core.Pass
 	select {
 	case pass = <-c.pass:
 	case <-c.ended:
-		return false
-	case <-time.After(c.linger):
-		return false
+		return false, false
+	case <-c.p.loop.Done():
+		return false, false
 	}
 	successor := c.p.successor.Load()
 	conn, ok := c.conn.(syscall.Conn)
 	if !ok || successor == nil || !c.out.Flush() { // a caller that reads nothing costs its own connection
-		return false
+		return false, false
 	}
-	if err := (*successor).Take(pass, rest, conn); err != nil {
+	err := (*successor).Take(pass, rest, conn)
+	if err != nil {
 		c.p.loud.Warn().Err(err).Msg("a caller's connection can't be handed over")
-		return false
+		c.moving.Store(false)
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, e := range c.held {
-		(*successor).Tell(c.link, e)
+	for {
+		c.mu.Lock()
+		held := c.held
+		if c.held = nil; len(held) == 0 { // what comes from now on needs not be held
+			c.taken, c.passed = err == nil, err == nil
+			c.mu.Unlock()
+			return err == nil, err != nil
+		}
+		c.mu.Unlock()
+		for _, e := range held {
+			if err == nil {
+				(*successor).Tell(c.link, e)
+			} else {
+				c.write(e)
+			}
+		}
 	}
-	c.taken, c.held = true, nil
-	return true
 }
 
 // toSuccessor says whether an effect is the successor's to carry out.
@@ -342,9 +366,14 @@
 
 // Carry writes an effect for a caller.
 func (c *caller) Carry(e core.Effect) []core.Event {
-	if c.toSuccessor(e) {
-		return nil
+	if !c.toSuccessor(e) {
+		c.write(e)
 	}
+	return nil
+}
+
+// write carries out what is the caller's here.
+func (c *caller) write(e core.Effect) {
 	switch e := e.(type) {
 	case core.Answered:
 		c.out.Post(link.Item{Data: appendFrame(nil, typeAnswer, e.ID, appendParam(nil, paramDesc, e.Desc...))})
@@ -363,7 +392,6 @@
 		c.mu.Unlock()
 		c.pass <- e
 	}
-	return nil
 }
 
 // rejection is a final answer other than that the call stands.
@@ -438,7 +466,15 @@
 			}
 			return
 		case late && c.moving.Load():
-			handed = c.hand(in.Bytes())
+			kept := false
+			handed, kept = c.hand(in.Bytes())
+			switch {
+			case kept:
+				p.loop.Post(core.Kept{Link: c.link})
+				continue
+			case c.parting.Load():
+				c.discard(in)
+			}
 			return
 		case late && !whole.IsZero(), err == link.ErrTooLong:
 			spoilt()
--- /dev/null
+++ b/internal/platform/crossings_test.go
@@ -0,0 +1,412 @@
+package platform
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"elmseam"
+	"elmseam/internal/core"
+)
+
+// The stories here force what docs/CROSSINGS.md lists, over sockets.
+
+// TestMain runs the tests, after which no goroutine and no descriptor may be left over.
+func TestMain(m *testing.M) {
+	before := descriptors()
+	code := m.Run()
+	if err := goleak.Find(); err != nil && code == 0 {
+		fmt.Println(err)
+		code = 1
+	}
+	if left := descriptors(); left > before && code == 0 {
+		fmt.Printf("%d descriptors before the tests, %d after\n", before, left)
+		code = 1
+	}
+	os.Exit(code)
+}
+
+// descriptors is how many are open, but for the poller's own.
+func descriptors() (n int) {
+	open, _ := os.ReadDir("/proc/self/fd")
+	for _, f := range open {
+		if to, err := os.Readlink("/proc/self/fd/" + f.Name()); err == nil && to[:min(5, len(to))] != "anon_" {
+			n++
+		}
+	}
+	return n
+}
+
+// peer is another caller.
+type peer struct {
+	*story
+	conn net.Conn
+}
+
+// another connects a caller of its own.
+func (s *story) another() *peer {
+	other := s.copy()
+	other.caller = s.dial(s.listener)
+	return &peer{other, other.caller}
+}
+
+// wantEnd reads on: there must be nothing more, and an end that is no reset.
+func (s *story) wantEnd() {
+	s.Helper()
+	if rest, err := io.ReadAll(s.caller); err != nil || len(rest) > 0 {
+		s.Fatalf("%x and %v, where the connection has to end", rest, err)
+	}
+}
+
+// limit changes the limits of connections that come from now on.
+func (s *story) limit(change func(*Config)) {
+	told := *s.front.told.Load()
+	change(&told.Config)
+	s.front.Configure(told.Config)
+}
+
+const accept = `{"op":"accept","call":"%016x","with":{},"desc":"x"}`
+
+// A connection has been idle for too long, or stops within a message, or brings nonsense, while a set-up is open on it:
+// the set-up is answered first, then the connection ends. Each was closed at once, and the answer lost. Another one, that
+// came later and carries nothing, shows that its time is over.
+func TestIdleCloseWithASetUpOpen(t *testing.T) {
+	test := appendFrame(nil, typeTest, 5, appendParam(nil, paramCause, 0))
+	half := setUp(9, "voice", "5000", "")[:20]
+	for name, behind := range map[string][]byte{
+		"nothing": nil, "half a message": half, "too long": {0xff, 0xff, 1}, "no message": appendFrame(nil, 99, 1, nil),
+		"a set-up cut short": appendFrame(nil, typeSetUp, 3, []byte{paramClass, 0, 9, 'v'}),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStory(t)
+			s.limit(func(c *Config) { c.Link.First, c.Link.Idle = 20*time.Millisecond, 20*time.Millisecond })
+			a := s.another()
+			a.conn.Write(append(setUp(1, "voice", "9000", ""), behind...))
+			s.wantLine(`"offer"`)
+			b := s.another()
+			if b.conn.Write(test); name == "half a message" {
+				b.conn.Write(half)
+			}
+			b.wantFrame(typeTested, 5, 1)
+			b.wantEnd()
+			if name == "a set-up cut short" {
+				a.wantFrame(typeRelease, 3, 100)
+			}
+			s.say(accept, 1)
+			a.wantFrame(typeAnswer, 1, -1)
+			a.wantEnd()
+		})
+	}
+}
+
+// Connections beyond what there are descriptors for wait in the backlog, with what they ask, and are served when there is
+// room; those beyond what callers are to hold make room where one can be missed, and are served where none can. They were
+// closed with their set-ups unread.
+func TestFloodOfConnections(t *testing.T) {
+	s := newStory(t, func(s *story) { s.limits.Callers, s.limits.Fresh = 2, time.Minute }) // one of them is the story's own caller
+	s.caller.Write(setUp(1, "voice", "9000", ""))
+	s.wantLine(`"offer"`, `0001"`)
+	var more []*peer
+	for id := core.ID(2); id <= 12; id++ { // 8 are served at once
+		p := s.another()
+		p.conn.Write(setUp(id, "voice", "9000", ""))
+		more = append(more, p)
+	}
+	go func() { // a server that answers all but the first
+		for s.lines.Scan() {
+			var id core.ID
+			if n, _ := fmt.Sscanf(s.lines.Text(), `{"op":"offer","call":"%x"`, &id); n == 1 {
+				s.say(accept, id)
+			}
+		}
+	}()
+	for i, p := range more { // the module may refuse it
+		if id, err := p.final(); id != core.ID(i+2) || err != nil {
+			t.Errorf("a final answer for %x, %v, want %x", id, err, i+2)
+		}
+	}
+	s.say(accept, 1)
+	s.wantFrame(typeAnswer, 1, -1)
+}
+
+// final reads a final answer.
+func (s *story) final() (core.ID, error) {
+	var head [frameHead]byte
+	_, err := io.ReadFull(s.caller, head[:])
+	body := make([]byte, binary.BigEndian.Uint16(head[:]))
+	if err == nil {
+		_, err = io.ReadFull(s.caller, body)
+	}
+	f, _, bad := parseFrame(append(head[:], body...), 16<<10)
+	if err == nil && bad == nil && f.kind != typeAnswer && f.kind != typeRelease {
+		bad = fmt.Errorf("message of type %d", f.kind)
+	}
+	return f.id, errors.Join(err, bad)
+}
+
+// A server's message that can't be read ends the attempt it is for, as reset, and no other call: what else is out on that
+// connection is answered there, and new ones go over another. All of them ended as reset.
+func TestSpoiltAnswer(t *testing.T) {
+	for name, line := range map[string]string{
+		"cut short":   `{"op":"accept","call":"0000000000000001","with":{},"de`,
+		"an odd type": `{"op":"nonsense","call":"0000000000000001","with":{}}`,
+		"no cause":    `{"op":"end","call":"0000000000000001","with":{},"why":"x"}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStory(t)
+			s.caller.Write(append(setUp(1, "voice", "9000", ""), setUp(2, "voice", "9000", "")...))
+			s.wantLine(`"offer"`, `0001"`)
+			s.wantLine(`"offer"`, `0002"`)
+			s.say("%s", line)
+			s.wantLine(`"end"`, `0001"`)
+			first, lines := s.srv, s.lines
+			s.accept()
+			s.wantFrame(typeRelease, 1, 42) // there is no other server
+			fmt.Fprintf(first, accept+"\n", 2)
+			s.wantFrame(typeAnswer, 2, -1)
+			if lines.Scan() || lines.Err() != nil {
+				t.Errorf("%q, %v on a connection that has to end", lines.Text(), lines.Err())
+			}
+			s.say(`{"op":"end","call":"0000000000000002","with":{},"why":16}`)
+			s.wantFrame(typeRelease, 2, 16)
+		})
+	}
+}
+
+// A second answer comes behind the first: a refusal ended the call that stood. It changes nothing, nor does one that says
+// again that it stands; the release is told once.
+func TestSecondAnswer(t *testing.T) {
+	s := newStory(t)
+	s.caller.Write(setUp(1, "voice", "9000", ""))
+	s.wantLine(`"offer"`)
+	s.say(accept, 1)
+	s.wantFrame(typeAnswer, 1, -1)
+	for _, why := range []int{34, 17, 47, 102} {
+		s.say(`{"op":"end","call":"0000000000000001","with":{},"why":%d}`, why)
+	}
+	s.say(accept, 1)
+	s.say(`{"op":"end","call":"0000000000000001","with":{},"why":41}`)
+	s.wantFrame(typeRelease, 1, 41)
+	s.say(`{"op":"end","call":"0000000000000001","with":{},"why":16}`)
+	s.caller.Write(appendFrame(nil, typeTest, 5, appendParam(nil, paramCause, 0)))
+	s.wantFrame(typeTested, 5, 1) // and nothing before it
+}
+
+// second brings a second server.
+func (s *story) second() net.Listener {
+	t := listen(s.T)
+	s.loop.Post(core.List{Servers: []core.Server{{Name: "t", Address: t.Addr().String(), Front: Front, Cell: 1, Phase: elmseam.Ready}}})
+	return t
+}
+
+func (s *story) on(l net.Listener) *story {
+	s.Helper()
+	other := s.copy()
+	other.server = l
+	other.accept()
+	return other
+}
+
+func (s *story) copy() *story {
+	return &story{T: s.T, loop: s.loop, front: s.front, listener: s.listener, server: s.server, caller: s.caller,
+		lines: s.lines, srv: s.srv, told: s.told}
+}
+
+// A caller leaves, by a give-up or by closing its connection, while its set-up waits for the release gap, and while it
+// waits for a connection: it is not sent on later. The next set-up is the first that the server sees.
+func TestCallerLeavesWhileItsSetUpWaits(t *testing.T) {
+	for _, leaves := range []string{"gives up", "closes", "resets"} {
+		leave := func(p *peer, id core.ID) {
+			switch leaves {
+			case "gives up":
+				p.conn.Write(release(id, 16))
+				p.wantFrame(typeHeard, id, -1)
+			case "resets":
+				p.conn.(*net.TCPConn).SetLinger(0)
+				fallthrough
+			default:
+				p.conn.Close()
+				for e := range p.told { // when it has been noticed
+					if e == core.Effect(core.Dropped{Front: Front, ID: id}) {
+						return
+					}
+				}
+			}
+		}
+		t.Run(leaves+" in the gap", func(t *testing.T) {
+			s := newStory(t, func(s *story) { s.limits.Rebind = time.Millisecond })
+			other := s.on(s.second())
+			p, q := s.another(), s.another()
+			p.conn.Write(setUp(1, "voice", "9000", ""))
+			s.wantLine(`"offer"`, `0001"`)
+			q.conn.Write(setUp(2, "voice", "9000", ""))
+			s.wantLine(`"offer"`, `0002"`)
+			s.say(`{"op":"end","call":"0000000000000002","with":{},"why":41}`)
+			leave(p, 1)
+			s.wantLine(`"end"`, `0001"`)
+			other.wantLine(`"offer"`, `0002"`) // after the gap
+		})
+		t.Run(leaves+" in the queue for a connection", func(t *testing.T) {
+			s := newStory(t, func(s *story) { s.limits.Rebind = time.Millisecond })
+			s.srv.(*net.TCPConn).SetLinger(0)
+			held := make(chan struct{})
+			s.hold.Store(&held) // the dial comes up when it is let go
+			s.srv.Close()
+			p := s.another()
+			p.conn.Write(setUp(1, "voice", "9000", ""))
+			leave(p, 1)
+			close(held)
+			s.accept()
+			s.caller.Write(setUp(2, "voice", "9000", ""))
+			s.wantLine(`"offer"`, `0002"`)
+		})
+	}
+}
+
+// The settings change while a call is on its way: it goes to the next server with the class that its caller sent, though
+// that one is no more and others stand in its place.
+func TestClassOfACallOutlivesTheSettings(t *testing.T) {
+	s := newStory(t)
+	other := s.on(s.second())
+	s.caller.Write(setUp(1, "voice", "9000", ""))
+	s.wantLine(`"offer"`, `"class":"voice"`)
+	s.limit(func(c *Config) {
+		c.Node.Classes = append(c.Node.Classes[:0:0], c.Node.Classes...)
+		c.Node.Classes[0].Name = "video"
+	})
+	s.say(`{"op":"end","call":"0000000000000001","with":{"note":"swamped"},"why":34}`)
+	other.wantLine(`"offer"`, `"class":"voice"`)
+}
+
+// successor is the process that callers are handed to, as a test wants it.
+type successor struct {
+	takes chan core.Pass
+	fails chan error
+	told  chan core.Effect
+}
+
+func (s *successor) Take(pass core.Pass, _ []byte, _ syscall.Conn) error {
+	s.takes <- pass
+	return <-s.fails
+}
+
+func (s *successor) Tell(_ core.Link, e core.Effect) { s.told <- e }
+
+// A connection is handed to a newer process: what comes for its caller meanwhile is held. If the newer one dies before it
+// has the connection, the older one goes on with it: what was held is said, and what the caller asks is served. The caller
+// lost its connection and its answers.
+func TestSuccessorDiesHalfWay(t *testing.T) {
+	for _, dies := range []bool{true, false} {
+		s := newStory(t, func(s *story) { s.limits.StopMost = time.Minute })
+		next := &successor{make(chan core.Pass, 1), make(chan error), make(chan core.Effect, 9)}
+		s.front.Successor(next)
+		s.caller.Write(append(setUp(1, "voice", "9000", ""), setUp(2, "voice", "9000", "")...))
+		s.wantLine(`"offer"`, `0001"`)
+		s.wantLine(`"offer"`, `0002"`)
+		s.loop.Post(core.HandOver{})
+		if pass := <-next.takes; len(pass.Open) != 2 {
+			t.Errorf("%d set-ups are passed on as open, want 2", len(pass.Open))
+		}
+		s.say(accept, 1) // while it is held
+		s.say(`{"op":"end","call":"0000000000000001","with":{},"why":16}`)
+		s.say(`{"op":"test","call":"0000000000000009","with":{},"why":0}`)
+		s.wantLine(`"tested"`) // all that has been taken in
+		if !dies {
+			next.fails <- nil
+			for _, want := range []core.Effect{core.Answered{}, core.Released{}} {
+				if e := <-next.told; fmt.Sprintf("%T", e) != fmt.Sprintf("%T", want) {
+					t.Errorf("the newer one is told %T, want %T", e, want)
+				}
+			}
+			continue
+		}
+		next.fails <- io.ErrClosedPipe
+		s.wantFrame(typeAnswer, 1, -1)
+		s.wantFrame(typeRelease, 1, 16)
+		s.say(accept, 2)
+		s.wantFrame(typeAnswer, 2, -1)
+		s.caller.Write(setUp(3, "voice", "9000", ""))
+		s.wantLine(`"offer"`, `0003"`)
+		s.caller.Write(release(3, 16))
+		s.wantFrame(typeHeard, 3, -1)
+	}
+}
+
+// A process stops while callers go on asking, on old connections and on new ones. Each set-up is answered or crosses the
+// close of its connection, which is no reset.
+func TestCallersGoOnAskingWhileItStops(t *testing.T) {
+	s := newStory(t, func(s *story) {
+		s.limits.StopGrace, s.limits.StopLinger, s.limits.StopMost = time.Millisecond, 60*time.Millisecond, time.Minute
+	})
+	s.limit(func(c *Config) { c.Callers = 1000 })
+	type end struct {
+		owed int
+		err  error
+	}
+	ends := make(chan end)
+	ask := func(c net.Conn, id core.ID) {
+		r := bufio.NewReader(c)
+		owed := 0
+		for {
+			id++
+			c.Write(setUp(id, "voice", "9000", ""))
+			owed++
+			var head [2]byte
+			if _, err := io.ReadFull(r, head[:]); err != nil {
+				c.Close()
+				ends <- end{owed, err}
+				return
+			}
+			io.CopyN(io.Discard, r, int64(binary.BigEndian.Uint16(head[:])))
+			owed--
+		}
+	}
+	go func() { // a server that refuses all
+		for s.lines.Scan() {
+			var id core.ID
+			if n, _ := fmt.Sscanf(s.lines.Text(), `{"op":"offer","call":"%x"`, &id); n == 1 {
+				s.say(`{"op":"end","call":"%016x","with":{},"why":47}`, id)
+			}
+		}
+	}()
+	const callers = 4
+	for n := range callers {
+		go ask(s.dial(s.listener), core.ID(n+1)<<32)
+	}
+	s.loop.Post(core.Stop{})
+	fresh := 0
+	go func() {
+		for e := range s.told {
+			if _, ends := e.(core.Unlisten); ends {
+				s.front.Unlisten()
+				return
+			}
+		}
+	}()
+	for {
+		c, err := net.Dial("tcp", s.listener.Addr().String())
+		if err != nil {
+			break // it isn't listened any more
+		}
+		c.SetDeadline(time.Now().Add(patience))
+		fresh++
+		go ask(c, core.ID(100+fresh)<<32)
+		time.Sleep(time.Millisecond)
+	}
+	for range callers + fresh {
+		if e := <-ends; e.err != io.EOF || e.owed > 1 {
+			t.Errorf("a connection ends with %v and %d set-ups unanswered", e.err, e.owed)
+		}
+	}
+	<-s.loop.Done()
+	s.front.Wait()
+}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,19 +34,33 @@
 	caller   net.Conn
 	lines    *bufio.Scanner // of the server's connection
 	srv      net.Conn
+	core     *core.Core
+	limits   core.Limits
+	told     chan core.Effect              // what concerns no connection
+	hold     atomic.Pointer[chan struct{}] // a dial waits for it
 }
 
-func newStory(t *testing.T) *story {
+func newStory(t *testing.T, with ...func(*story)) *story {
 	t.Helper()
+	s := &story{T: t, told: make(chan core.Effect, 100), limits: core.Limits{Rebind: 100 * time.Millisecond, RedialLeast: time.Millisecond,
+		RedialMost: time.Millisecond, ServerLost: time.Minute, Callers: 100, MaxOpen: 100, OpenBytes: 1 << 20, Remember: time.Minute,
+		Transient: map[core.Front]bool{Front: true}}}
+	for _, f := range with {
+		f(s)
+	}
 	c, err := core.New(elmseam.Settings{
 		Classes: []elmseam.Class{{Deadline: 9 * time.Second, Worth: 1}}, MaxAttempts: 4, OwnCell: -1,
 		ReleaseGuard: 50 * time.Millisecond, MaxRetryAfter: 2 * time.Second,
-	}, 1, core.Limits{Rebind: 100 * time.Millisecond, RedialLeast: time.Millisecond, RedialMost: time.Millisecond,
-		ServerLost: time.Minute, Callers: 100, MaxOpen: 100, OpenBytes: 1 << 20, Remember: time.Minute})
+	}, 1, s.limits)
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := loop.New(c, 64, func(core.Effect) {}, zerolog.Nop())
+	l := loop.New(c, 64, func(e core.Effect) {
+		select {
+		case s.told <- e:
+		default:
+		}
+	}, zerolog.Nop())
 	limits := link.Limits{ReadFirst: 64, Message: 16 << 10, Outbox: 1 << 20, WriteStall: time.Second, Stuck: 50 * time.Millisecond,
 		Line: 50 * time.Millisecond, Silence: 100 * time.Millisecond,
 		First: patience, Idle: patience, Linger: 100 * time.Millisecond, Drain: 1 << 16}
@@ -53,9 +68,14 @@
 		Node: settings.Node{Classes: []settings.Class{{Name: "voice", Cells: []int{0, 1}, Width: 1}}, Columns: []string{"spare", "cut_by"}}, Dial: time.Second, Callers: 8,
 		Link: limits, ServerLink: limits,
 	}, l, zerolog.Nop())
-	l.Dialer(Front, p.Dial)
+	l.Dialer(Front, func(d core.Dial) {
+		if hold := s.hold.Load(); hold != nil {
+			<-*hold
+		}
+		p.Dial(d)
+	})
 	front := listen(t)
-	s := &story{T: t, loop: l, front: p, listener: front, server: listen(t)}
+	s.core, s.loop, s.front, s.listener, s.server = c, l, p, front, listen(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go l.Run(ctx)
