Scarce descriptors: connections to servers keep within what callers leave

Ruled out: leaks (the count stays), the callers' own part (a third). What servers may have in all is what callers (two fifths where there are under 200) and the program itself leave. Each server gets its part, none ahead of need beyond that, and one needed takes the place of the one used least, unless it tells of standing calls. Where none can be had the attempt ends as not sent.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -189,6 +189,13 @@
 
 const leastSockets = 32
 
+// scarceSockets is where descriptors begin to be scarce. A few go to the program itself: its streams and pollers, listeners,
+// the command channel, a dial that is broken off.
+const (
+	scarceSockets = 200
+	ownSockets    = 14
+)
+
 // endedSize is about what it takes to remember a call that is over, in bytes.
 const endedSize = 128
 
@@ -196,7 +203,10 @@
 func limits(f file, n settings.Node) Limits {
 	message := 16 << 10
 	memory := int64(f.Limits.MemoryMB) << 20
-	callers := f.Limits.Sockets / 2 // callers that behave hold a third; a quarter may come to the second front
+	callers := f.Limits.Sockets / 2       // callers that behave hold a third; a quarter may come to the second front
+	if f.Limits.Sockets < scarceSockets { // servers need the rest
+		callers = f.Limits.Sockets * 2 / 5
+	}
 	l := Limits{
 		Core: core.Limits{
 			AnswerMargin: 15 * time.Millisecond,
@@ -204,6 +214,7 @@
 			RedialLeast:  100 * time.Millisecond,
 			RedialMost:   500 * time.Millisecond,
 			Lines:        map[core.Front]int{platform.Front: 2},
+			ServerLines:  f.Limits.Sockets - callers - ownSockets,
 			Mute:         100 * time.Millisecond, // any answer takes less where the server isn't pressed
 			Left:         16,
 			Owed:         1000,
@@ -243,7 +254,7 @@
 		Callers: callers,
 		Inbox:   4096,
 		Figures: 50 * time.Millisecond, // they may be 0.5 s old
-		Mgmt:    mgmt.Limits{Callers: 16, Head: 8 << 10, Read: 2 * time.Second, Write: time.Second, Fresh: 2 * time.Second, Drains: 16},
+		Mgmt:    mgmt.Limits{Callers: min(16, f.Limits.Sockets/16), Head: 8 << 10, Read: 2 * time.Second, Write: time.Second, Fresh: 2 * time.Second, Drains: 16},
 		HandOver: handover.Limits{
 			Hello: time.Second, Write: time.Second, Packet: 128 << 10, Queue: 4 << 20, Over: 4096,
 		},
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -565,8 +565,9 @@
 	switch {
 	case c.now < k.gap && c.has(GuardGap):
 		c.timer(k.gap, Token{kind: tokenGap, call: k.ID, cid: k.cid, number: uint32(k.out.number)})
+	case l == nil && !c.dial(s):
+		c.outcome(k, elmseam.Outcome{Cause: elmseam.CauseNotSent})
 	case l == nil:
-		c.dial(s)
 	default:
 		k.out.phase, k.out.line, k.out.at, l.used = sent, l, c.now, c.now
 		s.coldSent++
@@ -681,7 +682,7 @@
 	}
 	c.retire(s)
 	if c.wanted(s) > 0 { // also to hear again what has been lost of the calls that stand
-		c.dial(s)
+		c.ahead(s)
 	}
 }
 
@@ -1024,7 +1025,7 @@
 		if s := c.servers[t.server]; s != nil {
 			s.redialing = false
 			if s.sound() < c.wanted(s) {
-				c.dial(s)
+				c.ahead(s)
 			}
 		}
 	case tokenLost:
--- a/internal/core/crossings_test.go
+++ b/internal/core/crossings_test.go
@@ -280,3 +280,36 @@
 		t.Errorf("sent again as %q", offered)
 	}
 }
+
+// Descriptors are scarce: connections to servers keep within what there are, and one that is needed takes the place of one
+// that is not. With as many as there are servers the program took descriptors from its callers, whose set-ups it could not
+// accept any more, or could not start at all: found with 64 and 48 descriptors and 24 servers.
+func TestConnectionsToServersKeepWithinDescriptors(t *testing.T) {
+	r := newRig(t)
+	r.dials = true
+	r.c.limits.ServerLines, r.c.limits.Lines = 2, map[Front]int{"": 2}
+	more := Server{Name: "c", Address: "c:1", Cell: 2, Phase: elmseam.Ready}
+	r.want(r.step(List{Servers: []Server{more}}), "") // not before it is needed
+	r.want(r.setUp(1, 5*time.Second), "offer1@10 ")
+	to := "c"
+	r.c.hook.Decide = func(ev elmseam.Event, actions []elmseam.Action) []elmseam.Action {
+		switch ev := ev.(type) {
+		case elmseam.Arrival:
+			return []elmseam.Action{elmseam.Send{Call: ev.Call, Server: r.c.servers[to].id}}
+		case elmseam.Outcome:
+			return []elmseam.Action{elmseam.Refuse{Call: ev.Call}}
+		}
+		return actions
+	}
+	r.want(r.setUp(2, 5*time.Second), "hangup@11 dial-c ") // something is out at a
+	r.want(r.step(ServerUp{Server: "c", Address: "c:1", Link: 12}), "offer2@12 ")
+	to = "b"
+	r.want(r.setUp(3, 5*time.Second), "rejected3@1 ") // none can be missed
+	r.step(ServerAnswer{Server: "a", ID: 1})
+	r.want(r.step(ServerEnd{Server: "c", ID: 2, Reason: Busy}), "rejected2@1 ")
+	r.want(r.setUp(4, 5*time.Second), "hangup@12 dial-b ") // the last at a has to tell of what stands there
+	r.want(r.step(ServerDown{Server: "b"})+r.step(ServerDown{Server: "c", Link: 12}), "rejected4@1 ")
+	if n := r.c.lines(); n > 2 {
+		t.Errorf("%d connections to servers", n)
+	}
+}
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -63,7 +63,7 @@
 	c.colds()
 	for _, s := range changed {
 		if s.told == elmseam.Ready {
-			c.dial(s)
+			c.ahead(s)
 			continue
 		}
 		for _, l := range s.lines {
@@ -146,7 +146,11 @@
 func (c *Core) wanted(s *server) int {
 	switch {
 	case s.Phase == elmseam.Ready && !c.cutOff(s):
-		return max(c.limits.Lines[s.Front], 1)
+		most := max(c.limits.Lines[s.Front], 1)
+		if c.limits.ServerLines > 0 { // descriptors are scarce: each server its part, and one at least
+			most = min(most, max(c.limits.ServerLines/len(c.order), 1))
+		}
+		return most
 	case len(s.standing) > 0, len(s.owed) > 0 && s.Phase != elmseam.Gone:
 		return 1
 	}
@@ -181,13 +185,61 @@
 	})
 }
 
-// dial asks for a connection, one at a time.
-func (c *Core) dial(s *server) {
+// dial asks for a connection, one at a time, and says whether one is on its way.
+func (c *Core) dial(s *server) bool {
 	if s.dialing || s.sound() >= max(c.wanted(s), 1) {
-		return
+		return s.dialing
+	}
+	if c.limits.ServerLines > 0 && c.lines() >= c.limits.ServerLines && !c.spareLine(s) {
+		return false
 	}
 	s.dialing = true
 	c.do(Dial{Server: s.Name, Address: s.Address, Front: s.Front})
+	return true
+}
+
+// ahead asks for a connection before anything needs it, where that takes none from another server.
+func (c *Core) ahead(s *server) {
+	if c.limits.ServerLines == 0 || c.lines() < c.limits.ServerLines || len(s.standing) > 0 && s.sound() == 0 {
+		c.dial(s)
+	}
+}
+
+// lines are the connections to servers that there are or will be.
+func (c *Core) lines() (n int) {
+	for _, s := range c.order {
+		if n += len(s.lines); s.dialing {
+			n++
+		}
+	}
+	return n
+}
+
+// spareLine makes room for a connection to a server where descriptors are scarce: it closes the one used least of late
+// among those on which nothing is out, and that are not a server's last while calls stand there. It says whether it did.
+func (c *Core) spareLine(other *server) bool {
+	var of *server
+	var victim *line
+	for _, s := range c.order {
+		if s == other || len(s.lines) == 1 && len(s.standing) > 0 {
+			continue
+		}
+		used := make(map[*line]bool)
+		for _, k := range s.out {
+			used[k.out.line] = true
+		}
+		for _, l := range s.lines {
+			if !used[l] && (victim == nil || l.used < victim.used) {
+				of, victim = s, l
+			}
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	of.lines = slices.DeleteFunc(of.lines, func(l *line) bool { return l == victim })
+	c.do(Hangup{To: victim.link})
+	return true
 }
 
 // lineTo is the connection for the next set-up: the one used least of late among those that don't leave set-ups
@@ -260,7 +312,7 @@
 	case s.Address != ev.Address: // it has moved meanwhile
 		c.do(Hangup{To: ev.Link})
 		if c.wanted(s) > 0 {
-			c.dial(s)
+			c.ahead(s)
 		}
 		return
 	case s.sound() >= c.wanted(s): // late: it is of no use any more
@@ -278,7 +330,7 @@
 			c.retry(k)
 		}
 	}
-	c.dial(s)
+	c.ahead(s)
 }
 
 // serverDown takes in that a connection has ended or could not be made. Set-ups open on it are cut or
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -382,6 +382,7 @@
 	RedialLeast  time.Duration // between attempts to reach a server again
 	RedialMost   time.Duration
 	Lines        map[Front]int  // connections to a server, by its front; not named: one
+	ServerLines  int            // to all servers together; 0: any
 	Mute         time.Duration  // a connection that has brought nothing so long after a set-up is doubtful
 	Owed         int            // releases that wait for a connection to a server, the last ones
 	Left         int            // servers that have gone and are known again when they come back
