A set-up whose caller left while it waited in the backlog is not sent on

Ruled out: those that wait in the release gap or for a connection (tested before), and in a server's outbox (taken back). On the first read of a connection the machine is asked whether its peer has closed (TCP_INFO): set-ups are dropped then, releases are still passed on. A set-up with its give-up behind it in what was read is dropped, and the give-up is Moot: it isn't told to every server as that of an unknown call.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -878,7 +878,7 @@
 	case k == nil:
 		_, known := c.ended[ev.ID]
 		switch {
-		case known:
+		case known, ev.Moot:
 		case c.preceded:
 			delete(c.stood, ev.ID)
 			delete(c.foreign, ev.ID)
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -89,10 +89,12 @@
 		Left   time.Duration
 		At     Time // when its last byte arrived
 	}
-	// CallerEnd is a caller giving its set-up up, or releasing a call that stands.
+	// CallerEnd is a caller giving its set-up up, or releasing a call that stands. Moot: its set-up was not taken in, as the
+	// two came together.
 	CallerEnd struct {
 		ID   ID
 		From Link
+		Moot bool
 	}
 	// ServerUp says that a connection to a server is made; ServerDown that one has ended, or with
 	// a Link of 0 that none could be made to the address.
--- a/internal/link/listen.go
+++ b/internal/link/listen.go
@@ -165,6 +165,25 @@
 	return net.FileConn(f)
 }
 
+// Left says whether the peer has closed its side of a connection, though something it sent before may be unread.
+func Left(conn net.Conn) bool {
+	c, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	left := false
+	raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			left = info.State == unix.BPF_TCP_CLOSE_WAIT || info.State == unix.BPF_TCP_CLOSE
+		}
+	})
+	return left
+}
+
 // Linger ends a connection so that the peer can read what it was told last: it is told that there is no more,
 // and what it still sends is read and dropped, for a while. To close at once would reset the connection, and the
 // peer's machine would throw away what it has not read.
--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -447,6 +447,8 @@
 	if !asked || len(rest) > 0 {
 		whole = time.Now().Add(limits.First)
 	}
+	moot := make(map[core.ID]bool) // set-ups that were given up before they were taken
+	waited, gone := true, false
 	spoilt := func() {
 		p.loop.Post(core.CallerSpoilt{Link: c.link})
 		c.discard(in)
@@ -486,14 +488,22 @@
 		case err != nil:
 			return
 		}
+		if waited { // for its turn to be accepted, or for the process that has it now
+			waited, gone = false, link.Left(c.conn)
+		}
 		at := p.loop.Now()
 		for {
 			f, n, err := parseFrame(in.Bytes(), limits.Message)
 			if err == errShort {
 				break
 			}
-			if err == nil {
-				err = p.take(c.link, c.out, f, at)
+			switch {
+			case err != nil:
+			case f.kind == typeSetUp && (gone || givesUp(in.Bytes()[n:], f.id)): // nobody waits for it any more
+				moot[f.id] = true
+			default:
+				err = p.take(c.link, c.out, f, at, moot[f.id])
+				delete(moot, f.id)
 			}
 			if err != nil {
 				p.loud.Warn().Err(err).Stringer("caller", c.conn.RemoteAddr()).Msg("what a caller sends can't be read")
@@ -512,13 +522,24 @@
 	}
 }
 
-// take passes a caller's message on.
-func (p *Platform) take(from core.Link, out *link.Outbox, f frame, at core.Time) error {
+// givesUp says whether what was read behind a set-up gives it up.
+func givesUp(b []byte, id core.ID) bool {
+	for len(b) >= frameHead+callHead {
+		if b[frameHead] == typeRelease && binary.BigEndian.Uint64(b[frameHead+1:]) == uint64(id) {
+			return true
+		}
+		b = b[min(frameHead+int(binary.BigEndian.Uint16(b)), len(b)):]
+	}
+	return false
+}
+
+// take passes a caller's message on. Moot: the set-up that it ends has not been.
+func (p *Platform) take(from core.Link, out *link.Outbox, f frame, at core.Time, moot bool) error {
 	switch f.kind {
 	case typeSetUp:
 		p.loop.Post(p.setUp(from, f, at))
 	case typeRelease:
-		p.loop.Post(core.CallerEnd{ID: f.id, From: from})
+		p.loop.Post(core.CallerEnd{ID: f.id, From: from, Moot: moot})
 		out.Post(link.Item{Data: appendFrame(nil, typeHeard, f.id, nil)})
 	case typeTest:
 		passed := byte(1)
--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -7,10 +7,13 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"elmseam"
 	"elmseam/internal/core"
 	"elmseam/internal/leak"
@@ -248,6 +251,56 @@
 	}
 }
 
+// A set-up waits in the backlog, as there is no room, and its caller leaves meanwhile, by a give-up or by closing its
+// connection: it is not sent on when its turn comes. What comes with it and still means something is taken.
+func TestCallerLeavesWhileItWaitsInTheBacklog(t *testing.T) {
+	s := newStory(t)
+	s.listener = listen(t)
+	s.limit(func(c *Config) { c.Link.ReadFirst = 16 << 10 }) // so much is read at once
+	room := make(chan struct{})
+	go link.NewAcceptor(func() int { <-room; return 100 }, s.front.caller).Serve(s.listener)
+	givesUp, closes, stays := s.another(), s.another(), s.another()
+	const many = 100
+	var text []byte
+	for id := core.ID(100); id < 100+many; id++ {
+		text = append(append(text, setUp(id, "voice", "9000", "")...), release(id, 16)...)
+	}
+	givesUp.conn.Write(text)
+	closes.conn.Write(append(setUp(2, "voice", "9000", ""), release(9, 16)...)) // and a call that stood before this start
+	closes.conn.(*net.TCPConn).CloseWrite()
+	stays.conn.Write(setUp(3, "voice", "9000", ""))
+	for !finished(t, closes.conn) {
+		time.Sleep(time.Millisecond)
+	}
+	close(room)
+	for id := core.ID(100); id < 100+many; id++ {
+		givesUp.wantFrame(typeHeard, id, -1)
+	}
+	io.Copy(io.Discard, closes.conn)
+	for range 2 { // in either order
+		if s.wantLine(`"0`); !strings.Contains(s.lines.Text(), `"offer","call":"0000000000000003"`) && !strings.Contains(s.lines.Text(), `"end","call":"0000000000000009"`) {
+			t.Errorf("the server is told %s", s.lines.Text())
+		}
+	}
+	s.say(accept, 3)
+	stays.wantFrame(typeAnswer, 3, -1)
+	stays.conn.Write(setUp(4, "voice", "9000", ""))
+	s.wantLine(`"offer"`, `0004"`)
+}
+
+// finished says whether the other side's machine knows that nothing more comes on this connection.
+func finished(t *testing.T, c net.Conn) (yes bool) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		yes = err == nil && info.State == unix.BPF_TCP_FIN_WAIT2
+	})
+	return yes
+}
+
 // The settings change while a call is on its way: it goes to the next server with the class that its caller sent, though
 // that one is no more and others stand in its place.
 func TestClassOfACallOutlivesTheSettings(t *testing.T) {
