Backlog's story: the set-up that waits for a connection is taken before its caller leaves

TestCallerLeavesWhileItsSetUpWaits waited for ever where the close was seen with the set-up: it is never taken then. The story asks for an answer behind the set-up first, so that it is. The package's tests 20 times over: green.

--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -241,7 +241,8 @@
 			s.hold.Store(&held) // the dial comes up when it is let go
 			s.srv.Close()
 			p := s.another()
-			p.conn.Write(setUp(1, "voice", "9000", ""))
+			p.conn.Write(append(setUp(1, "voice", "9000", ""), appendFrame(nil, typeTest, 5, appendParam(nil, paramCause, 0))...))
+			p.wantFrame(typeTested, 5, 1) // it has been taken
 			leave(p, 1)
 			close(held)
 			s.accept()
