Crossings forced over sockets: stops, holds, connects that never come up; no hand-over at the very end

Found by reading: a successor that said it serves in the last 60 ms of a stop had connections moved, and the process ended with them on their way. The reducer hands nothing over once it is ending: they are closed, and come back to the successor. TestStopAnswersEverySetUp holds it (seen to fail without: move@1 move@2). Stories added: a stop that finds set-ups out, in the gap, waiting for a connection, and an answer that its caller hasn't read; resets, a drain and SIGTERM while a connection is held; fifty connects that never come up, with nothing left over; another server at the address of one that is gone, in one event.

--- a/internal/core/crossings_test.go
+++ b/internal/core/crossings_test.go
@@ -81,6 +81,7 @@
 	r.want(r.setUp(6, 5*time.Second), "rejected6@1 ")
 	r.step(CallerUp{Link: 2, Front: "f"}) // the machine had accepted it
 	r.want(r.step(SetUp{ID: 7, From: 2, Left: 5 * time.Second, At: r.now}), "rejected7@2 ")
+	r.want(r.step(HandOver{}), "") // a successor that comes now finds them on their own connections
 	r.want(r.pass(61*ms), "part@1 part@2 stopped ")
 }
 
@@ -195,6 +196,29 @@
 	r.want(r.step(ServerUp{Server: to, Address: "elsewhere:1", Link: 12}), "offer3@12 ")
 }
 
+// One event says that a server is gone and that another is at its address: what was out at the first ends as reset and is
+// not sent to its successor within the gap, what stood is released, and what waits goes over a connection of the other's own,
+// also where the first one's dial comes up late and reaches it.
+func TestAnotherServerAtTheSameAddress(t *testing.T) {
+	r := newRig(t)
+	r.dials = true
+	r.setUp(1, 5*time.Second)
+	r.step(ServerAnswer{Server: "a", ID: 1})
+	r.setUp(2, 5*time.Second) // at a
+	r.step(ServerDown{Server: "b", Link: 11})
+	r.want(r.step(List{Servers: []Server{
+		{Name: "a", Address: "a:1", Phase: elmseam.Gone}, {Name: "b", Address: "b:1", Cell: 1, Phase: elmseam.Gone},
+		{Name: "c", Address: "a:1", Phase: elmseam.Ready, Started: r.now},
+	}}), "withdraw@10 released1@1 hangup@10 dial-c ")
+	r.want(r.step(ServerUp{Server: "a", Address: "a:1", Link: 12}), "hangup@12 ")
+	r.want(r.step(ServerAnswer{Server: "a", Link: 10, ID: 2}), "") // it crossed
+	r.want(r.step(ServerUp{Server: "c", Address: "a:1", Link: 13}), "")
+	r.want(r.pass(199*ms), "")
+	if said := r.pass(2 * time.Second); countOf(said, "offer2") > countOf(said, "offer2@13") || countOf(said, "offer2") > 1 {
+		t.Errorf("after the gap: %q", said)
+	}
+}
+
 // The caller gives up, or closes its connection, while its set-up waits for a connection, within the release gap, and
 // while it is being written: it is not sent on, or is ended, and no answer is owed.
 func TestCallerLeavesWhileItsSetUpWaits(t *testing.T) {
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -11,7 +11,7 @@
 
 // handOver begins to hand the callers on. What comes on their connections from now on is the successor's.
 func (c *Core) handOver() {
-	if c.handing {
+	if c.handing || c.ending { // at the end connections are closed: one on its way would be lost
 		return
 	}
 	c.handing, c.stopping = true, true
--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -371,6 +371,47 @@
 	}
 }
 
+// While a connection is held for a newer process its server resets, operators drain this process and take that back, and
+// SIGTERM comes again: what the caller is owed is said to it through the newer one, once, and the connection isn't closed here.
+func TestEventsWhileAConnectionIsHeld(t *testing.T) {
+	for name, crosses := range map[string]func(s *story){
+		"reset": func(s *story) { s.srv.(*net.TCPConn).SetLinger(0); s.srv.Close() },
+		"drain": func(s *story) { s.loop.Post(core.Drain{On: true}); s.loop.Post(core.Drain{}); s.say(accept, 1) },
+		"stop":  func(s *story) { s.loop.Post(core.Stop{}); s.loop.Post(core.HandOver{}); s.say(accept, 1) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStory(t, func(s *story) { s.limits.StopMost, s.limits.DrainSweep = time.Minute, time.Millisecond })
+			next := &successor{make(chan core.Pass, 1), make(chan error), make(chan core.Effect, 9)}
+			s.front.Successor(next)
+			s.caller.Write(setUp(1, "voice", "9000", ""))
+			s.wantLine(`"offer"`, `0001"`)
+			s.loop.Post(core.HandOver{})
+			<-next.takes
+			crosses(s)
+			if name == "reset" { // it is tried again there, or refused: the module's choice
+				s.loop.Post(core.List{Servers: []core.Server{{Name: "s", Address: s.server.Addr().String(), Front: Front, Phase: elmseam.Gone}}})
+				other := s.on(s.second())
+				other.wantLine(`"offer"`, `0001"`)
+				other.say(accept, 1)
+			} else {
+				s.say(`{"op":"test","call":"0000000000000009","with":{},"why":0}`)
+				s.wantLine(`"tested"`)
+			}
+			next.fails <- nil
+			if e, is := (<-next.told).(core.Answered); !is || e.ID != 1 {
+				t.Errorf("the newer process is told %T %+v", e, e)
+			}
+			s.loop.Post(core.CallerEnd{ID: 1}) // as the newer one hears it
+			<-s.loop.Done()
+			select {
+			case e := <-next.told:
+				t.Errorf("and %T", e)
+			default:
+			}
+		})
+	}
+}
+
 // A connection is on its way to a newer process while nothing else is owed: the older one lives until it is there. It ended,
 // and the connection with it, if it was quicker.
 func TestHandingOverOutlivesWhatIsOwed(t *testing.T) {
@@ -394,36 +435,113 @@
 	s := newStory(t, func(s *story) { s.limits.StopMost = time.Minute })
 	next := &successor{make(chan core.Pass, 1), make(chan error), make(chan core.Effect, 9)}
 	s.front.Successor(next)
+	p, c, unread := s.stall(1)
+	s.loop.Post(core.HandOver{})
+	<-next.takes // the story's own caller; the other is to move, too
+	next.fails <- nil
+	for c.moving.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	s.say(accept, 1)
+	if _, err := io.CopyN(io.Discard, p.caller, unread); err != nil {
+		t.Fatal(err)
+	}
+	p.wantFrame(typeAnswer, 1, -1)
+	c.Close()
+}
+
+// stall takes in a caller that has a set-up open and reads nothing of what it is told; the bytes are those it has to read first.
+func (s *story) stall(id core.ID) (p *story, c *caller, bytes int64) {
 	limits := s.front.told.Load().Link
 	limits.Outbox, limits.Stuck, limits.WriteStall = 64<<20, time.Millisecond, patience
-	own := listen(t)
-	p := s.copy()
+	own := listen(s.T)
+	p = s.copy()
 	p.caller = s.dial(own)
 	conn, err := own.Accept()
 	if err != nil {
-		t.Fatal(err)
+		s.Fatal(err)
 	}
-	c := s.front.newCaller(s.loop.NewLink(), conn, limits)
+	c = s.front.newCaller(s.loop.NewLink(), conn, limits)
 	s.loop.Attach(c.link, c, core.CallerUp{Link: c.link, Front: Front})
-	go s.front.read(c, limits, nil, false)
-	p.caller.Write(setUp(1, "voice", "9000", ""))
+	go func() {
+		defer conn.Close()
+		s.front.read(c, limits, nil, false)
+	}()
+	p.caller.Write(setUp(id, "voice", "9000", ""))
 	s.wantLine(`"offer"`)
-	const piece, pieces = 64 << 10, 256 // more than the machine buffers
-	for range pieces {
+	const piece = 64 << 10
+	for ; bytes < 16<<20; bytes += piece { // more than the machine buffers
 		c.out.Post(link.Item{Data: make([]byte, piece)})
 	}
-	s.loop.Post(core.HandOver{})
-	<-next.takes // the story's own caller; the other is to move, too
-	next.fails <- nil
-	for c.moving.Load() {
-		time.Sleep(time.Millisecond)
-	}
+	return p, c, bytes
+}
+
+// A process stops and finds set-ups that are out, within the gap, and wait for a connection, one answered but not yet
+// written as its caller reads nothing, and a call that stands. Each gets one final answer, the one that reads late too, and
+// no connection is reset.
+func TestStopFindsSetUps(t *testing.T) {
+	s := newStory(t, func(s *story) {
+		s.limits.StopGrace, s.limits.StopLinger, s.limits.StopMost = 20*time.Millisecond, 20*time.Millisecond, 300*time.Millisecond
+	})
+	late, _, unread := s.stall(1)
 	s.say(accept, 1)
-	if _, err := io.CopyN(io.Discard, p.caller, piece*pieces); err != nil {
+	s.caller.Write(append(setUp(2, "voice", "9000", ""), setUp(3, "voice", "9000", "")...))
+	s.wantLine(`"offer"`, `0002"`)
+	s.wantLine(`"offer"`, `0003"`)
+	s.say(`{"op":"end","call":"0000000000000002","with":{},"why":41}`) // within the gap
+	held := make(chan struct{})
+	s.hold.Store(&held)
+	s.loop.Post(core.List{Full: true, Servers: []core.Server{
+		{Name: "s", Address: s.server.Addr().String(), Front: Front, Phase: elmseam.Draining},
+		{Name: "t", Address: s.server.Addr().String(), Front: Front, Cell: 1, Phase: elmseam.Ready},
+	}})
+	s.caller.Write(setUp(4, "voice", "9000", "")) // waits for a connection
+	s.loop.Post(core.Stop{})
+	s.loop.Post(core.Stop{})
+	owed := map[core.ID]bool{2: true, 3: true, 4: true}
+	for len(owed) > 0 {
+		id, err := s.final()
+		if err != nil || !owed[id] {
+			t.Fatalf("an answer for %x, %v, with %v owed", id, err, owed)
+		}
+		delete(owed, id)
+	}
+	s.wantEnd()
+	if _, err := io.CopyN(io.Discard, late.caller, unread); err != nil {
 		t.Fatal(err)
 	}
-	p.wantFrame(typeAnswer, 1, -1)
-	c.Close()
+	late.wantFrame(typeAnswer, 1, -1)
+	late.wantEnd()
+	<-s.loop.Done()
+	close(held)
+}
+
+// Connects to a server never come up, over and over: set-ups are served by the other server meanwhile, and nothing is left
+// over of the attempts.
+func TestConnectsThatNeverComeUp(t *testing.T) {
+	s := newStory(t)
+	s.limit(func(c *Config) { c.Dial = time.Millisecond })
+	deaf := listen(t) // its backlog is full: nobody answers a connect
+	raw, err := deaf.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw.Control(func(fd uintptr) { err = unix.Listen(int(fd), 0) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.dial(deaf)
+	before := leak.Descriptors()
+	s.loop.Post(core.List{Servers: []core.Server{{Name: "t", Address: deaf.Addr().String(), Front: Front, Cell: 1, Phase: elmseam.Ready}}})
+	for id := core.ID(1); s.dials.Load() < 50; id++ {
+		s.caller.Write(setUp(id, "voice", "9000", ""))
+		s.wantLine(`"offer"`, fmt.Sprintf(`%x"`, uint64(id)))
+		s.say(accept, id)
+		s.wantFrame(typeAnswer, id, -1)
+	}
+	if n := leak.Descriptors(); n > before+1 {
+		t.Errorf("%d descriptors, %d before", n, before)
+	}
 }
 
 // A process stops while callers go on asking, on old connections and on new ones. Each set-up is answered or crosses the
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -38,6 +38,7 @@
 	limits   core.Limits
 	told     chan core.Effect              // what concerns no connection
 	hold     atomic.Pointer[chan struct{}] // a dial waits for it
+	dials    atomic.Int64
 }
 
 func newStory(t *testing.T, with ...func(*story)) *story {
@@ -69,6 +70,7 @@
 		Link: limits, ServerLink: limits,
 	}, l, zerolog.Nop())
 	l.Dialer(Front, func(d core.Dial) {
+		s.dials.Add(1)
 		if hold := s.hold.Load(); hold != nil {
 			<-*hold
 		}
