--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -86,10 +86,10 @@
 
 // line is a connection to a server.
 type line struct {
-	link   Link
-	used   Time // for a set-up, last
-	spoilt bool // something on it could not be read: nothing new goes there
-	mute   Time // nothing has been heard since this set-up went out; 0: something has
+	link      Link
+	used      Time // for a set-up, last
+	malformed bool // something on it could not be read: nothing new goes there
+	mute      Time // nothing has been heard since this set-up went out; 0: something has
 }
 
 // caller is the connection of a caller.
@@ -100,10 +100,10 @@
 	stood  bool // one of them stood
 	handed bool // to a successor: its effects go there
 
-	passing bool // which is not known to have it
-	kept    bool // it could not be
-	spoilt  bool // nothing more is read from it: it goes when no set-up is open on it
-	heard   Time // of last
+	passing   bool // which is not known to have it
+	kept      bool // it could not be
+	malformed bool // nothing more is read from it: it goes when no set-up is open on it
+	heard     Time // of last
 }
 
 // over remembers a call that has ended.
@@ -215,9 +215,9 @@
 		if l := c.callers[ev.Link]; l != nil && !c.busy()[ev.Link] {
 			c.part(l)
 		}
-	case CallerSpoilt:
+	case CallerMalformed:
 		if l := c.callers[ev.Link]; l != nil {
-			l.spoilt = true
+			l.malformed = true
 			c.settle()
 		}
 	case SetUp:
@@ -237,8 +237,8 @@
 			s.heard(ev.Link)
 			c.health(s, ev.Report)
 		}
-	case ServerSpoilt:
-		c.spoilt(ev)
+	case ServerMalformed:
+		c.malformed(ev)
 	case ServerPaused:
 		if s := c.servers[ev.Server]; s != nil {
 			s.paused = ev.Paused
@@ -680,15 +680,15 @@
 	}
 }
 
-// spoilt ends the attempt that an unreadable message was for: it may have run. Nothing new goes over that connection,
+// malformed ends the attempt that an unreadable message was for: it may have run. Nothing new goes over that connection,
 // and it is closed when nothing is out on it any more: no other call has to pay for it.
-func (c *Core) spoilt(ev ServerSpoilt) {
+func (c *Core) malformed(ev ServerMalformed) {
 	s := c.servers[ev.Server]
 	if s == nil {
 		return
 	}
 	for _, l := range s.lines {
-		l.spoilt = l.spoilt || l.link == ev.Link
+		l.malformed = l.malformed || l.link == ev.Link
 	}
 	if k := c.at(ev.Server, ev.Link, ev.ID); k != nil && k.out.phase == sent {
 		c.giveUp(k, elmseam.CauseReset)
@@ -950,12 +950,12 @@
 	if c.halved { // descriptors are shared
 		most /= 2
 	}
-	if len(c.links) <= most && !slices.ContainsFunc(c.links, func(l *caller) bool { return l.spoilt }) {
+	if len(c.links) <= most && !slices.ContainsFunc(c.links, func(l *caller) bool { return l.malformed }) {
 		return
 	}
 	busy := c.busy()
 	for _, l := range slices.Clone(c.links) {
-		if l.spoilt && !busy[l.link] {
+		if l.malformed && !busy[l.link] {
 			c.part(l)
 		}
 	}
--- a/internal/core/crossings_test.go
+++ b/internal/core/crossings_test.go
@@ -37,16 +37,16 @@
 
 // Nonsense behind set-ups that are open costs these nothing: each gets its answer, then the connection ends. It was
 // closed at once, and they were given up without a word.
-func TestSpoiltCallerGetsWhatItIsOwed(t *testing.T) {
+func TestMalformedCallerGetsWhatItIsOwed(t *testing.T) {
 	r := newRig(t)
-	r.want(r.setUp(7, 5*time.Second)+r.setUp(8, time.Second)+r.step(CallerSpoilt{Link: 1}), "offer7@10 offer8@10 ")
+	r.want(r.setUp(7, 5*time.Second)+r.setUp(8, time.Second)+r.step(CallerMalformed{Link: 1}), "offer7@10 offer8@10 ")
 	r.want(r.step(ServerAnswer{Server: "a", ID: 7}), "answered7@1 ")
 	r.want(r.pass(time.Second), "end8@10 rejected8@1 part@1 ")
 	r.step(CallerUp{Link: 2, Front: "f"})
-	r.want(r.step(CallerSpoilt{Link: 2}), "part@2 ")
+	r.want(r.step(CallerMalformed{Link: 2}), "part@2 ")
 	r.step(CallerUp{Link: 3, Front: "f"}) // one that leaves is not kept for its set-up
 	r.step(SetUp{ID: 9, From: 3, Left: 5 * time.Second, At: r.now})
-	r.step(CallerSpoilt{Link: 3})
+	r.step(CallerMalformed{Link: 3})
 	r.step(CallerDown{Link: 3})
 	r.want(r.pass(101*ms), "dropped9 end9@10 ")
 }
@@ -98,7 +98,7 @@
 	r.want(r.step(ServerEnd{Server: "a", Link: 10, ID: 7, Reason: Full}), "offer7@12 ")
 	for _, late := range []Event{
 		ServerEnd{Server: "a", Link: 10, ID: 7, Reason: Reset}, ServerEnd{Server: "a", Link: 10, ID: 7, Reason: Full},
-		ServerAnswer{Server: "a", Link: 10, ID: 7}, NotSent{Server: "a", Link: 10, ID: 7}, ServerSpoilt{Server: "a", Link: 10, ID: 7},
+		ServerAnswer{Server: "a", Link: 10, ID: 7}, NotSent{Server: "a", Link: 10, ID: 7}, ServerMalformed{Server: "a", Link: 10, ID: 7},
 	} {
 		if said := r.step(late); countOf(said, "offer")+countOf(said, "answered")+countOf(said, "end7") > 0 || r.c.calls[7].out == nil {
 			t.Errorf("%T: %q, and the attempt is %v", late, said, r.c.calls[7].out)
@@ -121,7 +121,7 @@
 		{ServerEnd{Server: "a", Link: 10, ID: 7, Reason: Full}, "offer7@11 ", ""},
 		{ServerEnd{Server: "a", Link: 10, ID: 7, Reason: Reset}, "", "offer7@11 "},
 		{ServerDown{Server: "a", Link: 10}, "", "offer7@11 "},
-		{ServerSpoilt{Server: "a", Link: 10, ID: 7}, "end7@10 ", "offer7@11 "},
+		{ServerMalformed{Server: "a", Link: 10, ID: 7}, "end7@10 ", "offer7@11 "},
 	} {
 		for _, first := range []bool{true, false} {
 			r := newRig(t)
@@ -146,12 +146,12 @@
 // What a server says that can't be read ends the attempt it was for, which may have run, and no other call. The rest out
 // on that connection is waited for, nothing new goes there, and what stands is heard of on another. The connection was
 // closed at once, and all set-ups open on it ended as reset.
-func TestSpoiltAnswerEndsItsAttemptAlone(t *testing.T) {
+func TestMalformedAnswerEndsItsAttemptAlone(t *testing.T) {
 	r := newRig(t)
 	r.dials = true
 	r.want(r.setUp(7, 5*time.Second)+r.setUp(8, 5*time.Second), "offer7@10 offer8@10 ")
-	r.want(r.step(ServerSpoilt{Server: "a", Link: 10, ID: 7}), "end7@10 dial-a ")
-	r.want(r.step(ServerSpoilt{Server: "a", Link: 10}), "")
+	r.want(r.step(ServerMalformed{Server: "a", Link: 10, ID: 7}), "end7@10 dial-a ")
+	r.want(r.step(ServerMalformed{Server: "a", Link: 10}), "")
 	r.want(r.step(Written{Server: "a", Link: 10, ID: 7}), "")
 	r.want(r.step(ServerUp{Server: "a", Address: "a:1", Link: 12}), "")
 	r.want(r.setUp(9, 5*time.Second), "offer9@12 ")
@@ -230,7 +230,7 @@
 		},
 		"within the gap":        func(r *rig) { r.setUp(7, 5*time.Second); r.step(ServerDown{Server: "a", Link: 10}) },
 		"while it is written":   func(r *rig) { r.setUp(7, 5*time.Second) },
-		"for its end's writing": func(r *rig) { r.setUp(7, 5*time.Second); r.step(ServerSpoilt{Server: "a", Link: 10, ID: 7}) },
+		"for its end's writing": func(r *rig) { r.setUp(7, 5*time.Second); r.step(ServerMalformed{Server: "a", Link: 10, ID: 7}) },
 	} {
 		for _, leaves := range []Event{CallerEnd{ID: 7, From: 1}, CallerDown{Link: 1}} {
 			r := newRig(t)
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -24,7 +24,7 @@
 
 // move has a connection read no further.
 func (c *Core) move(l *caller) {
-	if c.limits.Transient[l.front] && !l.spoilt {
+	if c.limits.Transient[l.front] && !l.malformed {
 		c.do(Move{To: l.link})
 	}
 }
@@ -54,7 +54,7 @@
 // keeps says whether callers' connections are still here that have to be handed on, or are on their way.
 func (c *Core) keeps() bool {
 	return c.handing && slices.ContainsFunc(c.links, func(l *caller) bool {
-		return (!l.handed || l.passing) && !l.kept && !l.spoilt && c.limits.Transient[l.front]
+		return (!l.handed || l.passing) && !l.kept && !l.malformed && c.limits.Transient[l.front]
 	})
 }
 
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -160,14 +160,14 @@
 // sound are the connections to a server that are of use for something new.
 func (s *server) sound() (n int) {
 	for _, l := range s.lines {
-		if !l.spoilt {
+		if !l.malformed {
 			n++
 		}
 	}
 	return n
 }
 
-// retire closes the spoilt connections to a server on which nothing is out any more.
+// retire closes the malformed connections to a server on which nothing is out any more.
 func (c *Core) retire(s *server) {
 	if s.sound() == len(s.lines) {
 		return
@@ -177,7 +177,7 @@
 		used[k.out.line] = true
 	}
 	s.lines = slices.DeleteFunc(s.lines, func(l *line) bool {
-		if l.spoilt && !used[l] {
+		if l.malformed && !used[l] {
 			c.do(Part{To: l.link})
 			return true
 		}
@@ -243,11 +243,11 @@
 }
 
 // lineTo is the connection for the next set-up: the one used least of late among those that don't leave set-ups
-// without a word. None goes over a spoilt one.
+// without a word. None goes over a malformed one.
 func (c *Core) lineTo(s *server) (best *line) {
 	doubt := func(l *line) bool { return l.mute != 0 && c.now-l.mute > c.limits.Mute }
 	for _, l := range s.lines {
-		if l.spoilt {
+		if l.malformed {
 			continue
 		}
 		if best == nil || doubt(best) && !doubt(l) || doubt(best) == doubt(l) && l.used < best.used {
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -71,10 +71,10 @@
 		Stand []ID // calls that stand
 	}
 	CallerDown struct{ Link Link }
-	// CallerIdle says that nothing has come on a caller's connection for long, CallerSpoilt that nothing more can be read
+	// CallerIdle says that nothing has come on a caller's connection for long, CallerMalformed that nothing more can be read
 	// from it, as what came makes no sense or is never whole. Either ends with a Part, when no set-up is open on it.
-	CallerIdle   struct{ Link Link }
-	CallerSpoilt struct{ Link Link }
+	CallerIdle      struct{ Link Link }
+	CallerMalformed struct{ Link Link }
 	// SetUp is a call that a caller asks for.
 	SetUp struct {
 		ID     ID
@@ -126,9 +126,9 @@
 		Refuses bool // it can only be the answer to a set-up: it ends no call that stands
 		Report  Report
 	}
-	// ServerSpoilt is something of a server's that can't be read. An ID of 0: whose it was isn't known. What comes behind
-	// it on this connection may be spoilt too.
-	ServerSpoilt struct {
+	// ServerMalformed is something of a server's that can't be read. An ID of 0: whose it was isn't known. What comes behind
+	// it on this connection may be malformed too.
+	ServerMalformed struct {
 		Server string
 		Link   Link
 		ID     ID
@@ -206,36 +206,36 @@
 	Stop struct{}
 )
 
-func (CallerUp) event()      {}
-func (CallerDown) event()    {}
-func (CallerIdle) event()    {}
-func (CallerSpoilt) event()  {}
-func (SetUp) event()         {}
-func (CallerEnd) event()     {}
-func (ServerUp) event()      {}
-func (ServerDown) event()    {}
-func (ServerAnswer) event()  {}
-func (ServerEnd) event()     {}
-func (ServerReport) event()  {}
-func (ServerSpoilt) event()  {}
-func (ServerPaused) event()  {}
-func (Route) event()         {}
-func (Written) event()       {}
-func (NotSent) event()       {}
-func (List) event()          {}
-func (Configured) event()    {}
-func (Misconfigured) event() {}
-func (Drain) event()         {}
-func (Sent) event()          {}
-func (HandOver) event()      {}
-func (Parked) event()        {}
-func (Passed) event()        {}
-func (Kept) event()          {}
-func (Predecessor) event()   {}
-func (Relayed) event()       {}
-func (Over) event()          {}
-func (Due) event()           {}
-func (Stop) event()          {}
+func (CallerUp) event()        {}
+func (CallerDown) event()      {}
+func (CallerIdle) event()      {}
+func (CallerMalformed) event() {}
+func (SetUp) event()           {}
+func (CallerEnd) event()       {}
+func (ServerUp) event()        {}
+func (ServerDown) event()      {}
+func (ServerAnswer) event()    {}
+func (ServerEnd) event()       {}
+func (ServerReport) event()    {}
+func (ServerMalformed) event() {}
+func (ServerPaused) event()    {}
+func (Route) event()           {}
+func (Written) event()         {}
+func (NotSent) event()         {}
+func (List) event()            {}
+func (Configured) event()      {}
+func (Misconfigured) event()   {}
+func (Drain) event()           {}
+func (Sent) event()            {}
+func (HandOver) event()        {}
+func (Parked) event()          {}
+func (Passed) event()          {}
+func (Kept) event()            {}
+func (Predecessor) event()     {}
+func (Relayed) event()         {}
+func (Over) event()            {}
+func (Due) event()             {}
+func (Stop) event()            {}
 
 // Effect is something the loop shall carry out; see the types below.
 type Effect interface{ effect() }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -208,13 +208,13 @@
 func (f *Feed) events(r *reader, heard func()) error {
 	var data []byte
 	var id int64
-	spoilt := error(nil)
+	malformed := error(nil)
 	for {
 		r.conn.SetReadDeadline(time.Now().Add(f.Limits.Silence)) // of the line, however it trickles
 		line, err := r.line()
 		switch {
 		case err == errLong:
-			spoilt = err
+			malformed = err
 			continue
 		case err != nil:
 			return err
@@ -222,24 +222,24 @@
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch {
-		case len(line) == 0 && (data != nil || spoilt != nil):
+		case len(line) == 0 && (data != nil || malformed != nil):
 			var c Command
-			if spoilt == nil {
-				spoilt = json.Unmarshal(data, &c)
+			if malformed == nil {
+				malformed = json.Unmarshal(data, &c)
 			}
-			if spoilt != nil {
-				f.loud.Warn().Err(spoilt).Int64("id", id).Msg("event passed over")
+			if malformed != nil {
+				f.loud.Warn().Err(malformed).Int64("id", id).Msg("event passed over")
 				f.pass(id)
 			} else {
 				f.take(c)
 			}
 			heard()
-			data, id, spoilt = nil, 0, nil
+			data, id, malformed = nil, 0, nil
 		case string(name) == "id":
 			id, _ = strconv.ParseInt(string(value), 10, 64)
-		case string(name) == "data" && spoilt == nil:
+		case string(name) == "data" && malformed == nil:
 			if len(data)+len(value) > f.Limits.Event {
-				data, spoilt = nil, errLong
+				data, malformed = nil, errLong
 				continue
 			}
 			if data != nil {
--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -449,8 +449,8 @@
 	}
 	moot := make(map[core.ID]bool) // set-ups that were given up before they were taken
 	waited, gone := true, false
-	spoilt := func() {
-		p.loop.Post(core.CallerSpoilt{Link: c.link})
+	malformed := func() {
+		p.loop.Post(core.CallerMalformed{Link: c.link})
 		c.discard(in)
 	}
 	for {
@@ -480,7 +480,7 @@
 			}
 			return
 		case late && !whole.IsZero(), err == link.ErrTooLong:
-			spoilt()
+			malformed()
 			return
 		case late:
 			p.loop.Post(core.CallerIdle{Link: c.link})
@@ -510,7 +510,7 @@
 				if f.kind == typeSetUp { // refused
 					p.loop.Post(core.SetUp{ID: f.id, From: c.link, Class: -1, At: at})
 				}
-				spoilt()
+				malformed()
 				return
 			}
 			in.Skip(n)
--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -134,7 +134,7 @@
 
 // A server's message that can't be read ends the attempt it is for, as reset, and no other call: what else is out on that
 // connection is answered there, and new ones go over another. All of them ended as reset.
-func TestSpoiltAnswer(t *testing.T) {
+func TestMalformedAnswer(t *testing.T) {
 	for name, line := range map[string]string{
 		"cut short":   `{"op":"accept","call":"0000000000000001","with":{},"de`,
 		"an odd type": `{"op":"nonsense","call":"0000000000000001","with":{}}`,
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -128,7 +128,7 @@
 			}
 			if err != nil { // the end of the attempt it was for, and of no other
 				s.p.loud.Warn().Err(err).Str("server", s.name).Int("bytes", end).Msg("a server's message can't be read")
-				s.p.loop.Post(core.ServerSpoilt{Server: s.name, Link: s.link, ID: callIn(b[:end])})
+				s.p.loop.Post(core.ServerMalformed{Server: s.name, Link: s.link, ID: callIn(b[:end])})
 			} else if now := time.Now(); l.op == "group" {
 				if !told.IsZero() {
 					s.p.pulse.told(now.Sub(told))
