--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -213,7 +213,7 @@
 		c.callerDown(ev.Link)
 	case CallerIdle:
 		if l := c.callers[ev.Link]; l != nil && !c.busy()[ev.Link] {
-			c.part(l)
+			c.closeGracefully(l)
 		}
 	case CallerMalformed:
 		if l := c.callers[ev.Link]; l != nil {
@@ -386,20 +386,20 @@
 		return
 	}
 	c.do(Unlisten{})
-	c.timer(c.now+c.limits.StopLinger, Token{kind: tokenPart})
+	c.timer(c.now+c.limits.StopLinger, Token{kind: tokenClose})
 }
 
-// stop parts from the callers, and ends.
+// stop closes the connections gracefully, and ends.
 func (c *Core) stop() {
 	for _, l := range slices.Clone(c.links) {
 		if c.limits.Transient[l.front] && !l.handed {
-			c.part(l)
+			c.closeGracefully(l)
 		}
 	}
 	for _, s := range c.order {
 		for _, l := range s.lines {
 			if c.limits.Transient[s.Front] {
-				c.do(Part{To: l.link})
+				c.do(GracefulClose{To: l.link})
 			}
 		}
 	}
@@ -943,7 +943,7 @@
 	return busy
 }
 
-// settle parts from connections that have to go and have no set-up open: those from which nothing can be read and, where
+// settle closes the connections that have to go and have no set-up open: those from which nothing can be read and, where
 // there are too many, those that can be missed first. Where each has one open there are too many for a while.
 func (c *Core) settle() {
 	most := c.limits.Callers
@@ -956,7 +956,7 @@
 	busy := c.busy()
 	for _, l := range slices.Clone(c.links) {
 		if l.malformed && !busy[l.link] {
-			c.part(l)
+			c.closeGracefully(l)
 		}
 	}
 	for len(c.links) > most {
@@ -968,14 +968,14 @@
 			}
 			return
 		}
-		c.part(victim)
+		c.closeGracefully(victim)
 	}
 }
 
-// part ends a connection that can be missed: what was written last can still be read.
-func (c *Core) part(l *caller) {
+// closeGracefully ends a connection that can be missed: what was written last can still be read.
+func (c *Core) closeGracefully(l *caller) {
 	c.forgetCaller(l.link)
-	c.do(Part{To: l.link})
+	c.do(GracefulClose{To: l.link})
 }
 
 // spare is the connection that can be missed first: one that has never asked for anything, the oldest of them,
@@ -1057,7 +1057,7 @@
 	case tokenRoom:
 		c.room = false
 		c.settle()
-	case tokenPart:
+	case tokenClose:
 		c.stop()
 	case tokenMember:
 		c.toPeers(membership.Due{Token: t.member})
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -76,8 +76,8 @@
 			said += "to the older "
 		case ToSuccessor:
 			said += "to the newer "
-		case Part:
-			said += fmt.Sprintf("part@%d ", e.To)
+		case GracefulClose:
+			said += fmt.Sprintf("close@%d ", e.To)
 		case Hangup:
 			said += fmt.Sprintf("hangup@%d ", e.To)
 		case Dropped:
@@ -362,15 +362,15 @@
 	ask(3)
 	r.step(ServerAnswer{Server: "a", ID: 1})
 	r.step(ServerAnswer{Server: "a", ID: 2})
-	r.want(r.step(CallerUp{Link: 5, Front: "f"}), "part@4 ") // never asked
+	r.want(r.step(CallerUp{Link: 5, Front: "f"}), "close@4 ") // never asked
 	ask(5)
-	r.want(r.step(CallerUp{Link: 6, Front: "f"}), "part@1 ") // idle longest, as both calls stand
+	r.want(r.step(CallerUp{Link: 6, Front: "f"}), "close@1 ") // idle longest, as both calls stand
 	ask(6)
-	r.want(r.step(CallerUp{Link: 7, Front: "f"}), "part@2 ")
+	r.want(r.step(CallerUp{Link: 7, Front: "f"}), "close@2 ")
 	ask(7)
 	r.want(r.step(CallerUp{Link: 8, Front: "f"}), "")
 	r.want(r.step(SetUp{ID: 8, From: 8, Cell: 0, Left: time.Minute, At: r.now}), "offer8@10 ")
-	r.want(r.step(ServerAnswer{Server: "a", ID: 3}), "answered3@3 part@3 ")
+	r.want(r.step(ServerAnswer{Server: "a", ID: 3}), "answered3@3 close@3 ")
 	// A front that keeps something for a call, a circuit say, is told that it never was.
 	r.want(r.step(SetUp{ID: 9, From: 3, Cell: 0, Left: time.Minute, At: r.now}), "dropped9 ")
 }
--- a/internal/core/crossings_test.go
+++ b/internal/core/crossings_test.go
@@ -27,12 +27,12 @@
 func TestIdleCloseCrossesASetUp(t *testing.T) {
 	r := newRig(t)
 	r.want(r.setUp(7, 5*time.Second)+r.step(CallerIdle{Link: 1}), "offer7@10 ")
-	r.want(r.step(ServerAnswer{Server: "a", ID: 7})+r.step(CallerIdle{Link: 1}), "answered7@1 part@1 ")
+	r.want(r.step(ServerAnswer{Server: "a", ID: 7})+r.step(CallerIdle{Link: 1}), "answered7@1 close@1 ")
 	r.want(r.step(CallerIdle{Link: 1}), "")
 	r.step(CallerUp{Link: 2, Front: "f", Open: []ID{5}, Asked: true})
 	r.want(r.step(CallerIdle{Link: 2}), "")
 	r.step(Relayed{Front: "f", Link: 2, Effect: Rejected{ID: 5}})
-	r.want(r.step(CallerIdle{Link: 2}), "part@2 ")
+	r.want(r.step(CallerIdle{Link: 2}), "close@2 ")
 }
 
 // Nonsense behind set-ups that are open costs these nothing: each gets its answer, then the connection ends. It was
@@ -41,9 +41,9 @@
 	r := newRig(t)
 	r.want(r.setUp(7, 5*time.Second)+r.setUp(8, time.Second)+r.step(CallerMalformed{Link: 1}), "offer7@10 offer8@10 ")
 	r.want(r.step(ServerAnswer{Server: "a", ID: 7}), "answered7@1 ")
-	r.want(r.pass(time.Second), "end8@10 rejected8@1 part@1 ")
+	r.want(r.pass(time.Second), "end8@10 rejected8@1 close@1 ")
 	r.step(CallerUp{Link: 2, Front: "f"})
-	r.want(r.step(CallerMalformed{Link: 2}), "part@2 ")
+	r.want(r.step(CallerMalformed{Link: 2}), "close@2 ")
 	r.step(CallerUp{Link: 3, Front: "f"}) // one that leaves is not kept for its set-up
 	r.step(SetUp{ID: 9, From: 3, Left: 5 * time.Second, At: r.now})
 	r.step(CallerMalformed{Link: 3})
@@ -70,7 +70,7 @@
 	r.pass(600 * ms)
 	r.want(r.setUp(5, 30*time.Second), "rejected5@1 ")
 	said := r.pass(9 * time.Second)
-	if finals := countOf(said, "rejected3@1"); finals != 1 || !strings.HasSuffix(said, "part@1 stopped ") {
+	if finals := countOf(said, "rejected3@1"); finals != 1 || !strings.HasSuffix(said, "close@1 stopped ") {
 		t.Errorf("at the end of the longest wait: %q", said)
 	}
 
@@ -82,7 +82,7 @@
 	r.step(CallerUp{Link: 2, Front: "f"}) // the machine had accepted it
 	r.want(r.step(SetUp{ID: 7, From: 2, Left: 5 * time.Second, At: r.now}), "rejected7@2 ")
 	r.want(r.step(HandOver{}), "") // a successor that comes now finds them on their own connections
-	r.want(r.pass(61*ms), "part@1 part@2 stopped ")
+	r.want(r.pass(61*ms), "close@1 close@2 stopped ")
 }
 
 // A second answer comes some milliseconds late: to an attempt that is over it changes nothing for the one that is out at
@@ -130,11 +130,11 @@
 			k := r.c.calls[7]
 			due := Due{Token: Token{kind: tokenTimeout, call: 7, cid: k.cid, number: uint32(k.out.number)}}
 			if first {
-				r.want(strings.TrimSuffix(r.step(tt.ev)+r.step(due)+r.step(Written{Server: "a", Link: 10, ID: 7}), "part@10 "), tt.first)
+				r.want(strings.TrimSuffix(r.step(tt.ev)+r.step(due)+r.step(Written{Server: "a", Link: 10, ID: 7}), "close@10 "), tt.first)
 				r.want(r.pass(199*ms), "")
 				r.want(r.pass(2*ms), tt.after)
 			} else {
-				r.want(strings.TrimSuffix(r.step(due)+r.step(tt.ev)+r.step(Written{Server: "a", Link: 10, ID: 7}), "part@10 "), "end7@10 ")
+				r.want(strings.TrimSuffix(r.step(due)+r.step(tt.ev)+r.step(Written{Server: "a", Link: 10, ID: 7}), "close@10 "), "end7@10 ")
 				r.want(r.pass(199*ms), "")
 				r.want(r.pass(2*ms), "offer7@11 ")
 			}
@@ -157,7 +157,7 @@
 	r.want(r.setUp(9, 5*time.Second), "offer9@12 ")
 	r.want(r.pass(199*ms), "")
 	r.want(r.pass(2*ms), "offer7@11 ")
-	r.want(r.step(ServerAnswer{Server: "a", Link: 10, ID: 8}), "answered8@1 part@10 ")
+	r.want(r.step(ServerAnswer{Server: "a", Link: 10, ID: 8}), "answered8@1 close@10 ")
 	r.want(r.step(ServerDown{Server: "a", Link: 10}), "")
 	r.want(r.step(ServerEnd{Server: "a", Link: 12, ID: 8, Reason: Normal}), "released8@1 ")
 }
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -20,7 +20,7 @@
 	}
 }
 
-// sweep parts from the callers that have nothing here, and looks again in a while as long as the drain lasts.
+// sweep closes the connections of callers that have nothing here, and looks again in a while as long as the drain lasts.
 func (c *Core) sweep(drain uint32) {
 	if !c.draining || drain != c.drains || c.handing {
 		return
@@ -36,7 +36,7 @@
 		}
 	}
 	for _, l := range idle {
-		c.part(l)
+		c.closeGracefully(l)
 	}
 	c.timer(c.now+c.limits.DrainSweep, Token{kind: tokenDrain, number: drain})
 }
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -178,7 +178,7 @@
 	}
 	s.lines = slices.DeleteFunc(s.lines, func(l *line) bool {
 		if l.malformed && !used[l] {
-			c.do(Part{To: l.link})
+			c.do(GracefulClose{To: l.link})
 			return true
 		}
 		return false
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -72,7 +72,7 @@
 	}
 	CallerDown struct{ Link Link }
 	// CallerIdle says that nothing has come on a caller's connection for long, CallerMalformed that nothing more can be read
-	// from it, as what came makes no sense or is never whole. Either ends with a Part, when no set-up is open on it.
+	// from it, as what came makes no sense or is never whole. Either ends with a GracefulClose, when no set-up is open on it.
 	CallerIdle      struct{ Link Link }
 	CallerMalformed struct{ Link Link }
 	// SetUp is a call that a caller asks for.
@@ -283,8 +283,8 @@
 		Front   Front
 	}
 	Hangup struct{ To Link }
-	// Part ends a connection with no set-up open on it, so that what was written last can be read.
-	Part struct{ To Link }
+	// GracefulClose ends a connection with no set-up open on it, so that what was written last can be read.
+	GracefulClose struct{ To Link }
 	// Move has a caller's connection read no further; a Parked follows. Pass hands it to the successor, with the
 	// set-ups open on it, and what is for it goes there from then on.
 	Move struct{ To Link }
@@ -333,7 +333,7 @@
 func (Withdraw) effect()      {}
 func (Dial) effect()          {}
 func (Hangup) effect()        {}
-func (Part) effect()          {}
+func (GracefulClose) effect() {}
 func (Move) effect()          {}
 func (Pass) effect()          {}
 func (ToPredecessor) effect() {}
@@ -373,7 +373,7 @@
 	tokenDrain // callers of a drained process are looked through
 	tokenFinal // and so is the longest time for what still stands
 	tokenRoom  // there may be connections of callers that can be missed by now
-	tokenPart  // and callers have been refused for long enough
+	tokenClose // and callers have been refused for long enough
 	tokenMember
 	tokenWork
 	tokenParts
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -267,7 +267,7 @@
 		w.Servers[e.Server[0]-'a'].Dials++
 	case core.Hangup:
 		w.lose(e.To)
-	case core.Part:
+	case core.GracefulClose:
 		w.lose(e.To)
 	case core.Offer:
 		i, to := w.callOf(e.ID), w.connOf(e.To)
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -119,7 +119,7 @@
 // late ends a connection that has come too late: the peer is told that there is no more.
 func (it item) late() {
 	if it.carrier != nil {
-		it.carrier.Carry(core.Part{To: it.link})
+		it.carrier.Carry(core.GracefulClose{To: it.link})
 	}
 }
 
@@ -210,7 +210,7 @@
 					delete(l.carriers, e.To)
 					c.Close()
 				}
-			case core.Part:
+			case core.GracefulClose:
 				if c := l.carriers[e.To]; c != nil {
 					delete(l.carriers, e.To)
 					c.Carry(e)
--- a/internal/m3ua/caller.go
+++ b/internal/m3ua/caller.go
@@ -235,7 +235,7 @@
 		s.release(e.ID, call{kind: isupREL, cause: int(q850.ToCaller(e.Reason)), retry: e.RetryAfter})
 	case core.Released:
 		s.release(e.ID, call{kind: isupREL, cause: int(q850.ToCaller(e.Reason))})
-	case core.Part:
+	case core.GracefulClose:
 		s.c.out.Finish(s.c.out.Close)
 	}
 	return nil
--- a/internal/m3ua/server.go
+++ b/internal/m3ua/server.go
@@ -244,7 +244,7 @@
 		if !there && e.Tell { // released by the server meanwhile
 			return []core.Event{written}
 		}
-	case core.Part:
+	case core.GracefulClose:
 		s.out.Finish(s.out.Close)
 	case core.Withdraw:
 		var back []core.Event
--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -216,17 +216,17 @@
 	out     *link.Outbox
 	linger  time.Duration
 	stall   time.Duration // that a write may take
-	parting atomic.Bool
+	closing atomic.Bool
 	moving  atomic.Bool
 	pass    chan core.Pass
 	ended   chan struct{} // closed when it is being closed
 
-	mu     sync.Mutex
-	partBy time.Time     // the connection ends by then; zero: it isn't to
-	passed bool          // what is for the caller is the successor's to say
-	taken  bool          // and it has the connection
-	held   []core.Effect // until then
-	closed bool
+	mu      sync.Mutex
+	closeBy time.Time     // the connection ends by then; zero: it isn't to
+	passed  bool          // what is for the caller is the successor's to say
+	taken   bool          // and it has the connection
+	held    []core.Effect // until then
+	closed  bool
 }
 
 func (p *Platform) newCaller(id core.Link, conn net.Conn, limits link.Limits) *caller {
@@ -262,10 +262,10 @@
 	}
 }
 
-// part ends the connection: the caller is told what is left, then that there is no more, and what it sends until it has
+// closeGracefully ends the connection: the caller is told what is left, then that there is no more, and what it sends until it has
 // heard that is read, as a connection closed with something unread is reset and takes with it what the caller has not
 // read. Neither is waited for without an end.
-func (c *caller) part() {
+func (c *caller) closeGracefully() {
 	c.endBy(c.stall + c.linger)
 	c.end()
 	c.out.Finish(func() { c.endBy(c.linger) })
@@ -275,9 +275,9 @@
 func (c *caller) endBy(in time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.partBy = time.Now().Add(in)
-	c.parting.Store(true)
-	c.conn.SetReadDeadline(c.partBy)
+	c.closeBy = time.Now().Add(in)
+	c.closing.Store(true)
+	c.conn.SetReadDeadline(c.closeBy)
 }
 
 // until sets when the next bytes must be here.
@@ -285,8 +285,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case !c.partBy.IsZero():
-		t = c.partBy
+	case !c.closeBy.IsZero():
+		t = c.closeBy
 	case c.moving.Load():
 		t = time.Now()
 	}
@@ -298,7 +298,7 @@
 	for {
 		in.Skip(len(in.Bytes()))
 		c.mu.Lock()
-		by := c.partBy // zero: until it is parted from, which is the core's to say
+		by := c.closeBy // zero: until it is closed, which is the core's to say
 		c.conn.SetReadDeadline(by)
 		c.mu.Unlock()
 		if err := in.Fill(c.conn); err != nil && (!by.IsZero() || !errors.Is(err, os.ErrDeadlineExceeded)) {
@@ -382,8 +382,8 @@
 		c.out.Post(link.Item{Data: rejection(e.ID, q850.ToCaller(e.Reason), e.RetryAfter)})
 	case core.Released:
 		c.out.Post(link.Item{Data: appendFrame(nil, typeRelease, e.ID, appendParam(nil, paramCause, q850.ToCaller(e.Reason)))})
-	case core.Part:
-		c.part()
+	case core.GracefulClose:
+		c.closeGracefully()
 	case core.Move:
 		c.moving.Store(true)
 		c.until(time.Now())
@@ -461,7 +461,7 @@
 		}
 		err := in.Fill(c.conn)
 		switch late := errors.Is(err, os.ErrDeadlineExceeded); {
-		case c.parting.Load():
+		case c.closing.Load():
 			if err == nil {
 				c.discard(in)
 			}
@@ -475,7 +475,7 @@
 			case kept:
 				p.loop.Post(core.Kept{Link: c.link})
 				continue
-			case c.parting.Load():
+			case c.closing.Load():
 				c.discard(in)
 			}
 			return
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -48,7 +48,7 @@
 			it.Done = func() { s.p.loop.Post(core.Written{Server: s.name, Link: s.link, ID: e.ID}) }
 		}
 		s.out.Post(it)
-	case core.Part: // what was written last can still be read
+	case core.GracefulClose: // what was written last can still be read
 		s.out.Finish(func() { time.AfterFunc(s.linger, s.out.Close) })
 	case core.Withdraw:
 		var back []core.Event
