--- a/cmd/elmseam/main.go
+++ b/cmd/elmseam/main.go
@@ -93,8 +93,8 @@
 			}
 		case core.Able:
 			close(able)
-		case core.Unlisten:
-			up.unlisten()
+		case core.CloseListener:
+			up.closeListener()
 		case core.ToPeer:
 			tier.Send(e)
 		case core.PeerChanged:
--- a/cmd/elmseam/upgrade.go
+++ b/cmd/elmseam/upgrade.go
@@ -252,9 +252,9 @@
 	return succeeded
 }
 
-// unlisten has the listener closed. Where a successor has it too, whoever waits there is the successor's, and nothing may
+// closeListener has the listener closed. Where a successor has it too, whoever waits there is the successor's, and nothing may
 // be changed about it.
-func (u *upgrade) unlisten() {
+func (u *upgrade) closeListener() {
 	u.mu.Lock()
 	u.ended = true
 	lent := u.lent
@@ -262,7 +262,7 @@
 	if lent {
 		u.listener.Close()
 	} else {
-		u.front.Unlisten()
+		u.front.CloseListener()
 	}
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -385,7 +385,7 @@
 		c.stop()
 		return
 	}
-	c.do(Unlisten{})
+	c.do(CloseListener{})
 	c.timer(c.now+c.limits.StopLinger, Token{kind: tokenClose})
 }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -84,8 +84,8 @@
 			said += fmt.Sprintf("dropped%d ", e.ID)
 		case Stopped:
 			said += "stopped "
-		case Unlisten:
-			said += "unlisten "
+		case CloseListener:
+			said += "closes its listener "
 		case Dial:
 			if r.dials {
 				said += "dial-" + e.Server + " "
--- a/internal/core/crossings_test.go
+++ b/internal/core/crossings_test.go
@@ -77,7 +77,7 @@
 	r = newRig(t) // what crosses the end itself
 	r.c.limits.StopLinger, r.c.limits.Transient = 60*ms, map[Front]bool{"f": true}
 	r.step(Stop{})
-	r.want(r.pass(701*ms), "unlisten ")
+	r.want(r.pass(701*ms), "closes its listener ")
 	r.want(r.setUp(6, 5*time.Second), "rejected6@1 ")
 	r.step(CallerUp{Link: 2, Front: "f"}) // the machine had accepted it
 	r.want(r.step(SetUp{ID: 7, From: 2, Left: 5 * time.Second, At: r.now}), "rejected7@2 ")
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -314,8 +314,8 @@
 		Front Front // empty: not known
 		ID    ID
 	}
-	// Unlisten says that the callers' listener is to be closed: what comes from now on is refused.
-	Unlisten struct{}
+	// CloseListener says that the callers' listener is to be closed: what comes from now on is refused.
+	CloseListener struct{}
 	// Stopped says that nothing is owed any more after a Stop.
 	Stopped struct{}
 	// Broken says that a guard held back what a rule forbids.
@@ -342,7 +342,7 @@
 func (Timer) effect()         {}
 func (Serving) effect()       {}
 func (Dropped) effect()       {}
-func (Unlisten) effect()      {}
+func (CloseListener) effect() {}
 func (Stopped) effect()       {}
 func (Broken) effect()        {}
 
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -219,7 +219,7 @@
 				l.log.Info().Bool("serving", e.Yes).Msg("service")
 				l.notify(e)
 			case core.Dropped, core.Able, core.ToPredecessor, core.ToSuccessor, core.ToPeer, core.PeerChanged,
-				core.Draining, core.WorkTold, core.Unlisten:
+				core.Draining, core.WorkTold, core.CloseListener:
 				l.notify(e)
 			case core.Stopped:
 				stopped = true
--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -196,8 +196,8 @@
 // Serve serves callers until the listener is closed.
 func (p *Platform) Serve(l net.Listener) { p.acceptor.Serve(l) }
 
-// Unlisten has the listener closed when who has connected by now is served. It does not wait.
-func (p *Platform) Unlisten() { p.acceptor.Drain() }
+// CloseListener has the listener closed when who has connected by now is served. It does not wait.
+func (p *Platform) CloseListener() { p.acceptor.Drain() }
 
 // Successor is the process that callers are handed to.
 type Successor interface {
--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -589,8 +589,8 @@
 	fresh := 0
 	go func() {
 		for e := range s.told {
-			if _, ends := e.(core.Unlisten); ends {
-				s.front.Unlisten()
+			if _, ends := e.(core.CloseListener); ends {
+				s.front.CloseListener()
 				return
 			}
 		}
