Hand-over: one that comes while the older process closes its listener waits until that has gone

Found by reading what the stop's mend had made possible: a listener that is being closed can't be given away any more, and a newer process that was refused in those 80 ms found the address taken and did not start. It is told why, waits for the older one's end (its connection's), for 2 s at most, and listens itself. TestOneThatComesAtTheEndWaits fails without it.

--- a/cmd/elmseam/upgrade.go
+++ b/cmd/elmseam/upgrade.go
@@ -174,7 +174,7 @@
 	case u.next != nil:
 		why = "another process is taking over"
 	case u.ended:
-		why = "this process is ending"
+		why = handover.Ending
 	case !ok:
 		why = "the listener can't be handed over"
 	default:
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -256,7 +256,7 @@
 		Figures: 50 * time.Millisecond, // they may be 0.5 s old
 		Mgmt:    mgmt.Limits{Callers: min(16, f.Limits.Sockets/16), Head: 8 << 10, Read: 2 * time.Second, Write: time.Second, Fresh: 2 * time.Second, Drains: 16},
 		HandOver: handover.Limits{
-			Hello: time.Second, Write: time.Second, Packet: 128 << 10, Queue: 4 << 20, Over: 4096,
+			Hello: time.Second, Ending: 2 * time.Second, Write: time.Second, Packet: 128 << 10, Queue: 4 << 20, Over: 4096,
 		},
 		Peers:  peers.Limits{Queue: 256, Rate: 400, Retry: 100 * time.Millisecond},
 		Memory: memory * 6 / 10,
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -23,12 +23,17 @@
 // Limits are the sizes and times of a hand-over.
 type Limits struct {
 	Hello  time.Duration // to be answered, or to say who one is
+	Ending time.Duration // that a process which is ending is waited for
 	Write  time.Duration // a message may take; a peer that takes none for so long is given up
 	Packet int           // the longest message
 	Queue  int           // bytes that may wait for the peer
 	Over   int           // ended calls that are named
 }
 
+// Ending is why a process that closes its listener gives it to nobody. Who is told so waits until that process has gone, and
+// can then listen itself.
+const Ending = "this process is ending"
+
 // Kind says what a message is.
 type Kind string
 
@@ -240,6 +245,10 @@
 	conn.SetReadDeadline(time.Now().Add(limits.Hello))
 	p.Send(Message{Kind: Hello, Version: Version, Listen: listen})
 	m, file, err := p.Receive()
+	if err == nil && m.Kind == Refused && m.Why == Ending {
+		conn.SetReadDeadline(time.Now().Add(limits.Ending))
+		p.Receive()
+	}
 	if err == nil && (m.Kind != Listener || file == nil) {
 		err = fmt.Errorf("%s: %s", m.Kind, m.Why)
 	}
@@ -301,10 +310,14 @@
 			err = p.SendFile(Message{Kind: Listener, Version: Version}, listener)
 		}
 	}
-	if err != nil {
+	conn.SetReadDeadline(time.Time{})
+	switch {
+	case err == nil:
+		return p, nil
+	case why == Ending: // the connection's end, with the process, tells that it has gone
+		go func() { p.Receive(); p.Close() }()
+	default:
 		p.Close()
-		return nil, err
 	}
-	conn.SetReadDeadline(time.Time{})
-	return p, nil
+	return nil, err
 }
--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,59 @@
+package handover
+
+import (
+	"net"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"elmseam/internal/leak"
+)
+
+// No goroutine and no descriptor may be left over.
+func TestMain(m *testing.M) { leak.Main(m) }
+
+// A newer process comes while the older one is closing its listener: it waits until that one has gone, and listens itself. It
+// found the address taken, and didn't start.
+func TestOneThatComesAtTheEndWaits(t *testing.T) {
+	limits := Limits{Hello: 10 * time.Second, Ending: 10 * time.Second, Write: time.Second, Packet: 1 << 10, Queue: 1 << 10}
+	path := filepath.Join(t.TempDir(), "x.sock")
+	host, err := Host(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer host.Close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var gone atomic.Bool
+	took := make(chan error)
+	go func() {
+		_, _, err := Take(path, l.Addr().String(), limits)
+		if !gone.Load() {
+			t.Error("it doesn't wait")
+		}
+		took <- err
+	}()
+	conn, err := host.AcceptUnix()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Greet(conn, l.Addr().String(), Ending, l.(syscall.Conn), limits); err == nil || !strings.Contains(err.Error(), Ending) {
+		t.Errorf("the older one: %v", err)
+	}
+	select {
+	case err := <-took:
+		t.Fatalf("the newer one: %v", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	gone.Store(true)
+	conn.CloseRead() // as the process ends: its side hears no more, and closes
+	if err := <-took; err == nil || !strings.Contains(err.Error(), Ending) {
+		t.Errorf("the newer one: %v", err)
+	}
+}
