--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -240,6 +240,9 @@
 			held := make(chan struct{})
 			s.hold.Store(&held) // the dial comes up when it is let go
 			s.srv.Close()
+			for s.dials.Load() < 2 { // until it has been noticed: nothing is offered on the old one
+				time.Sleep(time.Millisecond)
+			}
 			p := s.another()
 			p.conn.Write(append(setUp(1, "voice", "9000", ""), appendFrame(nil, typeTest, 5, appendParam(nil, paramCause, 0))...))
 			p.wantFrame(typeTested, 5, 1) // it has been taken
