--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -618,3 +618,53 @@
 	<-s.loop.Done()
 	s.front.Wait()
 }
+
+// A connection comes up late: its set-up has been given up and its server told draining. Nothing is sent on it, it is closed,
+// and when the server is back in service it gets another, with the next set-up.
+func TestConnectionComesUpLate(t *testing.T) {
+	s := newStory(t)
+	held := make(chan struct{})
+	s.hold.Store(&held)
+	s.srv.Close()
+	for s.dials.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	s.caller.Write(append(setUp(1, "voice", "9000", ""), appendFrame(nil, typeTest, 5, appendParam(nil, paramCause, 0))...))
+	s.wantFrame(typeTested, 5, 1)
+	s.caller.Write(release(1, 16))
+	s.wantFrame(typeHeard, 1, -1)
+	at := func(phase elmseam.Phase) {
+		s.loop.Post(core.List{Servers: []core.Server{{Name: "s", Address: s.server.Addr().String(), Front: Front, Phase: phase}}})
+	}
+	at(elmseam.Draining)
+	close(held)
+	s.accept()
+	if s.lines.Scan() || s.lines.Err() != nil {
+		t.Errorf("%q, %v on a connection that came too late", s.lines.Text(), s.lines.Err())
+	}
+	at(elmseam.Ready)
+	s.accept()
+	s.caller.Write(setUp(2, "voice", "9000", ""))
+	s.wantLine(`"offer"`, `0002"`)
+}
+
+// One event says that a server is gone and that another is at its address: the first one's connection is closed, what stood
+// there is released, and the next set-up goes over a connection of the other's own.
+func TestAnotherServerAtTheSameAddress(t *testing.T) {
+	s := newStory(t)
+	s.caller.Write(setUp(1, "voice", "9000", ""))
+	s.wantLine(`"offer"`, `0001"`)
+	s.say(accept, 1)
+	s.wantFrame(typeAnswer, 1, -1)
+	address := s.server.Addr().String()
+	s.loop.Post(core.List{Servers: []core.Server{
+		{Name: "s", Address: address, Front: Front, Phase: elmseam.Gone}, {Name: "t", Address: address, Front: Front, Phase: elmseam.Ready},
+	}})
+	s.wantFrame(typeRelease, 1, 41)
+	if s.lines.Scan() || s.lines.Err() != nil {
+		t.Errorf("%q, %v on the connection of a server that is gone", s.lines.Text(), s.lines.Err())
+	}
+	s.accept()
+	s.caller.Write(setUp(2, "voice", "9000", ""))
+	s.wantLine(`"offer"`, `0002"`)
+}
