--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -668,3 +668,65 @@
 	s.caller.Write(setUp(2, "voice", "9000", ""))
 	s.wantLine(`"offer"`, `0002"`)
 }
+
+// An id comes again when the call that had it is over and forgotten: the deadline of the first means nothing to the second.
+func TestIDComesAgain(t *testing.T) {
+	s := newStory(t, func(s *story) { s.limits.Ended = 1 })
+	for _, id := range []core.ID{1, 2} { // the second is remembered, the first is not
+		s.caller.Write(setUp(id, "voice", "2000", ""))
+		s.wantLine(`"offer"`)
+		s.caller.Write(release(id, 16))
+		s.wantFrame(typeHeard, id, -1)
+		s.wantLine(`"end"`)
+	}
+	s.caller.Write(setUp(1, "voice", "9000", ""))
+	s.wantLine(`"offer"`, `0001"`)
+	time.Sleep(2100 * time.Millisecond) // past the first one's deadline
+	s.say(accept, 1)
+	s.wantFrame(typeAnswer, 1, -1)
+}
+
+// Descriptors for one connection to servers, and two servers: the one that is needed takes the place of the other's.
+func TestConnectionToAServerMakesRoom(t *testing.T) {
+	s := newStory(t, func(s *story) { s.limits.ServerLines = 1 })
+	l := s.second()
+	s.loop.Post(core.List{Servers: []core.Server{{Name: "s", Address: s.server.Addr().String(), Front: Front, Phase: elmseam.Draining}}})
+	s.caller.Write(setUp(1, "voice", "9000", ""))
+	other := s.on(l)
+	other.wantLine(`"offer"`, `0001"`)
+	if s.lines.Scan() || s.lines.Err() != nil {
+		t.Errorf("%q, %v on the connection that makes room", s.lines.Text(), s.lines.Err())
+	}
+}
+
+// The settings change the order of a report's columns, or leave one out: values that a server tells keep what they mean.
+func TestColumnsChange(t *testing.T) {
+	seen := make(chan elmseam.Report, 9)
+	s := newStory(t, func(s *story) {
+		s.hook.Deaf = func(ev elmseam.Event) bool {
+			if h, report := ev.(elmseam.Health); report {
+				seen <- h.Report
+			}
+			return false
+		}
+	})
+	for _, tt := range []struct{ columns []elmseam.Figure }{
+		{columns: []elmseam.Figure{elmseam.FigureFreeLines, elmseam.FigureShare}},
+		{columns: []elmseam.Figure{elmseam.FigureShare, elmseam.FigureFreeLines}},
+		{columns: []elmseam.Figure{elmseam.FigureShare}},
+	} {
+		s.loop.Post(core.Configured{Limits: s.limits, Settings: elmseam.Settings{
+			Classes: []elmseam.Class{{Deadline: 9 * time.Second, Worth: 1}}, MaxAttempts: 4, OwnCell: -1,
+			ReleaseGuard: 50 * time.Millisecond, MaxRetryAfter: 2 * time.Second, Report: tt.columns,
+		}})
+		s.caller.Write(appendFrame(nil, typeTest, 5, appendParam(nil, paramCause, 0)))
+		s.wantFrame(typeTested, 5, 1)
+		s.say(`{"op":"group","call":"","with":{"load":"spare:8;cut_by:0.5"},"why":0}`)
+		got := <-seen
+		for i, f := range tt.columns {
+			if want := map[elmseam.Figure]float64{elmseam.FigureFreeLines: 8, elmseam.FigureShare: 0.5}[f]; got[i] != want {
+				t.Errorf("columns %v: %v", tt.columns, got)
+			}
+		}
+	}
+}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -36,6 +36,7 @@
 	srv      net.Conn
 	core     *core.Core
 	limits   core.Limits
+	hook     core.Hook
 	told     chan core.Effect              // what concerns no connection
 	hold     atomic.Pointer[chan struct{}] // a dial waits for it
 	dials    atomic.Int64
@@ -56,6 +57,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	c.SetHook(s.hook)
 	l := loop.New(c, 64, func(e core.Effect) {
 		select {
 		case s.told <- e:
