--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -675,9 +675,10 @@
 	for _, id := range []core.ID{1, 2} { // the second is remembered, the first is not
 		s.caller.Write(setUp(id, "voice", "2000", ""))
 		s.wantLine(`"offer"`)
-		s.caller.Write(release(id, 16))
-		s.wantFrame(typeHeard, id, -1)
-		s.wantLine(`"end"`)
+		s.say(accept, id)
+		s.wantFrame(typeAnswer, id, -1)
+		s.say(`{"op":"end","call":"%016x","with":{},"why":16}`, id)
+		s.wantFrame(typeRelease, id, 16) // it is over by then
 	}
 	s.caller.Write(setUp(1, "voice", "9000", ""))
 	s.wantLine(`"offer"`, `0001"`)
