Story of a connection that makes room: the other server's is up before the set-up comes

Seen in 1 of 60 runs: the set-up came while the first server's connection was still being made, which none can replace, and was refused.

--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -690,6 +690,12 @@
 // Descriptors for one connection to servers, and two servers: the one that is needed takes the place of the other's.
 func TestConnectionToAServerMakesRoom(t *testing.T) {
 	s := newStory(t, func(s *story) { s.limits.ServerLines = 1 })
+	s.caller.Write(setUp(9, "voice", "9000", ""))
+	s.wantLine(`"offer"`) // the connection to the first is up
+	s.say(accept, 9)
+	s.wantFrame(typeAnswer, 9, -1)
+	s.say(`{"op":"end","call":"%016x","with":{},"why":16}`, 9)
+	s.wantFrame(typeRelease, 9, 16)
 	l := s.second()
 	s.loop.Post(core.List{Servers: []core.Server{{Name: "s", Address: s.server.Addr().String(), Front: Front, Phase: elmseam.Draining}}})
 	s.caller.Write(setUp(1, "voice", "9000", ""))
