Tenants reach the decisions on sockets; a quiet server keeps its connection; settings agree

ServerSilent: the reader tells of a silence, the reducer closes the connection only where a set-up has been out for half of it, asks on a new one where calls stand, and leaves one on which nothing is owed. Settings with a column, class or tenant twice, no class, shares over 1, a negative allowance or share are refused at start and at SIGHUP, with the field.

TestServerFallsSilent expected a connection with nothing owed to be closed: its last step has a set-up open now, and TestQuietServerKeepsItsConnection is new.

--- a/api.go
+++ b/api.go
@@ -5,7 +5,11 @@
 // clock, starts a goroutine or does I/O. A Controller is not safe for concurrent use.
 package elmseam
 
-import "time"
+import (
+	"time"
+
+	"elmseam/internal/shares"
+)
 
 // Time is an instant, counted from any fixed start. It never runs backwards. As a start time of a
 // core server, zero means long ago.
@@ -62,10 +66,8 @@
 	Cells    []int // the cells it may be sent to; none listed: any
 }
 
-// Tenant is one customer of the deployment.
-type Tenant struct {
-	AllowancePerSec float64 // calls a second within its share, over all edge proxies
-}
+// Tenant is one customer of the deployment, with the calls a second within its share, over all edge proxies.
+type Tenant = shares.Tenant
 
 // Settings are what a controller knows of its deployment from the start.
 type Settings struct {
@@ -139,7 +141,7 @@
 	Arrival struct {
 		Call    CallID
 		Class   int
-		Tenant  int
+		Tenant  int    // its place in Settings.Tenants; any other: none that is known
 		Number  uint64 // the number called; 0: none
 		Cell    int    // cell of first choice; -1: none
 		Cut     bool   // it was cut and comes again
--- a/cmd/elmseam/main_test.go
+++ b/cmd/elmseam/main_test.go
@@ -349,6 +349,9 @@
 	os.WriteFile(p.config, []byte(`{"name":"n1"}`), 0o600)
 	p.cmd.Process.Signal(syscall.SIGHUP)
 	p.wantLog("configuration not taken over")
+	p.write(channel, strings.Replace(settingsText, `"total"`, `"spare"`, 1)) // contradicts itself
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.wantLog("load-report.columns[1]")
 	p.write(channel, strings.Replace(settingsText, `[{"name":"voice"`, `[{"name":"video","effect":"free","gain":1,"objective-us":1000000,"hard-limit-us":3000000},{"name":"voice"`, 1))
 	p.cmd.Process.Signal(syscall.SIGHUP)
 	ch := accept(t, channel)
@@ -429,6 +432,8 @@
 		"limits.sockets":     strings.Replace(good, "99", "9", 1),
 		"channel":            strings.Replace(good, "127.0.0.1:1", "", 1),
 		"request-classes[0]": strings.Replace(good, `"voice"`, `""`, 1),
+		"columns[2]":         strings.Replace(good, `"cut_by"`, `"total"`, 1),
+		"tenants[1].share":   strings.Replace(good, `"limits":{"max`, `"tenants":[{"name":"a","share":0.7},{"name":"b","share":0.6}],"limits":{"max`, 1),
 		"known.cmds[0]":      strings.Replace(good, `"channel"`, `"known":{"cmds":[{"nodes":{"endpoints":[{"name":"s"}]}}]},"channel"`, 1),
 	} {
 		path := filepath.Join(t.TempDir(), "c.json")
--- a/controller.go
+++ b/controller.go
@@ -10,6 +10,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"elmseam/internal/shares"
 )
 
 // Tuned values. Times that depend on the deployment are given as parts of its settings.
@@ -146,12 +148,6 @@
 	until  Time
 }
 
-// tenantMix is what a tenant's calls make of this sender's, and how far beyond its share.
-type tenantMix struct {
-	calls float64 // decayed count
-	over  float64 // remainder: one marks a call
-}
-
 // usualTry is the time that most tries of a class have before their caller gives up.
 type usualTry struct {
 	within time.Duration
@@ -171,13 +167,12 @@
 	hint       time.Duration // told with a refusal
 	usual      []usualTry    // of each class
 	busy       [busyNumbers]busyNumber
-	busyAt     int // next to be replaced
-	tenants    []tenantMix
-	tenantAt   Time
-	born       Time    // first event
-	stands     counter // calls that stood at warm servers
-	offered    counter // calls that came
-	meanLines  float64 // of the servers that tell their lines
+	busyAt     int         // next to be replaced
+	mix        *shares.Mix // of the tenants' calls
+	born       Time        // first event
+	stands     counter     // calls that stood at warm servers
+	offered    counter     // calls that came
+	meanLines  float64     // of the servers that tell their lines
 	measured   Time
 	lineTime   float64 // line seconds of warm servers, decayed
 	perLine    float64 // set-ups a second that stand from here for each line of a warm server
@@ -195,6 +190,7 @@
 		rng: rand.New(rand.NewPCG(seed, 0)), careful: 1,
 		byID:  make(map[ServerID]*server),
 		calls: make(map[CallID]*call),
+		mix:   shares.New(rateMemory * Time(time.Second)),
 	}
 	if err := c.Configure(set); err != nil {
 		return nil, err
@@ -209,7 +205,7 @@
 		return fmt.Errorf("elmseam: settings: %w", err)
 	}
 	c.set = set
-	c.tenants = make([]tenantMix, len(set.Tenants))
+	c.mix.Configure(set.Tenants)
 	c.usual = make([]usualTry, len(set.Classes))
 	c.leastWorth = set.Classes[0].Worth
 	aim := set.Classes[0].Aim
@@ -831,30 +827,9 @@
 	c.busyAt = (c.busyAt + 1) % len(c.busy)
 }
 
-// overShare says whether a call is one of those that its tenant makes beyond its share. Only the mix of
-// this sender's own calls is known, so it is the mix that is held against the allowances.
+// overShare says whether a call is one of those beyond its tenant's share, where these are worth little.
 func (c *Controller) overShare(tenant int) bool {
-	if tenant < 0 || tenant >= len(c.tenants) || c.set.OverShareWorth*greatWorth >= 1 {
-		return false
-	}
-	total, allowed := 0.0, 0.0
-	fade := decay((c.now - c.tenantAt).Seconds())
-	c.tenantAt = c.now
-	c.tenants[tenant].calls++
-	for i := range c.tenants {
-		c.tenants[i].calls *= fade
-		total += c.tenants[i].calls
-		allowed += c.set.Tenants[i].AllowancePerSec
-	}
-	t := &c.tenants[tenant]
-	if share := c.set.Tenants[tenant].AllowancePerSec / max(allowed, 1e-9); t.calls > 0 {
-		t.over = max(t.over+1-share*total/t.calls, 0)
-	}
-	if t.over < 1 {
-		return false
-	}
-	t.over--
-	return true
+	return c.set.OverShareWorth*greatWorth < 1 && c.mix.Beyond(c.now, tenant)
 }
 
 // lateTry says whether a try is known to come after the aim has passed. Most tries have the time that
--- a/controller_test.go
+++ b/controller_test.go
@@ -193,7 +193,7 @@
 func TestOverShareMarksTheExcess(t *testing.T) {
 	set := settings()
 	set.OverShareWorth = 0.2
-	set.Tenants = []Tenant{{AllowancePerSec: 30}, {AllowancePerSec: 10}}
+	set.Tenants = []Tenant{{Allowance: 30}, {Allowance: 10}}
 	b := newBench(t, set, 1)
 	marked, n := [2]int{}, [2]int{}
 	for i := range 4000 {
@@ -209,6 +209,35 @@
 	}
 }
 
+// Under overload a tenant that asks for three times its share loses the calls beyond it, whether the others are within
+// theirs by far or just; one that is within loses next to none. A call that names no known tenant is in nobody's share.
+// The deployment's reports tell no share to hold back: their wait asks for it.
+func TestTenantWithinItsShareIsServed(t *testing.T) {
+	set := settings()
+	set.OverShareWorth = 0.1
+	set.Tenants = []Tenant{{Name: "a", Allowance: 30}, {Name: "b", Allowance: 30}}
+	b := newBench(t, set, 1)
+	sent, offered := map[int]float64{}, map[int]float64{}
+	for i := range 6000 {
+		if i%50 == 0 {
+			b.report(1, 900, 1000, 350) // holds back about half
+		}
+		b.pass(10 * ms)
+		tenant := []int{0, 1, 1, 1, 7, -1}[i%6]
+		b.next++
+		offered[tenant]++
+		if s := sentTo(b.on(Arrival{Call: b.next, Cell: 1, Tenant: tenant, Within: 3 * time.Second})); s != 0 {
+			sent[tenant]++
+			b.on(Standing{Call: b.next, Server: s, Took: 20 * ms})
+		}
+	}
+	for tenant, want := range map[int][2]float64{0: {0.95, 1}, 1: {0.2, 0.8}, 7: {0, 0.5}, -1: {0, 0.5}} {
+		if part := sent[tenant] / offered[tenant]; part < want[0] || part > want[1] {
+			t.Errorf("tenant %d: %.2f of its calls sent, want %v", tenant, part, want)
+		}
+	}
+}
+
 // Calls of great worth are held back last, and the ordinary ones make up for them.
 func TestGreatWorthThinnedLast(t *testing.T) {
 	set := settings()
@@ -843,7 +872,7 @@
 	set.ReleaseGuard = time.Duration(rng.IntN(3)) * 150 * ms
 	set.ColdFrom, set.TipMultiple = rng.Float64(), 3*rng.Float64()
 	set.OverShareWorth = rng.Float64()
-	set.Tenants = []Tenant{{AllowancePerSec: rng.Float64() * 20}, {AllowancePerSec: rng.Float64() * 20}}
+	set.Tenants = []Tenant{{Allowance: rng.Float64() * 20}, {Allowance: rng.Float64() * 20}}
 	set.Classes = nil
 	for range 1 + rng.IntN(3) {
 		set.Classes = append(set.Classes, Class{
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -118,6 +118,7 @@
 	guard    time.Duration    // the release gap
 	most     int              // attempts a call may have
 	columns  []elmseam.Figure // of a report, as the module reads them
+	tenants  []elmseam.Tenant // by their places in the module
 	ctl      *elmseam.Controller
 	now      Time
 	out      []Effect
@@ -183,6 +184,7 @@
 		guard:   set.ReleaseGuard,
 		most:    set.MaxAttempts,
 		columns: set.Report,
+		tenants: set.Tenants,
 		ctl:     ctl,
 		calls:   make(map[ID]*call),
 		byCID:   make(map[elmseam.CallID]*call),
@@ -239,6 +241,8 @@
 		}
 	case ServerMalformed:
 		c.malformed(ev)
+	case ServerSilent:
+		c.silent(ev)
 	case ServerPaused:
 		if s := c.servers[ev.Server]; s != nil {
 			s.paused = ev.Paused
@@ -261,7 +265,7 @@
 		c.figures.Loaded++
 		c.figures.room(len(ev.Settings.Classes))
 		c.limits, c.guard, c.most = ev.Limits, ev.Settings.ReleaseGuard, ev.Settings.MaxAttempts
-		c.columns = ev.Settings.Report
+		c.columns, c.tenants = ev.Settings.Report, ev.Settings.Tenants
 	case Misconfigured:
 		c.figures.Invalid++
 	case Drain:
@@ -462,8 +466,10 @@
 	c.timer(k.deadline, Token{kind: tokenDeadline, call: k.ID, cid: k.cid})
 	c.tell(elmseam.Arrival{
 		Call: k.cid, Class: ev.Class, Number: ev.Number, Cell: ev.Cell, Cut: ev.Cut,
+		Tenant: slices.IndexFunc(c.tenants, func(t elmseam.Tenant) bool { return t.Name == ev.Tenant }),
 		Within: left,
 	})
+	k.Tenant = ""
 }
 
 // repeated takes in a set-up under the id of a call in hand. The same one on another connection came again after
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -81,6 +81,7 @@
 		From   Link
 		Class  int
 		Name   string // of the class, as the caller wrote it
+		Tenant string // its name; empty: the caller named none
 		Number uint64
 		Key    string // the number called as the caller wrote it
 		Desc   []byte // the caller's description, passed on as it is
@@ -139,6 +140,13 @@
 		Link   Link
 		Report Report
 	}
+	// ServerSilent says that nothing has come on a connection for so long. Whether anything is owed there, is not for its
+	// reader to say.
+	ServerSilent struct {
+		Server string
+		Link   Link
+		For    time.Duration
+	}
 	// ServerPaused says that a server's own signalling takes no new work, or does again.
 	ServerPaused struct {
 		Server string
@@ -218,6 +226,7 @@
 func (ServerEnd) event()       {}
 func (ServerReport) event()    {}
 func (ServerMalformed) event() {}
+func (ServerSilent) event()    {}
 func (ServerPaused) event()    {}
 func (Route) event()           {}
 func (Written) event()         {}
--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -44,6 +44,7 @@
 
 	paramClass   = 16
 	paramLeft    = 19
+	paramTenant  = 22
 	paramNumber  = 28
 	paramExtras  = 31
 	paramRetry   = 34
@@ -61,6 +62,9 @@
 	id    core.ID
 	class string
 	left  string
+
+	tenant string
+
 	key   string
 	extra string
 	cause int
@@ -94,6 +98,8 @@
 			f.class = string(value)
 		case paramLeft:
 			f.left = string(value)
+		case paramTenant:
+			f.tenant = string(value)
 		case paramNumber:
 			f.key = string(value)
 		case paramExtras:
@@ -566,7 +572,7 @@
 // setUp translates a set-up. One that makes no sense gets a Class of -1, and the core refuses it: servers close
 // on a call without an id, whatever else is open there, and an error of theirs costs them work.
 func (p *Platform) setUp(from core.Link, f frame, at core.Time) core.SetUp {
-	ev := core.SetUp{ID: f.id, From: from, Name: f.class, Key: f.key, Number: number(f.key), Desc: f.desc, Cell: -1, At: at}
+	ev := core.SetUp{ID: f.id, From: from, Name: f.class, Tenant: f.tenant, Key: f.key, Number: number(f.key), Desc: f.desc, Cell: -1, At: at}
 	left, err := strconv.ParseFloat(f.left, 64)
 	told := p.told.Load()
 	place, known := told.names[f.class]
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -37,7 +38,8 @@
 	core     *core.Core
 	limits   core.Limits
 	hook     core.Hook
-	told     chan core.Effect              // what concerns no connection
+	told     chan core.Effect // what concerns no connection
+	tenants  []elmseam.Tenant
 	hold     atomic.Pointer[chan struct{}] // a dial waits for it
 	dials    atomic.Int64
 }
@@ -52,7 +54,7 @@
 	}
 	c, err := core.New(elmseam.Settings{
 		Classes: []elmseam.Class{{Deadline: 9 * time.Second, Worth: 1}}, MaxAttempts: 4, OwnCell: -1,
-		ReleaseGuard: 50 * time.Millisecond, MaxRetryAfter: 2 * time.Second,
+		ReleaseGuard: 50 * time.Millisecond, MaxRetryAfter: 2 * time.Second, Tenants: s.tenants, OverShareWorth: 0.1,
 	}, 1, s.limits)
 	if err != nil {
 		t.Fatal(err)
@@ -221,7 +223,31 @@
 	s.accept()
 	s.wantFrame(typeRelease, 2, 42) // there is no other server
 	s.say(`{"op":"group","with":{"load":"spare:3"}}`)
+	s.caller.Write(setUp(3, "voice", "5000", ""))
+	s.wantLine(`"offer"`, `0003"`)
 	s.accept() // what the first has taught holds for the next
+	s.wantFrame(typeRelease, 3, 42)
+}
+
+// A server that has nothing to tell is silent, and nothing is wrong: one of few calls had its connections closed over and
+// over, and with them set-ups that had just gone out. A test on the connection says that this one is still there.
+func TestQuietServerKeepsItsConnection(t *testing.T) {
+	s := newStory(t)
+	for range pulseSeen + 1 {
+		s.say(`{"op":"group","with":{"load":"spare:3"}}`)
+		time.Sleep(5 * time.Millisecond)
+	}
+	s.srv.SetReadDeadline(time.Now().Add(200 * time.Millisecond)) // many times what makes a silence here
+	if _, err := s.srv.Read(make([]byte, 1)); !isTimeout(err) {
+		t.Fatalf("a connection on which nothing is owed: %v", err)
+	}
+	s.srv.SetReadDeadline(time.Now().Add(patience))
+	s.say(`{"op":"test","call":"0000000000000009","with":{},"why":0}`)
+	s.wantLine(`"tested"`)
+	s.caller.Write(setUp(1, "voice", "5000", ""))
+	s.wantLine(`"offer"`, `0001"`)
+	s.say(`{"op":"accept","call":"0000000000000001","with":{},"desc":""}`)
+	s.wantFrame(typeAnswer, 1, -1)
 }
 
 // A caller gives up: the server is told, and its crossing answer is not passed on.
@@ -335,13 +361,51 @@
 	return ok && ne.Timeout()
 }
 
-// A caller that reads nothing costs its own connection: others are served meanwhile.
+// The tenant that a set-up names, parameter 22, reaches the decisions; one that names none has none.
+func TestTenantOfASetUp(t *testing.T) {
+	tenants := make(chan int, 10)
+	s := newStory(t, func(s *story) {
+		s.tenants = []elmseam.Tenant{{Name: "x", Allowance: 1}, {Name: "acme", Allowance: 1}}
+		s.hook.Deaf = func(ev elmseam.Event) bool {
+			if a, ok := ev.(elmseam.Arrival); ok {
+				tenants <- a.Tenant
+			}
+			return false
+		}
+	})
+	for id, name := range []string{"acme", "nobody", ""} {
+		p := appendParam(appendParam(nil, paramClass, []byte("voice")...), paramLeft, []byte("5000")...)
+		if p = appendParam(p, paramTenant, []byte(name)...); name == "" {
+			p = p[:len(p)-paramHead]
+		}
+		s.caller.Write(appendFrame(nil, typeSetUp, core.ID(id+1), p))
+	}
+	for i, want := range []int{1, -1, -1} {
+		if got := <-tenants; got != want {
+			t.Errorf("call %d comes as tenant %d, want %d", i+1, got, want)
+		}
+	}
+}
+
+// A caller that reads nothing costs its own connection: others are served meanwhile. The kernel's buffers are kept small:
+// to fill those it grows by itself took as long as the machine pleased.
 func TestStalledCaller(t *testing.T) {
 	s := newStory(t)
-	stalled, err := net.Dial("tcp", s.caller.RemoteAddr().String())
+	raw, err := s.listener.(*net.TCPListener).SyscallConn()
 	if err != nil {
 		t.Fatal(err)
 	}
+	raw.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, 8<<10) })
+	told := *s.front.told.Load()
+	told.Link.Outbox = 64 << 10
+	s.front.Configure(told.Config)
+	small := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 8<<10) })
+	}}
+	stalled, dialErr := small.Dial("tcp", s.caller.RemoteAddr().String())
+	if err != nil || dialErr != nil {
+		t.Fatal(err, dialErr)
+	}
 	defer stalled.Close()
 	test := appendFrame(nil, typeTest, 5, appendParam(nil, paramCause, 0))
 	stalled.SetDeadline(time.Now().Add(patience))
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net"
+	"os"
 	"regexp"
 	"strconv"
 	"strings"
@@ -101,6 +103,7 @@
 	in := link.NewBuffer(limits.ReadFirst, limits.Message)
 	var told time.Time // its state, last
 	partial := false
+	silent := false
 	for {
 		wait := s.p.pulse.silence(limits.Silence)
 		switch now := time.Now(); {
@@ -110,10 +113,20 @@
 		case partial:
 		case told.IsZero() || wait == 0:
 			conn.SetReadDeadline(time.Time{})
+		case silent: // an interval later it is looked at again
+			conn.SetReadDeadline(now.Add(wait / pulseTimes))
 		default:
 			conn.SetReadDeadline(now.Add(wait))
 		}
-		if err := in.Fill(conn); err != nil {
+		err := in.Fill(conn)
+		switch {
+		case err == nil:
+			silent = false
+		case errors.Is(err, os.ErrDeadlineExceeded) && !partial && wait > 0:
+			silent = true
+			s.p.loop.Post(core.ServerSilent{Server: s.name, Link: s.link, For: wait})
+			continue
+		default:
 			return err
 		}
 		for {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -45,13 +45,16 @@
 		TipMultiple float64 `json:"tip-multiple"`
 	} `json:"obligations"`
 	Classes []struct {
+		Name      string  `json:"name"`
 		Effect    string  `json:"effect"`
 		Gain      float64 `json:"gain"`
 		HardLimit micros  `json:"hard-limit-us"`
 		Objective micros  `json:"objective-us"`
 	} `json:"request-classes"`
 	Tenants []struct {
+		Name      string  `json:"name"`
 		Allowance float64 `json:"allowance-per-s"`
+		Share     float64 `json:"share"`
 	} `json:"tenants"`
 }
 
@@ -115,7 +118,7 @@
 		s.Classes = append(s.Classes, class)
 	}
 	for _, t := range info.Tenants {
-		s.Tenants = append(s.Tenants, elmseam.Tenant{AllowancePerSec: t.Allowance})
+		s.Tenants = append(s.Tenants, elmseam.Tenant{Name: t.Name, Allowance: t.Allowance})
 	}
 	return s, nil
 }
@@ -228,9 +231,60 @@
 	if err := json.Unmarshal(top["limits"], &l); err != nil || l.MaxAttempts <= 0 {
 		return fmt.Errorf("settings.limits.max-attempts: %d is not over 0", l.MaxAttempts)
 	}
+	return agrees(text)
+}
+
+// agrees says whether settings contradict themselves: one that is in force by chance would decide.
+func agrees(text []byte) error {
+	var info bootInfo
+	if err := json.Unmarshal(text, &info); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	if len(info.Classes) == 0 {
+		return fmt.Errorf("settings.request-classes: no class")
+	}
+	names := make(map[string]bool)
+	for i, c := range info.Classes {
+		if names[c.Name] {
+			return fmt.Errorf("settings.request-classes[%d].name: %q is there twice", i, c.Name)
+		}
+		names[c.Name] = true
+	}
+	clear(names)
+	for i, name := range info.LoadReport.Columns {
+		if names[name] {
+			return fmt.Errorf("settings.load-report.columns[%d]: %q is there twice", i, name)
+		}
+		names[name] = true
+	}
+	clear(names)
+	shares := 0.0
+	for i, t := range info.Tenants {
+		field := fmt.Sprintf("settings.tenants[%d].", i)
+		switch {
+		case t.Name == "":
+			return fmt.Errorf("%sname: missing", field)
+		case names[t.Name]:
+			return fmt.Errorf("%sname: %q is there twice", field, t.Name)
+		case !(t.Allowance >= 0):
+			return fmt.Errorf("%sallowance-per-s: %v is negative", field, t.Allowance)
+		case !(t.Share >= 0):
+			return fmt.Errorf("%sshare: %v is negative", field, t.Share)
+		}
+		names[t.Name] = true
+		if shares += t.Share; shares > 1+rounding {
+			return fmt.Errorf("%sshare: with those before it the shares come to %.3g, which is over 1", field, shares)
+		}
+	}
+	if w := info.OverShareWorth; !(w >= 0 && w <= 1) {
+		return fmt.Errorf("settings.over-share-worth: %v is no part of a call's worth", w)
+	}
 	return nil
 }
 
+// rounding is what shares, told with a few digits, may be over 1 together.
+const rounding = 0.01
+
 // holds names the first key that an object lacks.
 func holds(text []byte, part, field string) error {
 	var have map[string]json.RawMessage
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,60 @@
+package settings
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"elmseam"
+)
+
+// text are settings like a deployment's with tenants, whose reports tell of the wait and of no share to hold back.
+const text = `{"request-classes":[{"name":"view","effect":"free","gain":1,"objective-us":1500000,"hard-limit-us":9000000},
+  {"name":"sign","effect":"free","gain":3,"objective-us":1500000,"hard-limit-us":9000000}],
+ "family-info":{"own-number":-1,"release-guard-us":300000,"retransmit-us":800000},
+ "limits":{"max-attempts":5,"max-open":100,"connect-timeout-us":500000,"retry-after":true,"max-retry-after-us":2000000,"cancel":true},
+ "load-report":{"columns":["spare","total","recent_ms"],"via":"inline"},"obligations":{"cold-from":0.3,"ramp-time-us":14000000,
+ "tip-multiple":3,"tip-after-us":1000000},"over-share-worth":0.1,
+ "tenants":[{"name":"a","share":0.54,"allowance-per-s":40},{"name":"b","share":0.46,"allowance-per-s":20}]}`
+
+func TestWholeNamesWhatContradicts(t *testing.T) {
+	if err := Whole([]byte(text)); err != nil {
+		t.Fatal(err)
+	}
+	for field, change := range map[string][2]string{
+		"request-classes:":            {text[strings.Index(text, "[{"):strings.Index(text, ",\n \"family-info")], "[]"},
+		"request-classes[1].name:":    {`"sign"`, `"view"`},
+		"load-report.columns[2]:":     {`"recent_ms"`, `"spare"`},
+		"tenants[1].share:":           {"0.46", "0.6"},
+		"tenants[0].share:":           {"0.54", "-0.1"},
+		"tenants[1].name:":            {`"b"`, `"a"`},
+		"tenants[0].name:":            {`"a"`, `""`},
+		"tenants[0].allowance-per-s:": {":40", ":-40"},
+		"over-share-worth:":           {"0.1,", "10,"},
+		"limits.max-attempts:":        {`"max-attempts":5`, `"max-attempts":0`},
+		"request-classes[1].hard-":    {`3,"objective-us":1500000,"hard-limit-us":9000000`, `3,"objective-us":1500000,"hard-limit-us":0`},
+		"obligations.tip-after-us:":   {`,"tip-after-us":1000000`, ""},
+		"family-info.retransmit-us:":  {`800000`, "null"},
+	} {
+		bad := strings.Replace(text, change[0], change[1], 1)
+		err := Whole([]byte(bad))
+		if bad == text || err == nil || !strings.HasPrefix(err.Error(), "settings."+field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", field, err)
+		}
+	}
+}
+
+// Without a share to hold back the report still has a figure that the module goes by, whatever the other columns are.
+func TestDecodeWithoutAHoldBackShare(t *testing.T) {
+	set, err := Decode([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := []elmseam.Figure{elmseam.FigureFreeLines, elmseam.FigureLines, elmseam.FigureWait}; !slices.Equal(set.Report, want) {
+		t.Errorf("report %v, want %v", set.Report, want)
+	}
+	if got, want := fmt.Sprint(set.Tenants, set.OverShareWorth), "[{a 40} {b 20}] 0.1"; got != want {
+		t.Errorf("tenants %s, want %s", got, want)
+	}
+}
