Probes: a silent connection on which calls stand is tested where the settings permit it

What a probe is good for here: a connection that brings nothing, with calls standing at the server, was replaced after three intervals; the server is asked now, and the connection replaced only when no answer comes. Ruled out: probes to find a server again that is cut or silent.

Change: internal/probe bounds the rate of all probes together (1 a second, 2 at once) and counts them; the core asks it, and sends none where the settings forbid them, to a server that drains or is gone, or beside a set-up that is out. A test asks for a report and is never a set-up; its answer counts once. Figures: app.probes.* at /ops/stats, where permitted.

Checked: TestProbesOfSilentConnections and TestSilentServerIsProbed (20 times with the race detector).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -21,6 +21,7 @@
 	"elmseam/internal/mgmt"
 	"elmseam/internal/peers"
 	"elmseam/internal/platform"
+	"elmseam/internal/probe"
 	"elmseam/internal/settings"
 )
 
@@ -234,6 +235,7 @@
 			Fresh:        250 * time.Millisecond,
 			MaxOpen:      n.MaxOpen,
 			Ended:        int(memory / 8 / endedSize),
+			Probe:        probe.Limits{Permitted: n.Probes, Rate: 1, Burst: 2, Timeout: 1500 * time.Millisecond},
 			Routes:       10000,
 			RetryHint:    max(n.LeastAim/4, 50*time.Millisecond), // a redial can still stand in time
 			Remember:     max(n.LongestWait, 10*time.Second) * 6,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -15,6 +15,7 @@
 	"elmseam/internal/knowledge"
 	"elmseam/internal/maintenance"
 	"elmseam/internal/membership"
+	"elmseam/internal/probe"
 )
 
 // phase is where an attempt is on its way.
@@ -119,6 +120,7 @@
 	most     int              // attempts a call may have
 	columns  []elmseam.Figure // of a report, as the module reads them
 	tenants  []elmseam.Tenant // by their places in the module
+	prober   *probe.Prober
 	ctl      *elmseam.Controller
 	now      Time
 	out      []Effect
@@ -185,6 +187,7 @@
 		most:    set.MaxAttempts,
 		columns: set.Report,
 		tenants: set.Tenants,
+		prober:  probe.New(limits.Probe),
 		ctl:     ctl,
 		calls:   make(map[ID]*call),
 		byCID:   make(map[elmseam.CallID]*call),
@@ -243,6 +246,8 @@
 		c.malformed(ev)
 	case ServerSilent:
 		c.silent(ev)
+	case ServerTested:
+		c.tested(ev)
 	case ServerPaused:
 		if s := c.servers[ev.Server]; s != nil {
 			s.paused = ev.Paused
@@ -265,6 +270,7 @@
 		c.figures.Loaded++
 		c.figures.room(len(ev.Settings.Classes))
 		c.limits, c.guard, c.most = ev.Limits, ev.Settings.ReleaseGuard, ev.Settings.MaxAttempts
+		c.prober.Configure(ev.Limits.Probe)
 		c.columns, c.tenants = ev.Settings.Report, ev.Settings.Tenants
 	case Misconfigured:
 		c.figures.Invalid++
@@ -1065,6 +1071,8 @@
 		c.settle()
 	case tokenClose:
 		c.stop()
+	case tokenProbe:
+		c.overdue(t)
 	case tokenMember:
 		c.toPeers(membership.Due{Token: t.member})
 	case tokenKnow:
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -66,6 +66,8 @@
 			said += fmt.Sprintf("rejected%d@%d ", e.ID, e.To)
 		case Released:
 			said += fmt.Sprintf("released%d@%d ", e.ID, e.To)
+		case Test:
+			said += fmt.Sprintf("test%d@%d ", e.ID, e.To)
 		case Withdraw:
 			said += fmt.Sprintf("withdraw@%d ", e.To)
 		case Move:
--- a/internal/core/figures.go
+++ b/internal/core/figures.go
@@ -1,6 +1,10 @@
 package core
 
-import "slices"
+import (
+	"slices"
+
+	"elmseam/internal/probe"
+)
 
 // ClassFigures count the requests of a class by their final answers.
 type ClassFigures struct {
@@ -20,6 +24,7 @@
 	Ready            bool           // this process can serve
 	Draining         bool
 	Stopping         bool
+	Probes           *probe.Figures // of connections in doubt; nil: none is permitted
 	Members          *MemberFigures // of the tier; nil: there is no membership
 	Work             *WorkFigures   // of its maintenance; nil: there is none
 	Knows            *KnowFigures   // of what the tier knows of the servers; nil: it is off
@@ -31,6 +36,10 @@
 	f := c.figures
 	f.Classes = slices.Clone(f.Classes)
 	f.Current, f.Draining, f.Stopping = len(c.calls), c.draining, c.stopping
+	if c.limits.Probe.Permitted {
+		probes := c.prober.Figures()
+		f.Probes = &probes
+	}
 	f.Members, f.Work, f.Parts, f.Knows = c.members(), c.maintained(), c.shared(), c.known()
 	for _, s := range c.order {
 		if s.Phase == 0 { // gone, and kept for what is left of it
--- /dev/null
+++ b/internal/core/probe.go
@@ -0,0 +1,119 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"elmseam"
+	"elmseam/internal/probe"
+)
+
+// A connection that brings nothing may be dead, or its server has nothing to tell. What is owed there decides.
+
+type (
+	// ServerSilent says that nothing has come on a connection for so long. Whether anything is owed there, is not for its
+	// reader to say.
+	ServerSilent struct {
+		Server string
+		Link   Link
+		For    time.Duration
+	}
+	// ServerTested is the answer to a Test.
+	ServerTested struct {
+		Server string
+		Link   Link
+		ID     probe.ID
+		Report Report
+	}
+	// Test asks a server, on a connection, whether it is there. It is no set-up.
+	Test struct {
+		To Link
+		ID probe.ID
+	}
+)
+
+func (ServerSilent) event() {}
+func (ServerTested) event() {}
+func (Test) effect()        {}
+
+// silent takes in that nothing has come on a connection for some time. Where a set-up has been out on it for half of that,
+// it is held for dead. One whose set-ups are younger is looked at again, and one on which nothing is owed may be silent.
+// Where calls stand, what ends them may come on any connection: it is probed, or replaced where no probe is permitted.
+func (c *Core) silent(ev ServerSilent) {
+	s := c.servers[ev.Server]
+	if s == nil {
+		return
+	}
+	l := s.lineOf(ev.Link)
+	if l == nil {
+		return
+	}
+	open := false
+	for _, k := range s.out {
+		if k.out.line == l {
+			open = true
+			if c.now-k.out.at >= ev.For/2 {
+				c.replace(s, l)
+				return
+			}
+		}
+	}
+	if open || len(s.standing) == 0 {
+		return
+	}
+	verdict, id, until := probe.Forbidden, probe.ID(0), Time(0)
+	if s.told == elmseam.Ready {
+		verdict, id, until = c.prober.Ask(c.now, uint64(l.link))
+	}
+	switch verdict {
+	case probe.Forbidden:
+		c.replace(s, l)
+	case probe.Send:
+		c.do(Test{To: l.link, ID: id})
+		c.timer(until, Token{kind: tokenProbe, server: s.Name, probe: id, link: l.link})
+	}
+}
+
+// tested takes in what a server says to a probe.
+func (c *Core) tested(ev ServerTested) {
+	s := c.servers[ev.Server]
+	if s == nil {
+		return
+	}
+	s.heard(ev.Link)
+	if c.prober.Answered(ev.ID, uint64(ev.Link)) {
+		c.health(s, ev.Report)
+	}
+}
+
+// overdue takes in that a probe's time is up. Without an answer its connection is of no use.
+func (c *Core) overdue(t Token) {
+	if s := c.servers[t.server]; c.prober.Overdue(t.probe) && s != nil {
+		if l := s.lineOf(t.link); l != nil {
+			c.replace(s, l)
+		}
+	}
+}
+
+// replace ends a connection that is held for dead, with what is out there, and asks for another.
+func (c *Core) replace(s *server, l *line) {
+	c.prober.Ended(uint64(l.link))
+	if slices.ContainsFunc(inOrder(s.out), func(k *call) bool { return k.out.line == l }) {
+		l.malformed = true
+		c.do(Hangup{To: l.link}) // its end tells of what was out
+		return
+	}
+	s.lines = slices.DeleteFunc(s.lines, func(have *line) bool { return have == l })
+	c.do(GracefulClose{To: l.link})
+	c.dial(s)
+}
+
+// lineOf is a connection to a server by its name; nil: it is one no more.
+func (s *server) lineOf(link Link) *line {
+	for _, l := range s.lines {
+		if l.link == link {
+			return l
+		}
+	}
+	return nil
+}
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -259,10 +259,8 @@
 
 // heard takes in that a connection brings something.
 func (s *server) heard(link Link) {
-	for _, l := range s.lines {
-		if l.link == link {
-			l.mute = 0
-		}
+	if l := s.lineOf(link); l != nil {
+		l.mute = 0
 	}
 }
 
@@ -348,6 +346,7 @@
 			return
 		}
 		cause, gone = elmseam.CauseReset, s.lines[i]
+		c.prober.Ended(uint64(ev.Link))
 		s.lines = slices.Delete(s.lines, i, i+1)
 	} else {
 		s.dialing = false
@@ -375,36 +374,6 @@
 	c.tidy(s)
 }
 
-// silent takes in that nothing has come on a connection for some time. Where a set-up has been out on it for half of
-// that, it is held for dead. Where none is, a server whose calls stand is asked to tell of them on a new one. A connection on which
-// nothing is owed may be silent, and one whose set-ups are younger is looked at again.
-func (c *Core) silent(ev ServerSilent) {
-	s := c.servers[ev.Server]
-	if s == nil {
-		return
-	}
-	i := slices.IndexFunc(s.lines, func(l *line) bool { return l.link == ev.Link })
-	if i < 0 {
-		return
-	}
-	l, open := s.lines[i], false
-	for _, k := range s.out {
-		if k.out.line != l {
-			continue
-		}
-		if open = true; c.now-k.out.at >= ev.For/2 {
-			l.malformed = true
-			c.do(Hangup{To: l.link}) // its end tells of what was out there
-			return
-		}
-	}
-	if !open && len(s.standing) > 0 {
-		s.lines = slices.Delete(s.lines, i, i+1)
-		c.do(GracefulClose{To: l.link})
-		c.dial(s)
-	}
-}
-
 // cutOut ends the attempts out at a server on a connection that has ended, and if it was the last, or none could
 // be made, those that wait for one.
 func (c *Core) cutOut(s *server, gone *line, cause elmseam.Cause) {
--- a/internal/core/servers_test.go
+++ b/internal/core/servers_test.go
@@ -1,10 +1,12 @@
 package core
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"elmseam"
+	"elmseam/internal/probe"
 )
 
 // A connection that brings nothing is held for dead only where something is owed on it: a set-up that has been out for long
@@ -31,6 +33,58 @@
 	r.want(r.step(ServerSilent{Server: "b", Link: 12, For: time.Second}), "")
 }
 
+// Where the settings permit probes a silent connection is probed before it is replaced, at a bounded rate and one at a time:
+// not where a set-up is out, which tells as much, nor at a server that drains or is gone. An answer counts once; one
+// that never comes has the connection replaced, and a set-up that went out meanwhile ends with it.
+func TestProbesOfSilentConnections(t *testing.T) {
+	r := newRig(t)
+	r.dials = true
+	limits := r.c.limits
+	limits.Probe = probe.Limits{Permitted: true, Rate: 1, Burst: 2, Timeout: time.Second}
+	r.step(Configured{Settings: elmseam.Settings{Classes: []elmseam.Class{{Deadline: 9 * time.Second}}, MaxAttempts: 4, OwnCell: -1}, Limits: limits})
+	r.c.prober = probe.New(limits.Probe)
+	look := func(server string, link Link) string {
+		return r.step(ServerSilent{Server: server, Link: link, For: 200 * ms})
+	}
+	answer := func(server string, link Link, id probe.ID) string {
+		return r.step(ServerTested{Server: server, Link: link, ID: id, Report: Report{{elmseam.FigureWait, 5}}})
+	}
+	figures := func(want string) {
+		t.Helper()
+		if got := fmt.Sprint(*r.c.Figures(r.now).Probes); got != want {
+			t.Errorf("probes %s, want %s", got, want)
+		}
+	}
+	r.want(look("a", 10), "") // nothing is owed
+	r.setUp(1, 9*time.Second)
+	r.want(look("a", 10), "") // a set-up is out, and tells as much
+	r.step(ServerAnswer{Server: "a", ID: 1})
+	r.want(look("a", 10)+look("a", 10), "test1@10 ") // one at a time
+	r.want(answer("b", 11, 1)+answer("a", 10, 1)+answer("a", 10, 1)+r.pass(time.Second), "")
+	figures("{1 1 0 0 2}")
+	r.want(look("a", 10), "test2@10 ")
+	r.want(r.pass(500*ms)+r.setUp(2, 9*time.Second), "offer2@10 ")
+	r.want(r.pass(500*ms), "hangup@10 ") // the probe has failed
+	r.want(r.step(ServerDown{Server: "a", Link: 10})+r.pass(201*ms), "offer2@11 dial-a ")
+	r.want(answer("a", 10, 2), "")
+	figures("{2 1 1 0 3}")
+	r.step(ServerAnswer{Server: "b", ID: 2})
+	r.want(look("b", 11)+r.pass(time.Second), "test3@11 close@11 dial-b ")
+	r.step(ServerUp{Server: "b", Address: "b:1", Link: 12})
+	r.c.prober = probe.New(probe.Limits{Permitted: true, Rate: 0.01, Burst: 1, Timeout: time.Second})
+	r.want(look("b", 12), "test1@12 ")
+	r.step(ServerTested{Server: "b", Link: 12, ID: 1})
+	r.want(look("b", 12)+look("b", 12), "") // there is no budget, and the connection stays
+	figures("{1 1 0 2 0}")
+	r.pass(100 * time.Second)
+	r.list(elmseam.Ready, elmseam.Draining)
+	r.want(look("b", 12), "close@12 dial-b ")
+	r.step(ServerUp{Server: "b", Address: "b:1", Link: 13})
+	r.list(elmseam.Ready, elmseam.Gone)
+	r.want(look("b", 13), "")
+	figures("{1 1 0 2 0}")
+}
+
 // A call's tenant is looked up by its name as the call comes, under the settings of then: an index given by a front would
 // be another tenant's after a new configuration.
 func TestTenantIsBoundAtArrival(t *testing.T) {
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -8,6 +8,7 @@
 	"elmseam/internal/knowledge"
 	"elmseam/internal/maintenance"
 	"elmseam/internal/membership"
+	"elmseam/internal/probe"
 )
 
 // Time is an instant on the clock that Step is given.
@@ -140,13 +141,6 @@
 		Link   Link
 		Report Report
 	}
-	// ServerSilent says that nothing has come on a connection for so long. Whether anything is owed there, is not for its
-	// reader to say.
-	ServerSilent struct {
-		Server string
-		Link   Link
-		For    time.Duration
-	}
 	// ServerPaused says that a server's own signalling takes no new work, or does again.
 	ServerPaused struct {
 		Server string
@@ -226,7 +220,6 @@
 func (ServerEnd) event()       {}
 func (ServerReport) event()    {}
 func (ServerMalformed) event() {}
-func (ServerSilent) event()    {}
 func (ServerPaused) event()    {}
 func (Route) event()           {}
 func (Written) event()         {}
@@ -366,6 +359,8 @@
 	work   maintenance.Token
 	parts  budget.Token
 	know   knowledge.Token
+	probe  probe.ID
+	link   Link
 }
 
 type tokenKind uint8
@@ -387,6 +382,7 @@
 	tokenWork
 	tokenParts
 	tokenKnow
+	tokenProbe
 	tokenHearsay // a server is held for draining by a peer's word no longer
 )
 
@@ -420,5 +416,6 @@
 	Remember     time.Duration  // a call that is over is remembered for so long
 	Ended        int            // and of so many; 0: of any
 	Hearsay      time.Duration  // a server is held for draining by a peer's word for so long
+	Probe        probe.Limits   // of connections in doubt
 	Routes       int            // withdrawn ones that concern no server of the list
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -250,6 +250,8 @@
 		return e.To
 	case core.Withdraw:
 		return e.To
+	case core.Test:
+		return e.To
 	case core.Move:
 		return e.To
 	case core.Pass:
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -140,6 +140,9 @@
 		switch path {
 		case pathStats:
 			text := Text(f.Figures, d.Names())
+			if f.Probes != nil {
+				text += probeText(*f.Probes)
+			}
 			if f.Members != nil {
 				text += memberText(*f.Members, d.Peers.Count())
 			}
--- a/internal/mgmt/stats.go
+++ b/internal/mgmt/stats.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"elmseam/internal/core"
+	"elmseam/internal/probe"
 )
 
 // The calls there are.
@@ -38,3 +39,8 @@
 	fmt.Fprintf(&b, "app.conf_invalid=%d\n", f.Invalid)
 	return b.String()
 }
+
+// probeText shows the figures of probes, one a line.
+func probeText(f probe.Figures) string {
+	return lines("probes", []figure{{"sent", f.Sent}, {"answered", f.Answered}, {"failed", f.Failed}, {"held", f.Held}, {"late", f.Late}})
+}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/binary"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -20,6 +21,7 @@
 	"elmseam/internal/core"
 	"elmseam/internal/link"
 	"elmseam/internal/loop"
+	"elmseam/internal/probe"
 	"elmseam/internal/settings"
 )
 
@@ -55,6 +57,7 @@
 	c, err := core.New(elmseam.Settings{
 		Classes: []elmseam.Class{{Deadline: 9 * time.Second, Worth: 1}}, MaxAttempts: 4, OwnCell: -1,
 		ReleaseGuard: 50 * time.Millisecond, MaxRetryAfter: 2 * time.Second, Tenants: s.tenants, OverShareWorth: 0.1,
+		Report: []elmseam.Figure{elmseam.FigureWait},
 	}, 1, s.limits)
 	if err != nil {
 		t.Fatal(err)
@@ -250,6 +253,51 @@
 	s.wantFrame(typeAnswer, 1, -1)
 }
 
+// Where a call stands at a server that says nothing, the connection is probed: by a test that asks for a report, and no
+// set-up. The report is taken in once, however often it comes. Without an answer the connection is replaced; where no
+// probe is permitted, at once.
+func TestSilentServerIsProbed(t *testing.T) {
+	for _, permitted := range []bool{true, false} {
+		reports := make(chan float64, 100)
+		s := newStory(t, func(s *story) {
+			s.limits.Probe = probe.Limits{Permitted: permitted, Rate: 1000, Burst: 1, Timeout: 50 * time.Millisecond}
+			s.hook.Deaf = func(ev elmseam.Event) bool {
+				if h, ok := ev.(elmseam.Health); ok && len(h.Report) > 0 {
+					reports <- h.Report[0]
+				}
+				return false
+			}
+		})
+		s.caller.Write(setUp(1, "voice", "5000", ""))
+		s.wantLine(`"offer"`)
+		s.say(`{"op":"accept","call":"0000000000000001","with":{},"desc":""}`)
+		s.wantFrame(typeAnswer, 1, -1)
+		for range pulseSeen + 1 {
+			s.say(`{"op":"group","with":{"load":"recent_ms:1"}}`)
+			time.Sleep(5 * time.Millisecond)
+		}
+		if permitted {
+			s.wantLine(`"test"`, `"why":1`)
+			var asked struct{ Call string }
+			json.Unmarshal(s.lines.Bytes(), &asked)
+			for range 2 {
+				s.say(`{"op":"tested","call":%q,"with":{"load":"recent_ms:7"},"why":1}`, asked.Call)
+			}
+			s.wantLine(`"test"`) // it is silent again, and says nothing to this one
+			for got := 0.0; got != 7; got = <-reports {
+			}
+		}
+		s.accept()
+		s.say(`{"op":"end","call":"0000000000000001","with":{},"why":16}`)
+		s.wantFrame(typeRelease, 1, 16)
+		for len(reports) > 0 {
+			if <-reports == 7 {
+				t.Error("the answer to a probe was taken in twice")
+			}
+		}
+	}
+}
+
 // A caller gives up: the server is told, and its crossing answer is not passed on.
 func TestCallerGivesUp(t *testing.T) {
 	s := newStory(t)
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -14,6 +14,7 @@
 
 	"elmseam/internal/core"
 	"elmseam/internal/link"
+	"elmseam/internal/probe"
 	"elmseam/internal/q850"
 	"elmseam/internal/settings"
 )
@@ -50,6 +51,8 @@
 			it.Done = func() { s.p.loop.Post(core.Written{Server: s.name, Link: s.link, ID: e.ID}) }
 		}
 		s.out.Post(it)
+	case core.Test:
+		s.out.Post(link.Item{Data: fmt.Appendf(nil, `{"op":"test","call":"%016x","with":{},"why":%d}`+"\n", uint64(e.ID), askReport)})
 	case core.GracefulClose: // what was written last can still be read
 		s.out.Finish(func() { time.AfterFunc(s.linger, s.out.Close) })
 	case core.Withdraw:
@@ -62,6 +65,9 @@
 	return nil
 }
 
+// askReport is the cause of a test that is answered with a report.
+const askReport = 1
+
 // appendOffer writes a set-up.
 func appendOffer(b []byte, e core.Offer, now core.Time) []byte {
 	b = fmt.Appendf(b, `{"op":"offer","call":"%016x","with":{"class":`, uint64(e.ID))
@@ -226,7 +232,9 @@
 		}
 	case "test":
 		s.out.Post(link.Item{Data: fmt.Appendf(nil, `{"op":"tested","call":"%016x","with":{},"why":1}`+"\n", uint64(id))})
-	case "ringing", "ended", "tested":
+	case "tested":
+		s.p.loop.Post(core.ServerTested{Server: s.name, Link: s.link, ID: probe.ID(id), Report: report})
+	case "ringing", "ended":
 	default:
 		return fmt.Errorf("a message of the unknown type %q", l.op)
 	}
--- /dev/null
+++ b/internal/probe/probe.go
@@ -0,0 +1,107 @@
+// Package probe decides which connection to a server may be asked whether it still carries anything, and counts what came of
+// it. A probe costs the server work and may have a price, so all together are bounded in rate. It does no I/O and reads
+// no clock.
+package probe
+
+import "time"
+
+// Limits bound the probes.
+type Limits struct {
+	Permitted bool          // by the settings
+	Rate      float64       // probes a second, to all servers together
+	Burst     float64       // and so many at once
+	Timeout   time.Duration // without an answer by then a probe has failed
+}
+
+// Figures count probes from the start of the process.
+type Figures struct {
+	Sent     uint64
+	Answered uint64
+	Failed   uint64 // no answer came in time, or the connection ended first
+	Held     uint64 // not sent, as the rate is bounded
+	Late     uint64 // answers to none that is out: a second one, or one that comes too late
+}
+
+// ID names a probe.
+type ID uint64
+
+// Prober keeps the probes that are out, at most one to a connection.
+type Prober struct {
+	limits  Limits
+	figures Figures
+	tokens  float64
+	at      time.Duration // when they were last counted
+	last    ID
+	out     map[ID]uint64 // by the connection
+}
+
+// New makes a prober that may begin with a burst.
+func New(l Limits) *Prober { return &Prober{limits: l, tokens: l.Burst, out: make(map[ID]uint64)} }
+
+// Configure replaces the limits. A probe that is out stays out.
+func (p *Prober) Configure(l Limits) { p.limits = l }
+
+// Figures are the figures of now.
+func (p *Prober) Figures() Figures { return p.figures }
+
+// Verdict is what may be done about a connection in doubt.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Forbidden Verdict = iota // no probe may be sent: the connection has to be judged without one
+	Wait                     // one is out there, or there is no budget: it is looked at again
+	Send
+)
+
+// Ask says whether a connection may be probed, and if so, under which name and until when an answer is waited for.
+func (p *Prober) Ask(now time.Duration, link uint64) (v Verdict, id ID, until time.Duration) {
+	if !p.limits.Permitted {
+		return Forbidden, 0, 0
+	}
+	for _, l := range p.out {
+		if l == link {
+			return Wait, 0, 0
+		}
+	}
+	p.tokens = min(p.tokens+p.limits.Rate*max(now-p.at, 0).Seconds(), p.limits.Burst)
+	if p.at = now; p.tokens < 1 {
+		p.figures.Held++
+		return Wait, 0, 0
+	}
+	p.tokens--
+	p.last++
+	p.out[p.last] = link
+	p.figures.Sent++
+	return Send, p.last, now + p.limits.Timeout
+}
+
+// Answered takes in an answer, which counts once and on the connection that was asked.
+func (p *Prober) Answered(id ID, link uint64) bool {
+	if l, out := p.out[id]; !out || l != link {
+		p.figures.Late++
+		return false
+	}
+	delete(p.out, id)
+	p.figures.Answered++
+	return true
+}
+
+// Overdue ends a probe whose time is up, and says whether it was still out.
+func (p *Prober) Overdue(id ID) bool {
+	if _, out := p.out[id]; !out {
+		return false
+	}
+	delete(p.out, id)
+	p.figures.Failed++
+	return true
+}
+
+// Ended takes in that a connection is no more: nobody waits for what was asked there.
+func (p *Prober) Ended(link uint64) {
+	for id, l := range p.out {
+		if l == link {
+			p.Overdue(id)
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -137,6 +137,7 @@
 	Zone           int           // the own zone; -1: not told
 	Tier           int           // softswitches in the tier; 0: not told
 	PeerMessages   bool          // datagrams between them are permitted
+	Probes         bool          // tests of servers are
 }
 
 // Class is a class of call as callers name it.
@@ -312,6 +313,7 @@
 			KeepAlive micros `json:"keepalive-us"`
 			MaxOpen   int    `json:"max-open"`
 			Peers     bool   `json:"peer-messages"`
+			Probes    bool   `json:"probes"`
 		} `json:"limits"`
 		Me         *float64 `json:"me"`
 		Zone       *float64 `json:"zone"`
@@ -337,6 +339,7 @@
 		Zone:           -1,
 		Tier:           int(info.Tier),
 		PeerMessages:   info.Limits.Peers,
+		Probes:         info.Limits.Probes,
 	}
 	if info.Zone != nil {
 		n.Zone = int(min(max(*info.Zone, -1), 127))
