--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"elmseam"
+	"elmseam/internal/probe"
 )
 
 const ms = time.Millisecond
@@ -23,13 +24,33 @@
 
 func newRig(t *testing.T) *rig {
 	t.Helper()
-	c, err := New(elmseam.Settings{
+	return rigOf(t, deployments["share told"])
+}
+
+// deployments are settings of two kinds: servers that tell a share to hold back, and none that may be probed; servers that
+// tell their wait, probes, tenants with shares, and other figures of the rules.
+var deployments = map[string]elmseam.Settings{
+	"share told": {
 		Classes:     []elmseam.Class{{Aim: time.Second, Deadline: 9 * time.Second, Worth: 1}},
 		MaxAttempts: 4, MaxRetryAfter: 2 * time.Second, CanCancel: true, OwnCell: -1,
 		ResendGap: 500 * ms, ReleaseGuard: 200 * ms, ColdFrom: 0.3, ColdRamp: 14 * time.Second,
 		TipMultiple: 2.5, TipAfter: time.Second,
-	}, 1, Limits{
+	},
+	"wait told": {
+		Classes: []elmseam.Class{{Aim: 1500 * ms, Deadline: 9 * time.Second, Worth: 1}, {Aim: 1500 * ms, Deadline: 9 * time.Second, Worth: 3}},
+		Tenants: []elmseam.Tenant{{Name: "x", Allowance: 54}, {Name: "y", Allowance: 19}}, OverShareWorth: 0.1,
+		Report:      []elmseam.Figure{elmseam.FigureFreeLines, elmseam.FigureLines, elmseam.FigureWait},
+		MaxAttempts: 5, MaxRetryAfter: 2 * time.Second, CanCancel: true, OwnCell: -1,
+		ResendGap: 800 * ms, ReleaseGuard: 300 * ms, ColdFrom: 0.29, ColdRamp: 14 * time.Second,
+		TipMultiple: 3, TipAfter: time.Second,
+	},
+}
+
+func rigOf(t *testing.T, set elmseam.Settings) *rig {
+	t.Helper()
+	c, err := New(set, 1, Limits{
 		AnswerMargin: 15 * ms, Rebind: 100 * ms, RedialLeast: 100 * ms, RedialMost: 500 * ms,
+		Probe:      probe.Limits{Permitted: len(set.Tenants) > 0, Rate: 5, Burst: 2, Timeout: 300 * ms},
 		ServerLost: 6 * time.Second, StopGrace: 700 * ms, StopMost: 9 * time.Second, Callers: 100, MaxOpen: 100, OpenBytes: 100, Remember: time.Minute, Hearsay: 5 * time.Second,
 	})
 	if err != nil {
--- a/internal/core/random_test.go
+++ b/internal/core/random_test.go
@@ -12,8 +12,14 @@
 // restarts, give-ups, closed callers and ends that are written late. What goes out is held against a model that
 // knows the rules only.
 func TestRulesUnderRandomEvents(t *testing.T) {
+	for name, set := range deployments {
+		t.Run(name, func(t *testing.T) { rulesUnderRandomEvents(t, set) })
+	}
+}
+
+func rulesUnderRandomEvents(t *testing.T, set elmseam.Settings) {
 	rnd := rand.New(rand.NewPCG(7, 7))
-	r := newRig(t)
+	r := rigOf(t, set)
 	r.c.limits.OpenBytes = 1 << 20
 	type model struct {
 		out      string // server that has an attempt
@@ -36,6 +42,7 @@
 		id     ID
 	}
 	var unwritten []key
+	var tested []ServerTested
 	next, nextLink := ID(0), Link(100)
 	var caller Link = 1
 	fail := func(id ID, what string) { t.Fatalf("call %d: %s: %+v", id, what, calls[id]) }
@@ -73,10 +80,27 @@
 				case m.finals > 0 || m.gone:
 					fail(e.ID, "sent after its end")
 				}
-				if m.out = name; m.attempts == 4 {
-					fail(e.ID, "a fifth attempt")
+				if m.out = name; m.attempts == set.MaxAttempts {
+					fail(e.ID, "an attempt too many")
 				}
 				m.attempts++
+			case Test:
+				name := links[e.To]
+				if !r.c.limits.Probe.Permitted || name == "" || ready[name] != elmseam.Ready {
+					t.Fatalf("a probe on link %d, which goes to %q", e.To, name)
+				}
+				if rnd.IntN(2) == 0 {
+					tested = append(tested, ServerTested{Server: name, Link: e.To, ID: e.ID, Report: Report{{elmseam.FigureWait, rnd.Float64() * 900}}})
+				}
+			case GracefulClose:
+				if name, there := links[e.To]; there { // replaced, where nothing is out
+					for id, m := range calls {
+						if m.out == name {
+							fail(id, "its connection is closed as one on which nothing is out")
+						}
+					}
+					lose(name)
+				}
 			case End:
 				if m, name := calls[e.ID], links[e.To]; m != nil && name != "" && m.out == name {
 					if m.ending = true; e.Tell {
@@ -126,12 +150,19 @@
 			id = live[max(0, len(live)-1-rnd.IntN(30))]
 		}
 		m := calls[id]
-		switch rnd.IntN(24) {
+		switch rnd.IntN(26) {
+		case 24:
+			step(ServerSilent{Server: name, Link: up[name], For: time.Duration(rnd.IntN(2000)) * ms})
+		case 25: // the answer to a probe, the last one twice
+			if n := len(tested); n > 0 {
+				step(tested[0])
+				tested = tested[min(1, n-1):]
+			}
 		case 0, 1, 2, 3, 4:
 			next++
 			calls[next] = &model{}
 			live = append(live, next)
-			step(SetUp{ID: next, From: caller, Cell: rnd.IntN(2), Left: time.Duration(50+rnd.IntN(4000)) * ms, At: r.now})
+			step(SetUp{ID: next, From: caller, Class: rnd.IntN(len(set.Classes)), Tenant: []string{"", "x", "y", "z"}[rnd.IntN(4)], Cell: rnd.IntN(2), Left: time.Duration(50+rnd.IntN(4000)) * ms, At: r.now})
 		case 5, 6, 7, 8, 9, 10, 11, 12: // the server answers what is out
 			if m != nil && m.out != "" {
 				server := m.out
