--- a/controller.go
+++ b/controller.go
@@ -95,6 +95,7 @@
 	stands counter // calls from here that stood
 	took   float64 // such calls a second, the most before it started anew
 	faults int     // weight of the bad endings in a row
+	errs   bool    // its cut is for errors: it answers, and not every call fails
 
 	topRate float64 // highest rate told
 	size    float64 // lines in all, 0: not told
@@ -460,7 +461,7 @@
 		wait = most
 	}
 	c.tryAfter(s)
-	s.told, s.fullAt, s.lapse, s.trial = 1, c.now, c.now+wait, false
+	s.told, s.fullAt, s.lapse, s.trial, s.errs = 1, c.now, c.now+wait, false, false
 }
 
 // tryAfter makes a cut one that trials follow when it lapses.
@@ -565,11 +566,27 @@
 		return
 	}
 	c.measure()
-	if s := c.pick(k); s != nil {
-		c.send(k, s)
+	s := c.pick(k)
+	if s == nil {
+		s = c.lastResort(k)
+	}
+	if s == nil {
+		c.refuse(k, c.hint)
 		return
 	}
-	c.refuse(k, c.hint)
+	c.send(k, s)
+}
+
+// lastResort is a server that is cut for its errors, for a call that would be refused. Errors come at once:
+// they cost a call less than a refusal does, and a server seldom fails every call.
+func (c *Controller) lastResort(k *call) *server {
+	for _, s := range c.servers {
+		if s.full && s.errs && !k.low && k.class.Repeat == RepeatFree && c.usable(s, k) && c.coldPasses(s) &&
+			c.linePasses(s, k) && !c.unanswered(s, true, 1) {
+			return s
+		}
+	}
+	return nil
 }
 
 // pick chooses the server: the first choice if it can be had and its thinning lets the call pass, else the
@@ -782,6 +799,7 @@
 func (c *Controller) fault(s *server, weight int) {
 	if s.faults += weight; s.faults >= failLimit {
 		c.cut(s, 0)
+		s.errs = weight < silenceWeight
 	}
 }
 
--- a/controller_test.go
+++ b/controller_test.go
@@ -586,6 +586,62 @@
 	b.want("after the trial", b.answered(1, 20*ms), 1)
 }
 
+// A server that is cut for its errors gets the calls that would be refused else: three of four failed at one, and one in
+// eight of all calls was refused. None of little worth goes there, nor any where a call that may have run can't be made
+// again, while one that it got is unanswered, or where it is cut for its load or its silence.
+func TestLastResort(t *testing.T) {
+	for name, c := range map[string]struct {
+		cause  Cause
+		repeat Repeat
+		known  bool // the tenant
+		want   ServerID
+	}{
+		"errors":            {CauseBusy, RepeatFree, true, 1},
+		"little worth":      {CauseBusy, RepeatFree, false, 0},
+		"not to be made up": {CauseBusy, RepeatNever, true, 0},
+		"processor full":    {CauseFull, RepeatFree, true, 0},
+		"no connection":     {CauseUnreachable, RepeatFree, true, 0},
+		"silence":           {CauseTimeout, RepeatFree, true, 0},
+	} {
+		set := settings()
+		set.Tenants, set.OverShareWorth, set.Classes[0].Repeat = []Tenant{{Name: "a", Allowance: 1}}, 0.1, c.repeat
+		b := newBench(t, set, 2)
+		b.steady(2)
+		call := func() (CallID, []Action) {
+			b.pass(400 * ms)
+			b.next++
+			tenant := 0
+			if !c.known {
+				tenant = -1
+			}
+			return b.next, b.on(Arrival{Call: b.next, Cell: 1, Tenant: tenant, Within: 3 * time.Second})
+		}
+		for range failLimit {
+			if id, acts := call(); sentTo(acts) == 1 {
+				if c.cause == CauseTimeout {
+					b.pass(b.c.gaps(hopeless))
+					b.on(Wake{Token: uint32(id)})
+				}
+				acts = b.on(Outcome{Call: id, Server: 1, Cause: c.cause, Refusal: RefusalProcessor})
+				if s := sentTo(acts); s != 0 {
+					b.on(Standing{Call: id, Server: s, Took: 20 * ms})
+				}
+			}
+		}
+		b.on(ListDelta{Entries: []ListEntry{{Server: 2, Cell: 2, Phase: Draining}}})
+		id, acts := call()
+		b.want(name, sentTo(acts), c.want)
+		if c.want == 0 {
+			continue
+		}
+		_, acts = call()
+		b.want("while one is unanswered", sentTo(acts), 0)
+		if acts = b.on(Outcome{Call: id, Server: 1, Cause: CauseBusy}); !refused(acts) {
+			t.Errorf("a call that the last resort has failed: %v, want a refusal", acts)
+		}
+	}
+}
+
 // A server that fails a part of its calls still serves the others (incident i1a4c38).
 func TestSomeErrorsDoNotCut(t *testing.T) {
 	b := newBench(t, settings(), 2)
