A process of the second kind of deployment: tenants, no share told, and not one datagram

Seen to fail with the check of the settings taken out (a datagram of 21 bytes); where they are permitted the peer hears some.

--- a/cmd/elmseam/main_test.go
+++ b/cmd/elmseam/main_test.go
@@ -496,6 +496,58 @@
 	p.until("/ops/members", 404, "membership is off")
 }
 
+// A deployment like the second organisation's: tenants with shares, reports without a share to hold back, five attempts,
+// and no word between softswitches, though the members' file asks for it and the platform names a tier. Not one datagram
+// goes out, from the start to the end, while calls are served. Where they are permitted some do.
+func TestDeploymentWithoutPeerMessages(t *testing.T) {
+	for _, permitted := range []bool{false, true} {
+		srv, channel := listen(t), listen(t)
+		var tier [2]*net.UDPConn
+		for i := range tier {
+			c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			tier[i] = c
+			defer c.Close()
+		}
+		tier[0].Close() // the program's own
+		members := filepath.Join(t.TempDir(), "members.toml")
+		os.WriteFile(members, []byte("enabled = true"), 0o600)
+		p := newProgram(t)
+		text := strings.NewReplacer(`"total","cut_by"`, `"total","recent_ms"`, `"max-attempts":4`, `"max-attempts":5,"probes":true,"peer-messages":`+fmt.Sprint(permitted),
+			`{"request-classes"`, `{"me":0,"peers-total":2,"over-share-worth":0.1,"tenants":[{"name":"a","share":0.5,"allowance-per-s":9}],"request-classes"`).Replace(settingsText)
+		p.write(channel, text, endpoint("s", "in_service", srv))
+		config, _ := os.ReadFile(p.config)
+		config = bytes.Replace(config, []byte(`{"name"`), fmt.Appendf(nil, `{"peer_listen":%q,"peers":[%[1]q,%q],"name"`, tier[0].LocalAddr(), tier[1].LocalAddr()), 1)
+		os.WriteFile(p.config, config, 0o600)
+		p.run("", "ELMSEAM_MEMBERS="+members)
+		peer, caller := server(t, srv), dial(t, p.listen)
+		caller.setUp(1)
+		fmt.Fprintf(peer, `{"op":"accept","call":%q,"with":{"load":"spare:9;total:9;recent_ms:4"},"desc":""}`+"\n", peer.line(`"offer"`))
+		caller.frame(9, 1)
+		tier[1].SetReadDeadline(time.Now().Add(patience))
+		if permitted {
+			if _, err := tier[1].Read(make([]byte, 256)); err != nil {
+				t.Errorf("datagrams are permitted: %v", err)
+			}
+			continue
+		}
+		p.until("/ops/stats", 200, "app.probes.sent=0\n")
+		p.cmd.Process.Signal(syscall.SIGTERM)
+		p.wantLog("stopping")
+		fmt.Fprintf(peer, `{"op":"end","call":"0000000000000001","with":{},"why":16}`+"\n")
+		caller.frame(12, 1)
+		if err := p.cmd.Wait(); err != nil {
+			t.Errorf("the program ends with %v", err)
+		}
+		tier[1].SetReadDeadline(time.Now().Add(100 * time.Millisecond)) // what was sent is there by now
+		if n, err := tier[1].Read(make([]byte, 256)); err == nil {
+			t.Errorf("a datagram of %d bytes where none is permitted", n)
+		}
+	}
+}
+
 // The second front listens where its file says, serves an old client by a server of the platform, and the
 // service address is announced until the program is told to stop.
 func TestSecondFront(t *testing.T) {
