--- a/cmd/elmseamctl/servers.go
+++ b/cmd/elmseamctl/servers.go
@@ -77,6 +77,9 @@
 			fmt.Fprintf(w, "\t%s\t%s\t%s\t%.2f\t%s\t%.1f\t%.0f\t%d\t%v\n", says, by, ms(t.AgeMS), t.Share, report, t.Rate, t.Lines, t.Bad,
 				time.Duration(t.FloorUS)*time.Microsecond)
 		}
+		if one.More > 0 {
+			fmt.Fprintf(w, "\t\t%d others\n", one.More)
+		}
 	}
 	w.Flush()
 	if len(s.Parts) == 0 {
--- a/internal/core/probe.go
+++ b/internal/core/probe.go
@@ -101,11 +101,13 @@
 	if slices.ContainsFunc(inOrder(s.out), func(k *call) bool { return k.out.line == l }) {
 		l.malformed = true
 		c.do(Hangup{To: l.link}) // its end tells of what was out
-		return
+	} else {
+		s.lines = slices.DeleteFunc(s.lines, func(have *line) bool { return have == l })
+		c.do(GracefulClose{To: l.link})
+	}
+	if c.wanted(s) > 0 {
+		c.ahead(s)
 	}
-	s.lines = slices.DeleteFunc(s.lines, func(have *line) bool { return have == l })
-	c.do(GracefulClose{To: l.link})
-	c.dial(s)
 }
 
 // lineOf is a connection to a server by its name; nil: it is one no more.
--- a/internal/mgmt/servers.go
+++ b/internal/mgmt/servers.go
@@ -1,8 +1,10 @@
 package mgmt
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -31,9 +33,13 @@
 	Rate    float64 `json:"rate"`              // set-ups a second that another softswitch takes from there, on the mean
 	Failing float64 `json:"failing"`           // share of the others' weight that holds it for failing
 	Allowed float64 `json:"allowed,omitempty"` // while it is cold: set-ups a second of a warm one that may be used here
-	Told    []Told  `json:"told"`
+	Told    []Told  `json:"told"`              // the newest, by number
+	More    int     `json:"more,omitempty"`    // others that have told, and aren't shown
 }
 
+// toldShown are the entries shown of a server: in a tier of hundreds all of them are megabytes, and most are old.
+const toldShown = 64
+
 // Told is what one softswitch has seen of a server.
 type Told struct {
 	Number  int     `json:"number"`
@@ -69,7 +75,11 @@
 		for _, k := range f.Knows.Servers {
 			one := Server{Name: k.Name, State: phaseNames[k.Phase], Heard: k.Heard, Share: k.View.Share, Rate: k.View.Rate,
 				Failing: k.View.Bad, Allowed: max(k.Rate, 0), Told: []Told{}}
-			for _, t := range k.Told {
+			newest := slices.SortedStableFunc(slices.Values(k.Told), func(a, b knowledge.Told) int { return cmp.Compare(b.At, a.At) })
+			one.More = max(len(newest)-toldShown, 0)
+			newest = newest[:len(newest)-one.More]
+			slices.SortFunc(newest, func(a, b knowledge.Told) int { return a.Observer - b.Observer })
+			for _, t := range newest {
 				told := Told{Number: t.Observer, Share: t.Share, Rate: t.Rate, Lines: t.Lines, Bad: t.Bad,
 					FloorUS: t.Floor.Microseconds(), Drains: t.Drains > 0, AgeMS: ms(t.At)}
 				if t.ShareAt > 0 {
--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -462,7 +462,7 @@
 	if !asked || len(rest) > 0 {
 		whole = time.Now().Add(limits.First)
 	}
-	moot := make(map[core.ID]bool) // set-ups that were given up before they were taken
+	var moot map[core.ID]bool // set-ups that were given up before they were taken
 	waited, gone := true, false
 	malformed := func() {
 		p.loop.Post(core.CallerMalformed{Link: c.link})
@@ -515,6 +515,9 @@
 			switch {
 			case err != nil:
 			case f.kind == typeSetUp && (gone || givesUp(in.Bytes()[n:], f.id)): // nobody waits for it any more
+				if moot == nil {
+					moot = make(map[core.ID]bool)
+				}
 				moot[f.id] = true
 			default:
 				err = p.take(c.link, c.out, f, at, moot[f.id])
