Last resort: an error makes light of no other cause, and a lapsed share is no cut for errors

Seen in the last read: an error that came after 'processor full' made the cut one for errors, and the next call would have gone to a server that had just asked for a pause; and the mark outlived the cut that it was for. TestLastResort fails without each of the two.

--- a/controller.go
+++ b/controller.go
@@ -467,7 +467,7 @@
 // tryAfter makes a cut one that trials follow when it lapses.
 func (c *Controller) tryAfter(s *server) {
 	if !s.full {
-		s.full, s.trials = true, bucket{c.rng.Float64(), c.now}
+		s.full, s.errs, s.trials = true, false, bucket{c.rng.Float64(), c.now}
 	}
 }
 
@@ -798,8 +798,9 @@
 // A server that fails all at once looks idle and would draw every call; one that is silent keeps its load.
 func (c *Controller) fault(s *server, weight int) {
 	if s.faults += weight; s.faults >= failLimit {
+		errs := weight < silenceWeight && (s.errs || !s.full) // no error makes light of another cause
 		c.cut(s, 0)
-		s.errs = weight < silenceWeight
+		s.errs = errs
 	}
 }
 
--- a/controller_test.go
+++ b/controller_test.go
@@ -639,6 +639,23 @@
 		if acts = b.on(Outcome{Call: id, Server: 1, Cause: CauseBusy}); !refused(acts) {
 			t.Errorf("a call that the last resort has failed: %v, want a refusal", acts)
 		}
+		id, acts = call()
+		b.want("the next", sentTo(acts), 1)
+		b.on(Outcome{Call: id, Server: 1, Cause: CauseFull, Refusal: RefusalProcessor})
+		b.c.fault(b.c.byID[1], 1) // an answer that was on its way
+		_, acts = call()
+		b.want("after its processor was full", sentTo(acts), 0)
+	}
+	b := newBench(t, settings(), 1)
+	s := b.c.byID[1]
+	b.c.now = b.now
+	b.c.fault(s, failLimit)
+	s.errs = true
+	b.pass(b.c.gaps(fullHold))
+	b.report(1, 900, 1000, 900) // lifts the cut, and asks for a share that a trial follows
+	b.pass(b.c.gaps(reportLapse))
+	if b.call(1); !s.full || s.errs {
+		t.Errorf("a share that has lapsed: a full cut %v, for errors %v", s.full, s.errs)
 	}
 }
 
