A connection that took a set-up and says nothing is dead also when the set-up was given up

A print at each refusal shows s0 with lines, no cut and no report of load, and set-ups out whose answers never come: the module gives them up within two gaps, so none was ever out for half of the silence, the dead connection stayed, and each next set-up on it was lost too. Ruled out: tenants (low=false), the window, probes (none was sent beside set-ups).

Change: what counts is the first set-up that nothing has come after, as lineTo has it (mute), beside those that are out. The random test's answers name their connection. TestSilenceCountsWhereSomethingIsOwed has the given-up set-up.

--- a/internal/core/probe.go
+++ b/internal/core/probe.go
@@ -36,9 +36,10 @@
 func (ServerTested) event() {}
 func (Test) effect()        {}
 
-// silent takes in that nothing has come on a connection for some time. Where a set-up has been out on it for half of that,
-// it is held for dead. One whose set-ups are younger is looked at again, and one on which nothing is owed may be silent.
-// Where calls stand, what ends them may come on any connection: it is probed, or replaced where no probe is permitted.
+// silent takes in that nothing has come on a connection for some time. Where a set-up went out on it half of that ago, it
+// is held for dead, whether the set-up is still out or was given up meanwhile. One that has had its first since then later is
+// looked at again, and one on which nothing is owed may be silent. Where calls stand, what ends them may come on any
+// connection: it is probed, or replaced where no probe is permitted.
 func (c *Core) silent(ev ServerSilent) {
 	s := c.servers[ev.Server]
 	if s == nil {
@@ -48,17 +49,17 @@
 	if l == nil {
 		return
 	}
-	open := false
+	first := l.mute // set-up that nothing has come after, or that is out
 	for _, k := range s.out {
-		if k.out.line == l {
-			open = true
-			if c.now-k.out.at >= ev.For/2 {
-				c.replace(s, l)
-				return
-			}
+		if k.out.line == l && (first == 0 || k.out.at < first) {
+			first = k.out.at
 		}
 	}
-	if open || len(s.standing) == 0 {
+	switch {
+	case first != 0 && c.now-first >= ev.For/2:
+		c.replace(s, l)
+		return
+	case first != 0, len(s.standing) == 0:
 		return
 	}
 	verdict, id, until := probe.Forbidden, probe.ID(0), Time(0)
--- a/internal/core/random_test.go
+++ b/internal/core/random_test.go
@@ -170,17 +170,17 @@
 					m.out, m.stands = "", server
 					stood++
 				}
-				step(ServerAnswer{Server: server, ID: id})
+				step(ServerAnswer{Server: server, Link: up[server], ID: id})
 			}
 		case 13:
 			if m != nil && m.out != "" && !m.ending {
 				server := m.out
 				m.out = ""
-				step(ServerEnd{Server: server, ID: id, Reason: []Reason{Full, Busy, Unsent}[rnd.IntN(3)]})
+				step(ServerEnd{Server: server, Link: up[server], ID: id, Reason: []Reason{Full, Busy, Unsent}[rnd.IntN(3)]})
 			}
 		case 14, 15:
 			if m != nil && m.stands != "" && !m.over && up[m.stands] != 0 {
-				step(ServerEnd{Server: m.stands, ID: id, Reason: Normal})
+				step(ServerEnd{Server: m.stands, Link: up[m.stands], ID: id, Reason: Normal})
 			}
 		case 16:
 			if m != nil && !m.gone && !m.over {
--- a/internal/core/servers_test.go
+++ b/internal/core/servers_test.go
@@ -25,12 +25,21 @@
 	r.want(r.step(silent), "hangup@10 dial-a ")
 	r.want(r.step(ServerDown{Server: "a", Link: 10}), "")
 	r.want(r.pass(201*ms), "offer1@11 ") // after the release gap
-	r.step(ServerAnswer{Server: "b", ID: 1})
+	r.step(ServerAnswer{Server: "b", Link: 11, ID: 1})
 	r.want(r.step(ServerSilent{Server: "b", Link: 11, For: time.Second}), "close@11 dial-b ")
 	r.want(r.step(ServerSilent{Server: "b", Link: 11, For: time.Second}), "")
 	r.step(ServerUp{Server: "b", Address: "b:1", Link: 12})
 	r.want(r.step(ServerEnd{Server: "b", Link: 12, ID: 1, Reason: Normal}), "released1@1 ")
 	r.want(r.step(ServerSilent{Server: "b", Link: 12, For: time.Second}), "")
+
+	// The module gives a set-up up sooner than that; its silence tells as much. On a connection that had died each next
+	// set-up was lost as well: a tenth of all calls refused (seen on rate+silent+leave, 0.996 against 0.82 to 0.92).
+	r.want(r.step(SetUp{ID: 2, From: 1, Cell: 1, Left: 5 * time.Second, At: r.now}), "offer2@12 ")
+	r.c.out = nil
+	r.c.giveUp(r.c.calls[2], elmseam.CauseCancelled)
+	r.want(r.step(Written{Server: "b", Link: 12, ID: 2}), "")
+	r.want(r.pass(400*ms)+r.step(ServerSilent{Server: "b", Link: 12, For: time.Second}), "")
+	r.want(r.pass(100*ms)+r.step(ServerSilent{Server: "b", Link: 12, For: time.Second}), "close@12 dial-b ")
 }
 
 // Where the settings permit probes a silent connection is probed before it is replaced, at a bounded rate and one at a time:
@@ -58,7 +67,7 @@
 	r.want(look("a", 10), "") // nothing is owed
 	r.setUp(1, 9*time.Second)
 	r.want(look("a", 10), "") // a set-up is out, and tells as much
-	r.step(ServerAnswer{Server: "a", ID: 1})
+	r.step(ServerAnswer{Server: "a", Link: 10, ID: 1})
 	r.want(look("a", 10)+look("a", 10), "test1@10 ") // one at a time
 	r.want(answer("b", 11, 1)+answer("a", 10, 1)+answer("a", 10, 1)+r.pass(time.Second), "")
 	figures("{1 1 0 0 2}")
@@ -68,7 +77,7 @@
 	r.want(r.step(ServerDown{Server: "a", Link: 10})+r.pass(201*ms), "offer2@11 ")
 	r.want(answer("a", 10, 2), "")
 	figures("{2 1 1 0 3}")
-	r.step(ServerAnswer{Server: "b", ID: 2})
+	r.step(ServerAnswer{Server: "b", Link: 11, ID: 2})
 	r.want(look("b", 11)+r.pass(time.Second), "test3@11 close@11 dial-b ")
 	r.step(ServerUp{Server: "b", Address: "b:1", Link: 12})
 	r.c.prober = probe.New(probe.Limits{Permitted: true, Rate: 0.01, Burst: 1, Timeout: time.Second})
