A probed connection is in doubt: set-ups go out on another until it answers

It is now passed over like one that leaves a set-up without a word, and replaced as soon. TestProbedConnectionIsInDoubt is new.

--- a/internal/core/probe.go
+++ b/internal/core/probe.go
@@ -70,6 +70,7 @@
 	case probe.Forbidden:
 		c.replace(s, l)
 	case probe.Send:
+		l.mute = c.now // as for a set-up: what goes out from now on goes elsewhere unless something comes
 		c.do(Test{To: l.link, ID: id})
 		c.timer(until, Token{kind: tokenProbe, server: s.Name, probe: id, link: l.link})
 	}
--- a/internal/core/servers_test.go
+++ b/internal/core/servers_test.go
@@ -94,6 +94,23 @@
 	figures("{1 1 0 2 0}")
 }
 
+// While the answer to a probe is awaited, set-ups go out on another connection; and without one the connection is replaced as
+// if it had been a set-up, whatever the time of a probe.
+func TestProbedConnectionIsInDoubt(t *testing.T) {
+	r := newRig(t)
+	r.c.limits.Lines, r.c.limits.Mute = map[Front]int{"": 2}, 100*ms
+	r.c.prober = probe.New(probe.Limits{Permitted: true, Rate: 1, Burst: 2, Timeout: 9 * time.Second})
+	r.step(ServerUp{Server: "a", Address: "a:1", Link: 20})
+	r.want(r.setUp(1, 9*time.Second), "offer1@10 ")
+	r.step(ServerAnswer{Server: "a", Link: 10, ID: 1})
+	r.pass(time.Second)
+	silent := ServerSilent{Server: "a", Link: 20, For: time.Second}
+	r.want(r.step(silent), "test1@20 ")
+	r.want(r.pass(101*ms)+r.setUp(2, 9*time.Second), "offer2@10 ") // 20 has been used least
+	r.step(ServerAnswer{Server: "a", Link: 10, ID: 2})
+	r.want(r.pass(400*ms)+r.step(silent), "close@20 ")
+}
+
 // A call's tenant is looked up by its name as the call comes, under the settings of then: an index given by a front would
 // be another tenant's after a new configuration.
 func TestTenantIsBoundAtArrival(t *testing.T) {
