Set-ups lost on a connection that dies are no silence of a server that reports ease

A print at each refusal: from 19.5 s both connections to s0 die within a second; 32 set-ups lost there weigh 4 each, s0 is cut for ten gaps though its reports tell of ease until the cut, and s1, of a seventh of its lines, is idle while the rest is refused.

TestLostSetUpsAtAServerAtEase fails without it.

--- a/controller.go
+++ b/controller.go
@@ -997,6 +997,11 @@
 	c.route(k)
 }
 
+// atEase says whether a server has reported of late that it is not pressed.
+func (c *Controller) atEase(s *server) bool {
+	return s.told < windowed && c.now < s.lapse-c.gaps(reportLapse-lagFresh)
+}
+
 // wake looks after a call: the release guard has passed, or its attempt has been out for long.
 func (c *Controller) wake(id CallID) {
 	k := c.calls[id]
@@ -1007,11 +1012,11 @@
 			c.again(k)
 		}
 	case c.now >= k.out.sent+c.gaps(hopeless):
-		k.out.lost = true
-		c.fault(k.out.server, silenceWeight)
+		if k.out.lost = true; !c.atEase(k.out.server) { // it says that it is there: the way is at fault
+			c.fault(k.out.server, silenceWeight)
+		}
 	case c.now >= k.out.sent+c.gaps(doubtful):
-		s := k.out.server
-		k.out.lost = s.told < windowed && c.now < s.lapse-c.gaps(reportLapse-lagFresh)
+		k.out.lost = c.atEase(k.out.server)
 		c.do(SetTimer{Token: uint32(k.id), At: k.out.sent + c.gaps(hopeless)})
 	}
 }
--- a/controller_test.go
+++ b/controller_test.go
@@ -586,6 +586,30 @@
 	b.want("after the trial", b.answered(1, 20*ms), 1)
 }
 
+// Set-ups lost on one connection that dies are no sign against a server that reports, over its others, that it is at
+// ease: two of them made a full cut of ten gaps, and a tenth of all calls was refused (a day of silent connections). A
+// server that doesn't report is cut as before.
+func TestLostSetUpsAtAServerAtEase(t *testing.T) {
+	for _, reports := range []bool{true, false} {
+		b := newBench(t, settings(), 2)
+		b.steady(2)
+		for range failLimit / silenceWeight {
+			id, acts := b.call(1)
+			b.want("to the server", sentTo(acts), 1)
+			for range 10 { // to two gaps
+				b.pass(100 * ms)
+				if reports {
+					b.report(1, 900, 1000, 0)
+				}
+			}
+			b.on(Wake{Token: uint32(id)})
+		}
+		if cut := b.c.byID[1].full; cut == reports {
+			t.Errorf("reports %v: cut %v", reports, cut)
+		}
+	}
+}
+
 // A server that is cut for its errors gets the calls that would be refused else: three of four failed at one, and one in
 // eight of all calls was refused. None of little worth goes there, nor any where a call that may have run can't be made
 // again, while one that it got is unanswered, or where it is cut for its load or its silence.
