--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -14,24 +14,30 @@
 	"elmseam/internal/leak"
 )
 
-// A peer reads nothing: whoever posts never waits. Offers that have not been begun can be taken back, one by one or
-// all where new work has to stop; and since some may be in the write that is stuck, the connection is closed then, so
-// that the peer doesn't get them late.
-func TestStalledPeer(t *testing.T) {
+// pair is a connection over loopback, and its peer's end, for the length of a test.
+func pair(t *testing.T) (conn, peer net.Conn) {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
-	conn, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
+	if conn, err = net.Dial("tcp", l.Addr().String()); err != nil {
 		t.Fatal(err)
 	}
-	peer, err := l.Accept()
-	if err != nil {
+	t.Cleanup(func() { conn.Close() })
+	if peer, err = l.Accept(); err != nil {
 		t.Fatal(err)
 	}
-	defer peer.Close()
+	t.Cleanup(func() { peer.Close() })
+	return conn, peer
+}
+
+// A peer reads nothing: whoever posts never waits. Offers that have not been begun can be taken back, one by one or
+// all where new work has to stop; and since some may be in the write that is stuck, the connection is closed then, so
+// that the peer doesn't get them late.
+func TestStalledPeer(t *testing.T) {
+	conn, _ := pair(t)
 	o := NewOutbox(conn, Limits{ReadFirst: 1 << 10, Outbox: 64 << 20, WriteStall: time.Minute, Stuck: time.Millisecond})
 	stalled := func() bool {
 		o.mu.Lock()
@@ -95,21 +101,7 @@
 // hears that there is no more, and it is no reset, though it goes on sending. What had not been written within 50 ms was
 // cut off.
 func TestFinishWritesAllFirst(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	conn, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	peer, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer peer.Close()
+	conn, peer := pair(t)
 	o := NewOutbox(conn, Limits{ReadFirst: 1 << 10, Outbox: 64 << 20, WriteStall: time.Minute, Stuck: time.Millisecond})
 	total := 0
 	for n := 64 << 10; total < 16<<20; total += n { // more than the machine buffers
