Log and count outages of servers, replaced connections, failed attempts and refusals

Need: the incident's records say neither when a server became unreachable nor why a connection was closed or a call released, and their times have whole seconds only. The refusals that the core gives by itself have a reason each. No decision changes.

--- a/cmd/elmseam/main.go
+++ b/cmd/elmseam/main.go
@@ -37,6 +37,9 @@
 // membersFile is the default members file, which configures the tier's membership. ELMSEAM_MEMBERS overrides it.
 const membersFile = "deploy/members.toml"
 
+// logTimeFormat is the format of times in the log: RFC 3339 with milliseconds.
+const logTimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 func main() {
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "elmseam:", err)
@@ -67,6 +70,7 @@
 	if err != nil {
 		return err
 	}
+	zerolog.TimeFieldFormat = logTimeFormat
 	log := zerolog.New(os.Stderr).Level(zerolog.InfoLevel).With().Timestamp().Str("node", cfg.Name).Logger()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -83,7 +87,7 @@
 	readyToServe := make(chan struct{})
 	var tierSocket *peers.Socket
 	var platformRef atomic.Pointer[platform.Platform] // set before the event loop runs
-	sampledLog := transport.SampledLogger(log)
+	sampledLog, callLog := transport.SampledLogger(log), transport.SampledLogger(log)
 	eventLoop := loop.New(reducer, cfg.Limits.EventQueue, func(effect core.Effect) {
 		switch effect := effect.(type) {
 		case core.Serving:
@@ -95,6 +99,12 @@
 			}
 		case core.ReadyToServe:
 			close(readyToServe)
+		case core.Trace:
+			if effect.ID != 0 { // a flood of traces of calls must not displace those of servers
+				logTrace(&callLog, effect)
+			} else {
+				logTrace(&sampledLog, effect)
+			}
 		case core.CloseListener:
 			upgrader.closeListener()
 		case core.SendToMember:
--- /dev/null
+++ b/cmd/elmseam/trace.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/rs/zerolog"
+
+	"elmseam"
+	"elmseam/internal/core"
+)
+
+// logTrace writes a trace of the core to the log.
+func logTrace(log *zerolog.Logger, trace core.Trace) {
+	line := log.Info()
+	if trace.Server != "" {
+		line.Str("server", trace.Server)
+	}
+	if trace.ID != 0 {
+		line.Str("call", fmt.Sprintf("%016x", uint64(trace.ID)))
+	}
+	switch trace.Kind {
+	case core.TraceServerUnreachable:
+		line.Dur("silent_ms", trace.SilentFor).Int("calls", trace.Calls).Msg("server became unreachable")
+	case core.TraceServerReachable:
+		line.Dur("silent_ms", trace.SilentFor).Int("calls", trace.Calls).Msg("server is reachable again")
+	case core.TraceServerLost:
+		line.Dur("silent_ms", trace.SilentFor).Int("calls", trace.Calls).Msg("server lost, its calls are released")
+	case core.TraceConnReplaced:
+		line.Uint64("conn", uint64(trace.Conn)).Dur("silent_ms", trace.SilentFor).Msg("silent connection to server replaced")
+	case core.TraceAttemptFailed:
+		line.Int("attempt", trace.Attempt).Str("cause", causeNames[trace.Cause]).Msg("attempt failed")
+	case core.TraceCallCut:
+		line.Msg("established call cut")
+	case core.TraceSetUpRefused:
+		line.Stringer("reason", trace.Refusal).Msg("set-up refused")
+	}
+}
+
+// causeNames are the causes of ended attempts as they appear in the log.
+var causeNames = map[elmseam.Cause]string{
+	elmseam.CauseTimeout: "timeout", elmseam.CauseUnreachable: "unreachable", elmseam.CauseReset: "reset", elmseam.CauseCancelled: "cancelled",
+}
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -108,6 +108,7 @@
 		call.resendAfter = c.now + call.releaseGuard
 	}
 	outcome.Call, outcome.Server, outcome.Attempt, outcome.Final = call.controllerID, ended.server.id, ended.number, call.answered || call.callerGone
+	c.traceFailedAttempt(call, outcome, ended.server)
 	if outcome.Final {
 		c.forgetCall(call)
 	}
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -67,9 +67,11 @@
 	case ev.Class >= len(c.stats.Classes): // the class is part of a configuration that has not reached this process yet
 		c.emit(Rejected{To: ev.From, ID: ev.ID, Reason: ReasonCongested, RetryAfter: c.limits.RetryAfterHint})
 		return
-	case timeLeft <= 0 || c.drainRefuses() || c.stopGraceOver && !c.handingOver || c.closing || c.openSetUps >= c.limits.MaxOpen || c.callBytes+size > c.limits.MaxCallBytes:
+	}
+	if reason, refused := c.refusalReason(timeLeft, size); refused {
 		c.emit(Rejected{To: ev.From, ID: ev.ID, Reason: ReasonCongested, RetryAfter: c.limits.RetryAfterHint})
 		c.countAnswer(ev.Class, false, ReasonCongested)
+		c.traceRefusal(ev.ID, reason)
 		return
 	}
 	c.lastControllerID++
@@ -86,6 +88,24 @@
 	call.Tenant = ""
 }
 
+// refusalReason says whether the core refuses a set-up without asking the controller, and why. size is that of the set-up's number and
+// description in bytes.
+func (c *Core) refusalReason(timeLeft time.Duration, size int) (reason RefusalReason, refused bool) {
+	switch {
+	case timeLeft <= 0:
+		return RefusalTimeUp, true
+	case c.drainRefuses():
+		return RefusalDraining, true
+	case c.stopGraceOver && !c.handingOver, c.closing:
+		return RefusalStopping, true
+	case c.openSetUps >= c.limits.MaxOpen:
+		return RefusalMaxOpen, true
+	case c.callBytes+size > c.limits.MaxCallBytes:
+		return RefusalMemory, true
+	}
+	return 0, false
+}
+
 // handleRepeatedSetUp handles a set-up with the id of a call that has not ended. The same set-up on another connection is taken to be sent
 // again because its first connection closed: the call goes on for the new connection, which is given the answer that its caller may have
 // missed.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -293,6 +293,10 @@
 		}
 	case tokenServerLost:
 		if s := c.servers[token.server]; s != nil && s.unreachableSince != 0 && c.now >= s.unreachableSince+c.limits.ServerLostAfter {
+			if len(s.established) > 0 {
+				c.stats.Failures.ServersLost++
+				c.emit(Trace{Kind: TraceServerLost, Server: s.Name, SilentFor: c.now - s.unreachableSince, Calls: len(s.established)})
+			}
 			c.resetEstablishedCalls(s)
 		}
 	case tokenDrainCheck:
--- a/internal/core/probe.go
+++ b/internal/core/probe.go
@@ -107,6 +107,8 @@
 // replaceConn closes a connection that counts as dead, which ends its outstanding attempts, and dials another.
 func (c *Core) replaceConn(s *server, conn *serverConn) {
 	c.prober.ConnClosed(uint64(conn.id))
+	c.stats.Failures.ConnsReplaced++
+	c.emit(Trace{Kind: TraceConnReplaced, Server: s.Name, Conn: conn.id})
 	if slices.ContainsFunc(inArrivalOrder(s.outstanding), func(call *call) bool { return call.attempt.conn == conn }) {
 		conn.unusable = true
 		c.emit(CloseConn{To: conn.id}) // the ServerDown that follows ends the outstanding attempts
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -327,6 +327,9 @@
 		return
 	}
 	s.conns = append(s.conns, &serverConn{id: ev.Conn})
+	if s.unreachableSince != 0 {
+		c.emit(Trace{Kind: TraceServerReachable, Server: s.Name, SilentFor: c.now - s.unreachableSince, Calls: len(s.established)})
+	}
 	s.redialDelay, s.unreachableSince = 0, 0
 	for _, id := range s.pendingReleases {
 		c.sendEnd(s, id)
@@ -369,6 +372,8 @@
 	}
 	if s.unreachableSince == 0 && len(s.conns) == 0 {
 		s.unreachableSince = c.now
+		c.stats.Failures.ServerOutages++
+		c.emit(Trace{Kind: TraceServerUnreachable, Server: s.Name, Calls: len(s.established)})
 		c.setTimer(c.now+c.limits.ServerLostAfter, Token{kind: tokenServerLost, server: s.Name})
 	}
 	c.endAttemptsOnConn(s, endedConn, cause)
@@ -407,6 +412,8 @@
 // resetEstablishedCalls ends the calls established on a server whose process is gone, as reset.
 func (c *Core) resetEstablishedCalls(s *server) {
 	for _, call := range inArrivalOrder(s.established) {
+		c.stats.Failures.CallsCut++
+		c.emit(Trace{Kind: TraceCallCut, Server: s.Name, ID: call.ID})
 		c.endEstablished(call, ReasonReset, elmseam.Outcome{Cause: elmseam.CauseReset})
 	}
 }
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -25,6 +25,7 @@
 	Ready                         bool         // this process can serve new calls
 	Draining                      bool
 	Stopping                      bool
+	Failures                      FailureStats
 	Probes                        *probe.Counters   // probes of silent connections; nil: no probe is permitted
 	Members                       *MemberStats      // membership of the tier; nil: no membership
 	Maintenance                   *MaintenanceStats // ordered maintenance of the tier; nil: no ordered maintenance
@@ -42,7 +43,11 @@
 		stats.Probes = &probes
 	}
 	stats.Members, stats.Maintenance, stats.Quotas, stats.Knowledge = c.memberStats(), c.maintenanceStats(), c.quotaStats(), c.knowledgeStats()
+	stats.Failures.ReleasesWaiting = len(c.pendingReleases)
 	for _, s := range c.serverOrder {
+		if s.unreachableSince != 0 {
+			stats.Failures.ServersUnreachable++
+		}
 		if s.Phase == 0 { // phase 0 is Gone: the server is kept only for its remaining calls
 			continue
 		}
--- /dev/null
+++ b/internal/core/trace.go
@@ -0,0 +1,82 @@
+package core
+
+import (
+	"time"
+
+	"elmseam"
+)
+
+// TraceKind is the kind of a Trace.
+type TraceKind uint8
+
+// The kinds of traces, each with the fields that it sets besides Server.
+const (
+	TraceServerUnreachable TraceKind = iota // the last connection to a server ended, or none could be made: SilentFor, Calls
+	TraceServerReachable                    // a connection to an unreachable server is made: SilentFor, Calls
+	TraceServerLost                         // the calls established on a server are released, as it has been lost: SilentFor, Calls
+	TraceConnReplaced                       // a connection counts as dead and is replaced: Conn, SilentFor
+	TraceAttemptFailed                      // an attempt ended without an answer: ID, Attempt, Cause
+	TraceCallCut                            // an established call ended without a release by either party: ID
+	TraceSetUpRefused                       // the core refused a set-up without asking the controller: ID, Refusal
+)
+
+// RefusalReason says why the core refused a set-up without asking the controller.
+type RefusalReason uint8
+
+// The reasons for a refusal.
+const (
+	RefusalTimeUp      RefusalReason = iota // the caller's time was up when the set-up was processed
+	RefusalDraining                         // the softswitch drains
+	RefusalStopping                         // the process stops
+	RefusalMaxOpen                          // MaxOpen set-ups have no final answer
+	RefusalMemory                           // the descriptions and numbers of all calls take MaxCallBytes
+	refusalReasonCount = iota
+)
+
+// String returns the reason as it appears in logs and statistics.
+func (r RefusalReason) String() string {
+	return [refusalReasonCount]string{"time_up", "draining", "stopping", "max_open", "memory"}[r]
+}
+
+// Trace reports a transition or a decision for the log. It asks for nothing to be carried out. The fields that are set depend on the kind.
+type Trace struct {
+	Kind      TraceKind
+	Server    string
+	Conn      ConnID
+	ID        ID
+	Attempt   int // index among the attempts of the call, from 0
+	Cause     elmseam.Cause
+	Refusal   RefusalReason
+	SilentFor time.Duration // time since the last sign of life of the server or the connection
+	Calls     int           // calls that are established on the server
+}
+
+func (Trace) effect() {}
+
+// FailureStats counts what went wrong since the start of the process.
+type FailureStats struct {
+	ConnsReplaced      uint64 // connections to servers that counted as dead
+	ServerOutages      uint64 // times that a server became unreachable
+	ServersLost        uint64 // times that a server was lost with calls established on it
+	CallsCut           uint64 // established calls that ended without a release by either party
+	ReleasesWaiting    int    // releases that wait now for a connection of callers
+	ServersUnreachable int    // servers that are unreachable now
+	FailedAttempts     [elmseam.CauseNotSent + 1]uint64
+	Refusals           [refusalReasonCount]uint64
+}
+
+// traceFailedAttempt counts an attempt that ended without an answer, and reports it unless the server merely refused it.
+func (c *Core) traceFailedAttempt(call *call, outcome elmseam.Outcome, server *server) {
+	c.stats.Failures.FailedAttempts[outcome.Cause]++
+	switch outcome.Cause {
+	case elmseam.CauseFull, elmseam.CauseBusy, elmseam.CauseNotSent:
+	default:
+		c.emit(Trace{Kind: TraceAttemptFailed, Server: server.Name, ID: call.ID, Attempt: outcome.Attempt, Cause: outcome.Cause})
+	}
+}
+
+// traceRefusal counts a set-up that the core refused without asking the controller, and reports it.
+func (c *Core) traceRefusal(id ID, reason RefusalReason) {
+	c.stats.Failures.Refusals[reason]++
+	c.emit(Trace{Kind: TraceSetUpRefused, ID: id, Refusal: reason})
+}
--- a/internal/mgmt/stats.go
+++ b/internal/mgmt/stats.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 
+	"elmseam"
 	"elmseam/internal/core"
 	"elmseam/internal/probe"
 )
@@ -37,9 +38,32 @@
 	fmt.Fprintf(&text, "app.cluster_unhealthy=%d\n", stats.ClusterUnhealthy)
 	fmt.Fprintf(&text, "app.conf_loaded=%d\n", stats.ConfigsLoaded)
 	fmt.Fprintf(&text, "app.conf_invalid=%d\n", stats.ConfigsInvalid)
+	text.WriteString(failureStatsText(stats.Failures))
 	return text.String()
 }
 
+// failureStatsText formats the statistics of failures.
+func failureStatsText(failures core.FailureStats) string {
+	values := []statValue{{"connections_replaced", failures.ConnsReplaced}, {"server_outages", failures.ServerOutages},
+		{"servers_lost", failures.ServersLost}, {"servers_unreachable", uint64(failures.ServersUnreachable)},
+		{"calls_cut", failures.CallsCut}, {"releases_waiting", uint64(failures.ReleasesWaiting)}}
+	for cause, count := range failures.FailedAttempts {
+		if name := attemptCauseNames[elmseam.Cause(cause)]; name != "" {
+			values = append(values, statValue{"attempts." + name, count})
+		}
+	}
+	for reason, count := range failures.Refusals {
+		values = append(values, statValue{"refusals." + core.RefusalReason(reason).String(), count})
+	}
+	return formatStatLines("failures", values)
+}
+
+// attemptCauseNames are the names under which attempts that ended without an answer are counted.
+var attemptCauseNames = map[elmseam.Cause]string{
+	elmseam.CauseBusy: "error", elmseam.CauseFull: "full", elmseam.CauseTimeout: "timeout", elmseam.CauseUnreachable: "unreachable",
+	elmseam.CauseReset: "reset", elmseam.CauseCancelled: "cancelled", elmseam.CauseNotSent: "not_sent",
+}
+
 // probeStatsText formats the counters of connection probes.
 func probeStatsText(counters probe.Counters) string {
 	return formatStatLines("probes", []statValue{{"sent", counters.Sent}, {"answered", counters.Answered},
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -104,7 +104,7 @@
 		lingerTimeout: cfg.ServerConn.LingerTimeout}
 	p.loop.Attach(s.connID, s, core.ServerUp{Server: e.Server, Address: e.Address, Conn: s.connID})
 	err = s.readLines(conn, cfg.ServerConn)
-	p.log.Info().Err(err).Str("server", e.Server).Msg("connection to server ended")
+	p.log.Info().Err(err).Str("server", e.Server).Uint64("conn", uint64(s.connID)).Msg("connection to server ended")
 	p.loop.Post(core.ServerDown{Server: e.Server, Conn: s.connID})
 }
 
