--- a/cmd/elmseam/main_test.go
+++ b/cmd/elmseam/main_test.go
@@ -139,7 +139,7 @@
 }
 
 // serverEntry returns the entry of a server in a command of the command channel.
-func serverEntry(name, status string, server net.Listener) string {
+func serverEntry(name, status string, server interface{ Addr() net.Addr }) string {
 	return fmt.Sprintf(`{"name":%q,"address":%q,"group":0,"status":%q,"since_ms":0}`, name, server.Addr(), status)
 }
 
