Calls of a vanished server are released 7.5 s after its last sign of life

What callers saw: calls whose server's machine vanished got their release after 8.5 s, or never; 8 s (and 50 ms) are allowed. Cause: ServerLostAfter began when a dial had failed, so the time to notice the silence (up to 3 s) and to dial (0.5 s) came on top of its 5 s. Silence was noticed only on connections that had brought reports before. And any new connection ended the outage, though a machine may return with a process that knows none of the calls. All times count from the server's last sign of life. A server with established calls that is silent for 3.5 s is dialled, with or without reports. After a dial that failed, calls go on only if a message on an earlier connection or a release of such a call shows that the process is alive. The server is told of the calls that were given up. M3UA names the time since its last message (SilentFor). Why it works: the limit now begins at the same moment as the rule's, and no step on the way can move it.

--- a/cmd/elmseam/trace.go
+++ b/cmd/elmseam/trace.go
@@ -22,7 +22,9 @@
 	case core.TraceServerUnreachable:
 		line.Dur("silent_ms", trace.SilentFor).Int("calls", trace.Calls).Msg("server became unreachable")
 	case core.TraceServerReachable:
-		line.Dur("silent_ms", trace.SilentFor).Int("calls", trace.Calls).Msg("server is reachable again")
+		line.Dur("silent_ms", trace.SilentFor).Int("calls", trace.Calls).Msg("server is reachable again, its calls are in doubt")
+	case core.TraceServerRecovered:
+		line.Dur("silent_ms", trace.SilentFor).Int("calls", trace.Calls).Msg("outage of server is over")
 	case core.TraceServerLost:
 		line.Dur("silent_ms", trace.SilentFor).Int("calls", trace.Calls).Msg("server lost, its calls are released")
 	case core.TraceConnReplaced:
--- a/cmd/elmseam/vanish_test.go
+++ b/cmd/elmseam/vanish_test.go
@@ -20,7 +20,8 @@
 // machine is a stand-in server on a machine that can vanish. It answers every set-up and releases no call.
 type machine struct {
 	*faultnet.Listener
-	reportInterval time.Duration // 0: no reports
+	reportInterval time.Duration   // 0: no reports
+	stop           <-chan struct{} // closed when the test ends
 
 	mu       sync.Mutex // guards the fields below
 	conns    map[net.Conn]bool
@@ -34,7 +35,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m := &machine{Listener: listener, reportInterval: reportInterval, conns: make(map[net.Conn]bool)}
+	m := &machine{Listener: listener, reportInterval: reportInterval, stop: t.Context().Done(), conns: make(map[net.Conn]bool)}
 	t.Cleanup(func() {
 		listener.Close()
 		m.resetConns()
@@ -67,10 +68,19 @@
 	}
 }
 
-// report sends the state of the server's group at the interval.
+// report sends the state of the server's group at the interval, until the connection is closed.
 func (m *machine) report(conn net.Conn) {
-	for m.reportInterval > 0 && m.send(conn, groupReport) == nil {
-		time.Sleep(m.reportInterval)
+	for m.reportInterval > 0 && m.send(conn, groupReport) == nil && pause(m.stop, m.reportInterval) {
+	}
+}
+
+// pause waits, and reports whether it did so to the end.
+func pause(stop <-chan struct{}, duration time.Duration) bool {
+	select {
+	case <-stop:
+		return false
+	case <-time.After(duration):
+		return true
 	}
 }
 
@@ -146,11 +156,8 @@
 
 // keepActive sends readiness tests, so that the softswitch does not close the connection as idle.
 func keepActive(caller *conn) {
-	for {
-		if _, err := caller.Write([]byte{0, 13, 52, 0, 0, 0, 0, 0, 0, 0, 9, 58, 0, 1, 0}); err != nil {
-			return
-		}
-		time.Sleep(time.Second)
+	for pause(caller.Context().Done(), time.Second) {
+		caller.Write([]byte{0, 13, 52, 0, 0, 0, 0, 0, 0, 0, 9, 58, 0, 1, 0})
 	}
 }
 
@@ -182,9 +189,8 @@
 			if test.setUpsGoOn {
 				other := dial(t, process.listen)
 				go func() {
-					for call := uint64(100); call < 140; call++ {
+					for call := uint64(100); pause(t.Context().Done(), 200*time.Millisecond); call++ {
 						other.sendSetUp(call)
-						time.Sleep(200 * time.Millisecond)
 					}
 				}()
 			}
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -78,7 +78,10 @@
 			UnresponsiveAfter:   100 * time.Millisecond, // a server that isn't overloaded answers sooner
 			MaxRemovedServers:   16,
 			MaxPendingReleases:  1000,
-			ServerLostAfter:     5 * time.Second,        // a release is due 8 s after the end of its call at the latest
+			ServerLostAfter:     7500 * time.Millisecond, // a release is due 8 s after the end of its call at the latest
+			MinServerOutage:     2 * time.Second,
+			LivenessCheckAfter:  3500 * time.Millisecond, // after MaxSilence, and early enough for several dials
+			LivenessRecheck:     time.Second,
 			ReportedDrainTTL:    10 * time.Second,       // a server list arrives up to 7 s late
 			DrainGrace:          500 * time.Millisecond, // the platform polls readiness every 0.1 s and then still sends new callers for 0.2 s
 			DrainRefuseAfter:    1500 * time.Millisecond,
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -26,6 +26,7 @@
 	earlierConns   []ConnID       // connections of the attempts that have ended
 	resendAfter    Time           // no offer goes out before this time, by the release guard
 	server         *server        // server on which the call is established; nil: not established
+	establishedAt  Time           // when that server's answer came
 	answerDesc     []byte         // description in the answer of that server
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -134,7 +134,7 @@
 		c.handleServerEnd(ev)
 	case ServerReport:
 		if s := c.servers[ev.Server]; s != nil {
-			s.recordConnInput(ev.Conn)
+			c.recordServerInput(s, ev.Conn)
 			c.forwardLoadReport(s, ev.Report)
 		}
 	case ServerMalformed:
@@ -292,12 +292,12 @@
 			}
 		}
 	case tokenServerLost:
-		if s := c.servers[token.server]; s != nil && s.unreachableSince != 0 && c.now >= s.unreachableSince+c.limits.ServerLostAfter {
-			if len(s.established) > 0 {
-				c.stats.Failures.ServersLost++
-				c.emit(Trace{Kind: TraceServerLost, Server: s.Name, SilentFor: c.now - s.unreachableSince, Calls: len(s.established)})
-			}
-			c.resetEstablishedCalls(s)
+		if s := c.servers[token.server]; s != nil {
+			c.expireOutage(s)
+		}
+	case tokenLiveness:
+		if s := c.servers[token.server]; s != nil {
+			c.checkLiveness(s)
 		}
 	case tokenDrainCheck:
 		c.closeIdleCallerConns(token.number)
--- /dev/null
+++ b/internal/core/liveness_test.go
@@ -0,0 +1,96 @@
+package core
+
+import (
+	"testing"
+	"time"
+)
+
+// newLivenessHarness returns a harness in which call 1 is established on server "a" and the liveness of servers is checked.
+func newLivenessHarness(t *testing.T) *harness {
+	h := newHarness(t)
+	h.recordDials = true
+	limits := h.core.limits
+	limits.Transient = map[Protocol]bool{"": true}
+	limits.ServerLostAfter, limits.MinServerOutage = 7500*ms, 2*time.Second
+	limits.LivenessCheckAfter, limits.LivenessRecheck = 3500*ms, time.Second
+	limits.MaxPendingReleases = 10
+	h.core.limits = limits
+	h.setUp(1, 9*time.Second)
+	h.wantEffects(h.step(ServerAnswer{Server: "a", Conn: 10, ID: 1}), "answered1@1 ")
+	return h
+}
+
+// A server whose last sign of life is 7.5 s old counts as lost if it can't be reached, however late that was noticed. The server is told
+// of the releases as soon as it can be reached, as its process may have survived.
+func TestLostServerIsTimedFromLastSignOfLife(t *testing.T) {
+	h := newLivenessHarness(t)
+	h.wantEffects(h.advance(3499*ms), "")
+	h.wantEffects(h.advance(2*ms), "dial-a ")
+	h.advance(2500 * ms)
+	h.step(ServerDown{Server: "a", Address: "a:1"})
+	h.step(ServerDown{Server: "a", Conn: 10})
+	if effects := h.advance(1490 * ms); countEffects(effects, "released") != 0 {
+		t.Errorf("effects %q before the limit", effects)
+	}
+	if effects := h.advance(20 * ms); countEffects(effects, "released1@1") != 1 {
+		t.Errorf("effects %q at the limit, want the release", effects)
+	}
+	h.wantEffects(h.step(ServerUp{Server: "a", Address: "a:1", Conn: 12}), "end1@12 ")
+}
+
+// A new connection after an outage does not show that the process with the calls is alive, so they are lost. Calls that were established
+// after the outage go on.
+func TestReconnectedServerLosesCallsWithoutProof(t *testing.T) {
+	h := newLivenessHarness(t)
+	h.advance(3600 * ms)
+	h.step(ServerDown{Server: "a", Conn: 10})
+	h.step(ServerDown{Server: "a", Address: "a:1"})
+	h.step(ServerUp{Server: "a", Address: "a:1", Conn: 12})
+	h.setUp(2, 9*time.Second)
+	h.wantEffects(h.step(ServerAnswer{Server: "a", Conn: 12, ID: 2}), "answered2@1 ")
+	h.wantEffects(h.advance(3890*ms), "")
+	h.wantEffects(h.advance(20*ms), "end1@12 released1@1 ")
+	h.wantEffects(h.step(ServerEnd{Server: "a", Conn: 12, ID: 2, Reason: ReasonNormal}), "released2@1 ")
+}
+
+// A release of a call from before the outage, or a message on a connection from before it, shows that the process is alive: a partition
+// that heals cuts no call.
+func TestHealedPartitionCutsNoCall(t *testing.T) {
+	for name, prove := range map[string]func(h *harness){
+		"release": func(h *harness) {
+			h.wantEffects(h.step(ServerEnd{Server: "a", Conn: 12, ID: 3, Reason: ReasonNormal}), "released3@1 ")
+		},
+		"message on an earlier connection": func(h *harness) { h.step(ServerReport{Server: "a", Conn: 20}) },
+	} {
+		h := newLivenessHarness(t)
+		h.core.limits.ConnsPerServer = map[Protocol]int{"": 2}
+		h.step(ServerUp{Server: "a", Address: "a:1", Conn: 20})
+		h.setUp(3, 9*time.Second)
+		h.wantEffects(h.step(ServerAnswer{Server: "a", Conn: 20, ID: 3}), "answered3@1 ")
+		h.advance(5 * time.Second)
+		h.step(ServerDown{Server: "a", Conn: 10})
+		h.step(ServerDown{Server: "a", Address: "a:1"})
+		h.step(ServerUp{Server: "a", Address: "a:1", Conn: 12})
+		prove(h)
+		if effects := h.advance(3 * time.Second); countEffects(effects, "released") != 0 || h.core.calls[1] == nil {
+			t.Errorf("%s: effects %q, want no release of a live call", name, effects)
+		}
+	}
+}
+
+// A server that sends nothing while calls are established on it is dialled, and a connection that comes up shows that it is there.
+func TestReachableSilentServerKeepsCalls(t *testing.T) {
+	h := newLivenessHarness(t)
+	for conn := ConnID(20); conn < 25; conn++ {
+		if effects := h.advance(3600 * ms); countEffects(effects, "dial-a") != 1 || countEffects(effects, "released") != 0 {
+			t.Fatalf("effects %q, want one dial and no release", effects)
+		}
+		if effects := h.step(ServerUp{Server: "a", Address: "a:1", Conn: conn}); countEffects(effects, "close@") != 1 {
+			t.Fatalf("effects %q, want one connection closed for the new one", effects)
+		}
+	}
+	h.wantEffects(h.step(ServerEnd{Server: "a", Conn: 24, ID: 1, Reason: ReasonNormal}), "released1@1 ")
+	if effects := h.advance(20 * time.Second); countEffects(effects, "dial") != 0 {
+		t.Errorf("effects %q, want no dial without established calls", effects)
+	}
+}
--- a/internal/core/probe.go
+++ b/internal/core/probe.go
@@ -89,7 +89,7 @@
 	if s == nil {
 		return
 	}
-	s.recordConnInput(ev.Conn)
+	c.recordServerInput(s, ev.Conn)
 	if c.prober.Answered(ev.ID, uint64(ev.Conn)) {
 		c.forwardLoadReport(s, ev.Report)
 	}
--- a/internal/core/servermsgs.go
+++ b/internal/core/servermsgs.go
@@ -9,11 +9,11 @@
 // server is a server of the list, with its connections and calls.
 type server struct {
 	Server
+	livenessTracker
 	id               elmseam.ServerID // the controller's id of the server
 	conns            []*serverConn
 	dialPending      bool          // a Dial effect was given and its result has not come
 	redialDelay      time.Duration // wait before the last redial
-	unreachableSince Time          // when the last connection ended or could not be made; 0: not known to be unreachable
 	signallingPaused bool          // its own signalling takes no new work
 	listSource       string        // source of the list entry
 	effectivePhase   elmseam.Phase // phase reported to the controller: that of the list, lowered by routes, pauses and drain reports
@@ -37,6 +37,7 @@
 // serverConn is a connection to a server.
 type serverConn struct {
 	id              ConnID
+	upAt            Time // when the connection was made
 	lastOfferAt     Time // when the last offer went out on the connection
 	unusable        bool // a message on the connection could not be decoded, or the connection counts as dead: no new offer goes there
 	unansweredSince Time // time of the first set-up or probe sent since the connection last brought something; 0: none
@@ -49,7 +50,7 @@
 	if s == nil {
 		return
 	}
-	s.recordConnInput(ev.Conn)
+	c.recordServerInput(s, ev.Conn)
 	call := s.outstanding[ev.ID]
 	switch {
 	case call == nil && s.established[ev.ID] != nil:
@@ -68,11 +69,12 @@
 	setUpTime := c.now - call.attempt.startedAt
 	call.attempt = nil
 	delete(s.outstanding, call.ID)
-	call.server, call.answerDesc, call.answered = s, ev.Desc, true
+	call.server, call.answerDesc, call.answered, call.establishedAt = s, ev.Desc, true, c.now
 	c.callBytes += len(ev.Desc) - len(call.SetUp.Desc)
 	call.keptBytes += len(ev.Desc) - len(call.SetUp.Desc)
 	call.SetUp.Desc = nil
 	s.established[call.ID] = call
+	c.watchLiveness(s)
 	c.openSetUps--
 	if conn := c.callerConns[call.From]; conn != nil {
 		conn.hadEstablished, conn.lastActive = true, c.now
@@ -91,7 +93,7 @@
 	if s == nil {
 		return
 	}
-	s.recordConnInput(ev.Conn)
+	c.recordServerInput(s, ev.Conn)
 	outcome := elmseam.Outcome{Refusal: ev.Refusal, Report: c.reportForController(ev.Report)}
 	if call := s.established[ev.ID]; call != nil {
 		if ev.RefusalOnly { // a second answer to the set-up
@@ -100,6 +102,7 @@
 		}
 		if outcome.Cause = elmseam.CauseReset; ev.Reason == ReasonNormal {
 			outcome.Cause = elmseam.CauseEnded
+			c.recordServerRelease(s, call)
 		}
 		c.endEstablished(call, ev.Reason, outcome)
 		return
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -17,6 +17,7 @@
 		switch {
 		case s == nil:
 			s = &server{id: c.controllerServerID(entry.Name), established: make(map[ID]*call), outstanding: make(map[ID]*call)}
+			s.lastAliveAt = c.now
 			c.servers[entry.Name], c.serversByID[s.id] = s, s
 			c.serverOrder = append(c.serverOrder, s)
 		case s.Started != entry.Started || s.Address != entry.Address:
@@ -24,6 +25,7 @@
 			c.resetEstablishedCalls(s)
 			c.closeServerConns(s)
 			s.pendingReleases = nil // they were for the former process
+			c.forgetOutage(s)
 		}
 		s.Server, s.listSource, s.drainReport = entry, ev.Source, drainReport{listedAt: c.now}
 		changedServers = append(changedServers, s)
@@ -173,10 +175,7 @@
 	if s.usableConnCount() == len(s.conns) {
 		return
 	}
-	usedConns := make(map[*serverConn]bool)
-	for _, call := range s.outstanding {
-		usedConns[call.attempt.conn] = true
-	}
+	usedConns := s.usedConns()
 	s.conns = slices.DeleteFunc(s.conns, func(conn *serverConn) bool {
 		if conn.unusable && !usedConns[conn] {
 			c.emit(GracefulClose{To: conn.id})
@@ -192,6 +191,12 @@
 	if s.dialPending || s.usableConnCount() >= max(c.wantedConnCount(s), 1) {
 		return s.dialPending
 	}
+	return c.startDial(s)
+}
+
+// startDial asks for a connection to a server, unless MaxServerConns is reached and no other connection can be closed. It returns whether
+// it did.
+func (c *Core) startDial(s *server) bool {
 	if c.limits.MaxServerConns > 0 && c.serverConnCount() >= c.limits.MaxServerConns && !c.evictServerConn(s) {
 		return false
 	}
@@ -228,10 +233,7 @@
 		if s == requester || len(s.conns) == 1 && len(s.established) > 0 {
 			continue
 		}
-		usedConns := make(map[*serverConn]bool)
-		for _, call := range s.outstanding {
-			usedConns[call.attempt.conn] = true
-		}
+		usedConns := s.usedConns()
 		for _, conn := range s.conns {
 			if !usedConns[conn] && (victim == nil || conn.lastOfferAt < victim.lastOfferAt) {
 				owner, victim = s, conn
@@ -264,13 +266,6 @@
 	return best
 }
 
-// recordConnInput records that something has come on a connection, which thus responds.
-func (s *server) recordConnInput(id ConnID) {
-	if conn := s.connByID(id); conn != nil {
-		conn.unansweredSince = 0
-	}
-}
-
 // sendEnd sends a server the End of a call on any usable connection; without one it sends nothing.
 func (c *Core) sendEnd(s *server, id ID) {
 	if conn := c.connForSetUp(s); conn != nil {
@@ -314,7 +309,8 @@
 		c.emit(CloseConn{To: ev.Conn})
 		return
 	}
-	s.dialPending = false
+	verified := s.verifying
+	s.dialPending, s.verifying = false, false
 	switch {
 	case s.Address != ev.Address: // the server has another address by now
 		c.emit(CloseConn{To: ev.Conn})
@@ -322,15 +318,14 @@
 			c.dialServerAhead(s)
 		}
 		return
-	case s.usableConnCount() >= c.wantedConnCount(s): // the connection comes late and is not needed any more
+	}
+	c.reconnect(s)
+	if s.usableConnCount() >= c.wantedConnCount(s) && !(verified && c.replaceByVerified(s)) { // the connection is not needed any more
 		c.emit(CloseConn{To: ev.Conn})
 		return
 	}
-	s.conns = append(s.conns, &serverConn{id: ev.Conn})
-	if s.unreachableSince != 0 {
-		c.emit(Trace{Kind: TraceServerReachable, Server: s.Name, SilentFor: c.now - s.unreachableSince, Calls: len(s.established)})
-	}
-	s.redialDelay, s.unreachableSince = 0, 0
+	s.conns = append(s.conns, &serverConn{id: ev.Conn, upAt: c.now})
+	s.redialDelay = 0
 	for _, id := range s.pendingReleases {
 		c.sendEnd(s, id)
 	}
@@ -362,7 +357,7 @@
 		c.prober.ConnClosed(uint64(ev.Conn))
 		s.conns = slices.Delete(s.conns, i, i+1)
 	} else {
-		s.dialPending = false
+		s.dialPending, s.verifying = false, false
 		if ev.Address != "" && ev.Address != s.Address { // a dial to a former address says nothing about the present one
 			if c.wantedConnCount(s) > 0 {
 				c.dialServerAhead(s)
@@ -370,11 +365,11 @@
 			return
 		}
 	}
-	if s.unreachableSince == 0 && len(s.conns) == 0 {
-		s.unreachableSince = c.now
-		c.stats.Failures.ServerOutages++
-		c.emit(Trace{Kind: TraceServerUnreachable, Server: s.Name, Calls: len(s.established)})
-		c.setTimer(c.now+c.limits.ServerLostAfter, Token{kind: tokenServerLost, server: s.Name})
+	if cause == elmseam.CauseReset && !c.limits.Transient[s.Protocol] {
+		s.lastAliveAt = max(s.lastAliveAt, c.now-ev.SilentFor)
+	}
+	if cause == elmseam.CauseUnreachable || len(s.conns) == 0 {
+		c.beginOutage(s, cause == elmseam.CauseUnreachable)
 	}
 	c.endAttemptsOnConn(s, endedConn, cause)
 	if !s.dialPending && !s.redialPending && s.usableConnCount() < c.wantedConnCount(s) {
@@ -412,9 +407,7 @@
 // resetEstablishedCalls ends the calls established on a server whose process is gone, as reset.
 func (c *Core) resetEstablishedCalls(s *server) {
 	for _, call := range inArrivalOrder(s.established) {
-		c.stats.Failures.CallsCut++
-		c.emit(Trace{Kind: TraceCallCut, Server: s.Name, ID: call.ID})
-		c.endEstablished(call, ReasonReset, elmseam.Outcome{Cause: elmseam.CauseReset})
+		c.cutEstablished(call)
 	}
 }
 
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -109,9 +109,10 @@
 	}
 	// ServerDown reports that a connection to a server has ended or, with a Conn of 0, that none could be made to the address.
 	ServerDown struct {
-		Server  string
-		Address string
-		Conn    ConnID
+		Server    string
+		Address   string
+		Conn      ConnID
+		SilentFor time.Duration // time since something came on the connection; only for protocols with heartbeats of their own
 	}
 	// ServerAnswer reports that a server has answered a set-up: the call is established.
 	ServerAnswer struct {
@@ -388,7 +389,8 @@
 	tokenAttemptTimeout                    // an attempt has had no answer
 	tokenReleaseGuard                      // the release guard of a waiting attempt has ended
 	tokenRedial                            // a server may be dialled again
-	tokenServerLost                        // a server has been unreachable for ServerLostAfter
+	tokenServerLost                        // the calls from before an outage of a server count as lost
+	tokenLiveness                          // a server with established calls may have been silent for LivenessCheckAfter
 	tokenStopGrace                         // the grace of a stop or a hand-over has ended
 	tokenDrainCheck                        // idle connections are closed during a drain
 	tokenMaxStopWait                       // a stop or a hand-over waits no longer for calls to end
@@ -413,7 +415,10 @@
 	UnresponsiveAfter   time.Duration     // a connection without input for this long after a set-up or a probe is avoided for new set-ups
 	MaxPendingReleases  int               // max releases per server that wait for a connection; the oldest are dropped
 	MaxRemovedServers   int               // max removed servers that are remembered in case they come back
-	ServerLostAfter     time.Duration     // the established calls of a server that has been unreachable for this long count as lost
+	ServerLostAfter     time.Duration     // time from the last sign of life of a server that can't be reached until its calls count as lost
+	MinServerOutage     time.Duration     // an outage shorter than this does not put the established calls in doubt
+	LivenessCheckAfter  time.Duration     // time without a sign of life after which a server with established calls is dialled; 0: never
+	LivenessRecheck     time.Duration     // time between two such dials, at least
 	DrainGrace          time.Duration     // time from the beginning of a drain until idle connections of callers are closed
 	DrainRefuseAfter    time.Duration     // time from the beginning of a drain until set-ups are refused
 	DrainCheckInterval  time.Duration     // interval between searches for idle connections during a drain
--- a/internal/m3ua/server.go
+++ b/internal/m3ua/server.go
@@ -77,7 +77,7 @@
 	}
 	m.log.Info().Err(err).Str("server", e.Server).Msg("association with server ended")
 	trunk.withLock(trunk.ConnLost)
-	m.loop.Post(core.ServerDown{Server: e.Server, Conn: s.connID})
+	m.loop.Post(core.ServerDown{Server: e.Server, Conn: s.connID, SilentFor: m.loop.Now() - s.lastInputAt})
 	s.outbox.Flush() // sends the ERR, if any, that answers the last message
 }
 
--- a/internal/m3ua/session.go
+++ b/internal/m3ua/session.go
@@ -18,11 +18,12 @@
 	limits      transport.Limits
 	outbox      *transport.Outbox
 	handleOther func(msg message, at core.Time) error // handles the messages that dispatch does not
+	lastInputAt core.Time                             // when the peer last sent something, or when the session began
 }
 
 // newSession returns a session on an open connection.
 func (m *M3UA) newSession(conn net.Conn, limits transport.Limits) session {
-	return session{m3ua: m, conn: conn, limits: limits, outbox: transport.NewOutbox(conn, limits)}
+	return session{m3ua: m, conn: conn, limits: limits, outbox: transport.NewOutbox(conn, limits), lastInputAt: m.loop.Now()}
 }
 
 // errMessageTimeout ends a connection whose peer takes longer than MessageTimeout to send one message.
@@ -63,6 +64,7 @@
 		}
 		unansweredHeartbeats = 0
 		receivedAt := s.m3ua.loop.Now()
+		s.lastInputAt = receivedAt
 		for {
 			msg, size, err := parseMessage(buf.Bytes(), s.limits.MaxMessageSize)
 			if err == errIncomplete {
