Soak of short, dense trials drawn from seeds: elmseamctl lab soak

Change: lab.RunTrial plays a few real softswitches with faults drawn from a seed: servers cut off, vanished, hung, killed, replaced, resetting, late, spoiling or splitting answers; discovery refusing, mute, half-answering, failing, silent, with drains near its return; new configurations in series; kills and planned restarts in turn, with SIGKILL at its earliest; crowds and rude callers. A checker judges every answer, attempt, drain, release, descriptor and crash by PROTOCOL's figures. internal/faultnet gets the modes refusing and crowded. elmseamctl lab soak plays seeds, several at a time.

--- a/cmd/elmseam/vanish_test.go
+++ b/cmd/elmseam/vanish_test.go
@@ -108,7 +108,7 @@
 	}
 	m.vanished = true
 	m.mu.Unlock()
-	m.SetReachable(false)
+	m.SetMode(faultnet.Unreachable)
 }
 
 // returnAsNewProcess makes the machine reachable again, with a server that knows none of the former calls and connections.
@@ -117,7 +117,7 @@
 	m.mu.Lock()
 	m.vanished = false
 	m.mu.Unlock()
-	m.SetReachable(true)
+	m.SetMode(faultnet.Accepting)
 }
 
 // resetConns resets all connections to the machine.
--- a/cmd/elmseamctl/lab.go
+++ b/cmd/elmseamctl/lab.go
@@ -23,7 +23,7 @@
 	labExitFailed    = 3 // the lab itself failed; also exitUsage, for an invalid command line
 )
 
-// labCommand returns the command "lab" with its subcommands "run" and "tier".
+// labCommand returns the command "lab" with its subcommands "run", "tier" and "soak".
 func labCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "lab", Short: "Runs several softswitches with stand-ins for their callers and servers, and injects faults"}
 	var binaryPath, outDir string
@@ -76,7 +76,7 @@
 	runCommand.Flags().StringVar(&binaryPath, "binary", "bin/elmseam", "path of the softswitch program")
 	runCommand.Flags().StringVar(&outDir, "out", "",
 		"directory for the table, the verdict and the softswitches' logs (default: in the temporary directory)")
-	cmd.AddCommand(runCommand, tierCommand())
+	cmd.AddCommand(runCommand, tierCommand(), soakCommand())
 	return cmd
 }
 
--- a/internal/faultnet/listener.go
+++ b/internal/faultnet/listener.go
@@ -11,22 +11,34 @@
 	"time"
 )
 
-// Listener is a TCP listener that can become unreachable: connections to it then neither come up nor are refused, as with a machine
-// that has vanished. This uses a full backlog, in which the kernel drops the first packet of each further connection.
+// Mode is how a listener treats new connections.
+type Mode int
+
+// The modes of a listener.
+const (
+	Accepting   Mode = iota
+	Unreachable      // connections neither come up nor are refused, as with a machine that has vanished
+	Refusing         // connections are refused, as with a process that is gone
+	Crowded          // connections come up and are not accepted, as with a process that hangs
+)
+
+// Listener is a TCP listener whose mode can be changed. Unreachable uses a full backlog, in which the kernel drops the first packet of each
+// further connection.
 type Listener struct {
-	tcp *net.TCPListener
+	address string
 
-	mu          sync.Mutex // guards the fields below
-	unreachable bool
-	changed     chan struct{} // closed and replaced when unreachable changes
-	closed      bool
-	fillers     map[string]net.Conn // connections that fill the backlog, by their local address
+	mu      sync.Mutex // guards the fields below
+	tcp     *net.TCPListener
+	mode    Mode
+	changed chan struct{} // closed and replaced when the mode changes
+	closed  bool
+	fillers map[string]net.Conn // connections that fill the backlog, by their local address
 }
 
-// Sizes of the backlog while the listener is reachable and while it is not. The kernel completes one connection more than the size.
+// Sizes of the backlog of a listener that is unreachable, and of one that is not. The kernel completes one connection more than the size.
 const (
-	reachableBacklog   = 512
 	unreachableBacklog = 0
+	ordinaryBacklog    = 512
 )
 
 // fillTimeout is the time after which a connection that does not come up shows that the backlog is full.
@@ -38,28 +50,32 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{tcp: listener.(*net.TCPListener), changed: make(chan struct{}), fillers: make(map[string]net.Conn)}, nil
+	return &Listener{address: listener.Addr().String(), tcp: listener.(*net.TCPListener), changed: make(chan struct{}),
+		fillers: make(map[string]net.Conn)}, nil
 }
 
-// Addr returns the address of the listener.
-func (l *Listener) Addr() net.Addr { return l.tcp.Addr() }
+// Addr returns the address of the listener, which stays the same in all modes.
+func (l *Listener) Addr() net.Addr {
+	address, _ := net.ResolveTCPAddr("tcp", l.address)
+	return address
+}
 
-// Accept waits for a connection, and while the listener is unreachable.
+// Accept waits for a connection, and for the mode Accepting.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		l.mu.Lock()
-		unreachable, changed, closed := l.unreachable, l.changed, l.closed
+		tcp, mode, changed, closed := l.tcp, l.mode, l.changed, l.closed
 		l.mu.Unlock()
 		switch {
 		case closed:
 			return nil, net.ErrClosed
-		case unreachable:
+		case mode != Accepting:
 			<-changed
 			continue
 		}
-		conn, err := l.tcp.Accept()
+		conn, err := tcp.Accept()
 		switch {
-		case errors.Is(err, os.ErrDeadlineExceeded):
+		case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed): // the mode has changed, or the listener is closed
 			continue
 		case err != nil:
 			return nil, err
@@ -84,27 +100,41 @@
 	return true
 }
 
-// SetReachable makes the listener unreachable or reachable again. Open connections are not affected.
-func (l *Listener) SetReachable(reachable bool) error {
+// SetMode changes how new connections are treated. Open connections are not affected.
+func (l *Listener) SetMode(mode Mode) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.closed || l.unreachable == !reachable {
+	if l.closed || l.mode == mode {
 		return nil
 	}
-	l.unreachable = !reachable
-	backlog := reachableBacklog
-	if l.unreachable {
-		backlog = unreachableBacklog
+	former := l.mode
+	l.mode = mode
+	defer func() {
+		close(l.changed)
+		l.changed = make(chan struct{})
+	}()
+	if former == Refusing {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return err
+		}
+		l.tcp = listener.(*net.TCPListener)
+	}
+	switch mode {
+	case Refusing:
+		return l.tcp.Close()
+	case Unreachable:
 		l.tcp.SetDeadline(time.Unix(1, 0)) // ends a pending Accept
-	} else {
+		if err := l.setBacklog(unreachableBacklog); err != nil {
+			return err
+		}
+		return l.fillBacklog()
+	case Crowded:
+		l.tcp.SetDeadline(time.Unix(1, 0))
+	case Accepting:
 		l.tcp.SetDeadline(time.Time{})
 	}
-	close(l.changed)
-	l.changed = make(chan struct{})
-	if err := l.setBacklog(backlog); err != nil || reachable {
-		return err
-	}
-	return l.fillBacklog()
+	return l.setBacklog(ordinaryBacklog)
 }
 
 // setBacklog changes the size of the kernel's backlog.
@@ -123,7 +153,7 @@
 // fillBacklog connects to the listener until a connection does not come up any more. The caller holds l.mu.
 func (l *Listener) fillBacklog() error {
 	for {
-		conn, err := net.DialTimeout("tcp", l.tcp.Addr().String(), fillTimeout)
+		conn, err := net.DialTimeout("tcp", l.address, fillTimeout)
 		if err != nil {
 			var netErr net.Error
 			if errors.As(err, &netErr) && netErr.Timeout() {
@@ -139,12 +169,13 @@
 func (l *Listener) Close() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.closed {
-		l.closed = true
-		close(l.changed)
-		for _, filler := range l.fillers {
-			filler.Close()
-		}
+	if l.closed {
+		return nil
+	}
+	l.closed = true
+	close(l.changed)
+	for _, filler := range l.fillers {
+		filler.Close()
 	}
 	return l.tcp.Close()
 }
--- a/internal/faultnet/listener_test.go
+++ b/internal/faultnet/listener_test.go
@@ -3,12 +3,13 @@
 import (
 	"errors"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 )
 
-// TestListenerReachability checks that connections never come up while a listener is unreachable, and do so afterwards.
-func TestListenerReachability(t *testing.T) {
+// TestModes checks what a caller of a listener sees in each mode, and that the listener accepts connections again afterwards.
+func TestModes(t *testing.T) {
 	listener, err := Listen("127.0.0.1")
 	if err != nil {
 		t.Fatal(err)
@@ -24,24 +25,46 @@
 			accepted <- conn
 		}
 	}()
-	for range 3 {
-		if err := listener.SetReachable(false); err != nil {
+	timedOut := func(err error) bool {
+		var netErr net.Error
+		return errors.As(err, &netErr) && netErr.Timeout()
+	}
+	refused := func(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+	connected := func(err error) bool { return err == nil }
+	for _, test := range []struct {
+		mode Mode
+		want func(error) bool
+	}{{Unreachable, timedOut}, {Refusing, refused}, {Crowded, connected}, {Unreachable, timedOut}, {Refusing, refused}} {
+		if err := listener.SetMode(test.mode); err != nil {
 			t.Fatal(err)
 		}
 		for range 3 {
-			var netErr net.Error
-			if conn, err := net.DialTimeout("tcp", listener.Addr().String(), 100*time.Millisecond); !errors.As(err, &netErr) || !netErr.Timeout() {
-				t.Fatalf("connection %v, %v, want a timeout", conn, err)
+			conn, err := net.DialTimeout("tcp", listener.Addr().String(), 100*time.Millisecond)
+			if !test.want(err) {
+				t.Fatalf("mode %d: connection %v, %v", test.mode, conn, err)
+			}
+			if err == nil {
+				defer conn.Close()
+				select {
+				case <-accepted:
+					t.Errorf("mode %d: connection accepted", test.mode)
+				case <-time.After(10 * time.Millisecond):
+				}
 			}
 		}
-		if err := listener.SetReachable(true); err != nil {
+		if err := listener.SetMode(Accepting); err != nil {
 			t.Fatal(err)
 		}
 		conn, err := net.DialTimeout("tcp", listener.Addr().String(), 2*time.Second)
 		if err != nil {
 			t.Fatal(err)
 		}
-		conn.Close()
-		(<-accepted).Close()
+		defer conn.Close()
+		for accept := range accepted {
+			accept.Close()
+			if accept.RemoteAddr().String() == conn.LocalAddr().String() {
+				break
+			}
+		}
 	}
 }
--- /dev/null
+++ b/internal/lab/trial_checker.go
@@ -0,0 +1,331 @@
+package lab
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Limits of the rules that a trial checks (PROTOCOL, "The rules on sockets"). Each is extended by trialSlack.
+const (
+	trialSlack          = 50 * time.Millisecond
+	lateAnswerLimit     = 500 * time.Millisecond // a later answer counts as lost
+	releaseLimit        = time.Second            // from a release by the server or the softswitch to the caller
+	silentReleaseLimit  = 8 * time.Second        // from the end of a call whose server could send no release
+	abandonedOfferLimit = 300 * time.Millisecond // from the caller's leaving to the last offer of its set-up
+	closeCrossing       = 50 * time.Millisecond  // a set-up that crosses the close of its connection is sent again
+	acceptedAfterStop   = 700 * time.Millisecond // a set-up that comes later after SIGTERM must be answered before SIGKILL
+	unknownTime         = time.Duration(-1)
+	maxReportedPerRule  = 5
+)
+
+// trialCall is what a trial knows of one call.
+type trialCall struct {
+	id                uint64
+	member            int
+	sentAt            time.Duration
+	dueAt             time.Duration // when the caller stops waiting
+	leftAt            time.Duration // when the caller gave the set-up up or closed its connection; unknownTime: never
+	answeredAt        time.Duration // first final answer; unknownTime: none
+	served            bool
+	excused           bool          // no answer is owed: its softswitch was killed, or the set-up crossed a close
+	attempts          int           // attempts that reached servers
+	outstanding       *trialAttempt // nil: none
+	guardFrom         time.Duration // end of the last attempt that timed out, was reset or cancelled; unknownTime: none
+	establishedServer string        // server that answered; empty: none
+	endedAt           time.Duration // end of the established call; unknownTime: it stands
+	endDetail         string
+	releaseDue        time.Duration // when the caller must have read the release; unknownTime: none is owed
+	releasedAt        time.Duration // when the caller read it; unknownTime: not yet
+}
+
+// trialAttempt is an attempt that is out.
+type trialAttempt struct {
+	server string
+	at     time.Duration
+}
+
+// trialChecker checks the rules of a trial from outside. Its methods may be called concurrently.
+type trialChecker struct {
+	mu           sync.Mutex
+	maxAttempts  int
+	releaseGuard time.Duration
+	drainGrace   time.Duration
+	calls        map[uint64]*trialCall
+	toldAt       []map[string]time.Duration // by softswitch: when it counts as told that a server drains or is gone
+	killed       map[int]bool               // softswitches that were killed without SIGTERM and are not started again
+	violations   map[string][]string        // by rule
+	counts       map[string]int
+	clock        func() time.Duration
+}
+
+// newTrialChecker returns a checker for the softswitches of a trial.
+func newTrialChecker(members int, rules Rules, clock func() time.Duration) *trialChecker {
+	c := &trialChecker{maxAttempts: rules.MaxAttempts, releaseGuard: rules.ReleaseGuard, drainGrace: rules.DrainGrace,
+		calls: make(map[uint64]*trialCall), violations: make(map[string][]string), counts: make(map[string]int), killed: make(map[int]bool), clock: clock}
+	for range members {
+		c.toldAt = append(c.toldAt, make(map[string]time.Duration))
+	}
+	return c
+}
+
+// violate records a violation of a rule. The caller holds mu.
+func (c *trialChecker) violate(rule, format string, args ...any) {
+	c.counts["violations"]++
+	if len(c.violations[rule]) < maxReportedPerRule {
+		c.violations[rule] = append(c.violations[rule], fmt.Sprintf("%.3f ", c.clock().Seconds())+fmt.Sprintf(format, args...))
+	}
+}
+
+// report records a violation that the caller of the checker found itself.
+func (c *trialChecker) report(rule, format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.violate(rule, format, args...)
+}
+
+// setUpSent records a set-up that is about to be written.
+func (c *trialChecker) setUpSent(id uint64, member int, left time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts["offered"]++
+	c.calls[id] = &trialCall{id: id, member: member, sentAt: c.clock(), dueAt: c.clock() + left, leftAt: unknownTime,
+		answeredAt: unknownTime, guardFrom: unknownTime, endedAt: unknownTime, releaseDue: unknownTime, releasedAt: unknownTime}
+}
+
+// excuse records that no answer is owed for a set-up.
+func (c *trialChecker) excuse(id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if call := c.calls[id]; call != nil && call.answeredAt == unknownTime {
+		call.excused = true
+	}
+}
+
+// callerLeft records that a caller gave its set-up up or closed its connection.
+func (c *trialChecker) callerLeft(id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if call := c.calls[id]; call != nil && call.answeredAt == unknownTime && call.leftAt == unknownTime {
+		call.leftAt, call.excused = c.clock(), true
+	}
+}
+
+// softswitchKilled says whether a softswitch was killed without SIGTERM, so that it owes no answers.
+func (c *trialChecker) softswitchKilled(member int, killed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.killed[member] = killed
+}
+
+// connectionEnded records that a connection ended while a set-up on it had no answer, and that the set-up is not sent again.
+func (c *trialChecker) connectionEnded(id uint64, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	call := c.calls[id]
+	if call == nil || call.answeredAt != unknownTime || call.excused || c.killed[call.member] {
+		if call != nil && c.killed[call.member] {
+			call.excused = true
+		}
+		return
+	}
+	c.violate("request lost: its connection ended", "call %016x through n%d, sent at %.3f: %v", id, call.member+1, call.sentAt.Seconds(), err)
+	call.excused = true
+}
+
+// finalAnswer records a final answer that a caller read.
+func (c *trialChecker) finalAnswer(id uint64, served bool, description string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	call := c.calls[id]
+	switch {
+	case call == nil:
+		c.violate("answer to no request", "call %016x", id)
+		return
+	case call.answeredAt != unknownTime:
+		c.violate("second final answer", "call %016x through n%d, first at %.3f", id, call.member+1, call.answeredAt.Seconds())
+		return
+	case served && description != trialDescription(call.establishedServer, id):
+		c.violate("answer that no server made", "call %016x: %q", id, description)
+	}
+	now := c.clock()
+	call.answeredAt, call.served = now, served
+	if late := now - call.dueAt; late > lateAnswerLimit+trialSlack && !call.excused {
+		c.violate("request lost: answered too late", "call %016x through n%d, %v after its time", id, call.member+1, late)
+	} else if late > trialSlack && !call.excused {
+		c.counts["late"]++
+	}
+	c.counts[map[bool]string{true: "served", false: "refused"}[served]]++
+}
+
+// offerReceived records a set-up that reached a server.
+func (c *trialChecker) offerReceived(member int, server string, id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock()
+	call := c.calls[id]
+	if call == nil {
+		c.violate("set-up that no caller sent", "call %016x at %s", id, server)
+		return
+	}
+	call.attempts++
+	if call.attempts > c.maxAttempts {
+		c.violate("too many attempts", "call %016x: %d", id, call.attempts)
+	}
+	if call.outstanding != nil {
+		c.violate("two attempts out", "call %016x at %s since %.3f and at %s", id, call.outstanding.server, call.outstanding.at.Seconds(), server)
+	}
+	if call.guardFrom != unknownTime && now+trialSlack < call.guardFrom+c.releaseGuard {
+		c.violate("sent again too soon", "call %016x, %v after the last attempt ended", id, now-call.guardFrom)
+	}
+	if call.answeredAt != unknownTime && now > call.answeredAt+trialSlack {
+		c.violate("sent after its answer", "call %016x answered at %.3f", id, call.answeredAt.Seconds())
+	}
+	if call.leftAt != unknownTime && now > call.leftAt+abandonedOfferLimit+trialSlack {
+		c.violate("sent after its caller left", "call %016x, %v after", id, now-call.leftAt)
+	}
+	if toldAt, told := c.toldAt[member][server]; told && now > toldAt+c.drainGrace+trialSlack {
+		c.violate("sent to a draining or removed server", "call %016x through n%d at %s, %v after n%d was told", id, member+1, server, now-toldAt, member+1)
+	}
+	call.outstanding = &trialAttempt{server, now}
+}
+
+// attemptEnded records that an attempt ended. guarded says that the release guard applies.
+func (c *trialChecker) attemptEnded(server string, id uint64, guarded bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if call := c.calls[id]; call != nil && call.outstanding != nil && call.outstanding.server == server {
+		call.outstanding = nil
+		if guarded {
+			call.guardFrom = c.clock()
+		}
+	}
+}
+
+// established records that a server answers a set-up.
+func (c *trialChecker) established(server string, id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if call := c.calls[id]; call != nil { // an earlier answer may have crossed the end of its attempt
+		call.establishedServer, call.endedAt, call.releaseDue, call.endDetail = server, unknownTime, unknownTime, ""
+	}
+}
+
+// callEnded records the end of an established call. limit is the time until the caller must have read a release; unknownTime: none is owed.
+func (c *trialChecker) callEnded(id uint64, detail string, limit time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	call := c.calls[id]
+	if call == nil {
+		return
+	}
+	now := c.clock()
+	if call.endedAt == unknownTime {
+		call.endedAt = now
+	}
+	call.endDetail += fmt.Sprintf(" %s at %.3f;", detail, now.Seconds())
+	switch {
+	case limit == unknownTime:
+		call.releaseDue = unknownTime
+		call.endDetail += " no release owed;"
+		call.excuseRelease()
+	case call.releaseDue == unknownTime || now+limit < call.releaseDue:
+		call.releaseDue = now + limit
+	}
+}
+
+// excuseRelease records that no release is owed to the caller.
+func (call *trialCall) excuseRelease() {
+	if call.releasedAt == unknownTime {
+		call.releasedAt, call.releaseDue = 0, unknownTime
+	}
+}
+
+// releaseRead records that a caller read a release of an established call.
+func (c *trialChecker) releaseRead(id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	call := c.calls[id]
+	if call == nil || !call.served {
+		return
+	}
+	if call.releasedAt == unknownTime {
+		call.releasedAt = c.clock()
+	}
+	c.checkRelease(call)
+}
+
+// checkRelease checks whether a release that is due has been read in time.
+func (c *trialChecker) checkRelease(call *trialCall) {
+	due := call.releaseDue
+	if due == unknownTime || !call.served {
+		return
+	}
+	readAt := call.releasedAt
+	if readAt == unknownTime {
+		readAt = c.clock()
+	}
+	if readAt > due+trialSlack {
+		c.violate("release too late", "call %016x through n%d at %s:%s due %.3f, read %.3f (%v late)", call.id, call.member+1,
+			call.establishedServer, call.endDetail, due.Seconds(), call.releasedAt.Seconds(), readAt-due)
+		call.releaseDue = unknownTime
+	}
+}
+
+// softswitchDown records that a softswitch was killed at the time, after a SIGTERM at stoppedAt (unknownTime: without one), with its open
+// set-ups. Calls that stood there are known to no later process, so that only their server can release them.
+func (c *trialChecker) softswitchDown(member int, stoppedAt time.Duration, killed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, call := range c.calls {
+		if call.member != member {
+			continue
+		}
+		if call.answeredAt == unknownTime && !call.excused {
+			if killed && (stoppedAt == unknownTime || call.sentAt <= stoppedAt+acceptedAfterStop) {
+				call.excused = true
+			} else if call.dueAt+lateAnswerLimit > c.clock() {
+				c.violate("request unanswered when its softswitch ended", "call %016x through n%d, sent at %.3f, SIGTERM at %.3f, killed: %v",
+					call.id, member+1, call.sentAt.Seconds(), stoppedAt.Seconds(), killed)
+				call.excused = true
+			}
+		}
+		if call.served && call.releasedAt == unknownTime {
+			call.excuseRelease()
+		}
+	}
+}
+
+// told records when a softswitch counts as told that a server drains or is gone. The earliest time holds.
+func (c *trialChecker) told(member int, server string, at time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if earlier, known := c.toldAt[member][server]; !known || at < earlier {
+		c.toldAt[member][server] = at
+	}
+}
+
+// back records that the list names a server as ready again.
+func (c *trialChecker) back(server string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, toldAt := range c.toldAt {
+		delete(toldAt, server)
+	}
+}
+
+// finish checks what is left open at the end of a trial.
+func (c *trialChecker) finish() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock()
+	for _, call := range c.calls {
+		if call.answeredAt == unknownTime && !call.excused && now > call.dueAt+lateAnswerLimit+trialSlack {
+			c.violate("request lost: never answered", "call %016x through n%d, sent at %.3f, due at %.3f", call.id, call.member+1,
+				call.sentAt.Seconds(), call.dueAt.Seconds())
+		}
+		if call.releasedAt == unknownTime {
+			c.checkRelease(call)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/trial_faults.go
@@ -0,0 +1,136 @@
+package lab
+
+import (
+	"fmt"
+	"time"
+)
+
+// cutOff makes a server's machine unreachable. Afterwards it goes on, or has a new process that knows no call.
+func (t *trial) cutOff(index int, duration time.Duration, newProcess bool) {
+	server := t.servers[index]
+	t.exclusively(fmt.Sprint("server", index), func() {
+		t.record("%s cut off for %v, new process: %v", server.currentName(), duration, newProcess)
+		server.setState(serverVanished)
+		if newProcess {
+			server.loseCalls("machine vanished")
+		}
+		t.wait(duration)
+		if newProcess {
+			server.resetConns()
+		}
+		server.setState(serverServing)
+		t.record("%s back", server.currentName())
+	})
+}
+
+// hang makes a server's process hang.
+func (t *trial) hang(index int, duration time.Duration) {
+	server := t.servers[index]
+	t.exclusively(fmt.Sprint("server", index), func() {
+		t.record("%s hangs for %v", server.currentName(), duration)
+		server.setState(serverHung)
+		t.wait(duration)
+		server.setState(serverServing)
+		t.record("%s goes on", server.currentName())
+	})
+}
+
+// die ends a server's process and starts another one under the same name and address, which the list names with its start.
+func (t *trial) die(index int, duration time.Duration) {
+	server := t.servers[index]
+	t.exclusively(fmt.Sprint("server", index), func() {
+		t.record("%s dies for %v", server.currentName(), duration)
+		server.setState(serverDead)
+		server.loseCalls("process died")
+		server.resetConns()
+		t.wait(duration)
+		server.setState(serverServing)
+		t.channel.publish(false, serverChange{server.currentName(), "in_service", time.Now().UnixMilli()})
+		t.record("%s restarted", server.currentName())
+	})
+}
+
+// replace drains a server, ends its process, and starts another server under the same address.
+func (t *trial) replace(index int, drain, pause time.Duration) {
+	server := t.servers[index]
+	t.exclusively(fmt.Sprint("server", index), func() {
+		former := server.currentName()
+		t.record("%s drains", former)
+		t.channel.publish(false, serverChange{former, "terminating", 0})
+		t.wait(drain)
+		t.channel.publish(false, serverChange{former, "terminated", 0})
+		server.setState(serverDead)
+		server.loseCalls("server replaced")
+		server.resetConns()
+		t.wait(pause)
+		t.mu.Lock()
+		t.renamed++
+		name := fmt.Sprintf("%s-%d", former[:2], t.renamed)
+		t.mu.Unlock()
+		server.rename(name)
+		server.setState(serverServing)
+		t.channel.publish(false, serverChange{name, "in_service", time.Now().UnixMilli()})
+		t.record("%s in place of %s", name, former)
+	})
+}
+
+// late makes new connections to a server come up only after a time.
+func (t *trial) late(index int, duration time.Duration) {
+	server := t.servers[index]
+	t.exclusively(fmt.Sprint("server", index), func() {
+		for _, listener := range server.listeners {
+			listener.SetMode(listenerModes[serverVanished])
+		}
+		t.wait(duration)
+		server.setState(serverServing)
+	})
+}
+
+// failChannel makes the command channel fail. With drain, a server drains close to its return.
+func (t *trial) failChannel(mode channelMode, duration time.Duration, drain bool, server int) {
+	t.exclusively("channel", func() {
+		t.record("discovery in mode %d for %v", mode, duration)
+		t.channel.setMode(mode)
+		t.wait(duration * 9 / 10)
+		if drain {
+			t.tasks.Go(func() { t.replace(server, 3*time.Second, time.Second) })
+		}
+		t.wait(duration / 10)
+		t.channel.setMode(channelServing)
+		t.record("discovery back")
+	})
+}
+
+// reconfigure gives a softswitch new configurations in quick succession, each of which moves the command channel.
+func (t *trial) reconfigure(index, count int) {
+	m := t.members[index]
+	t.exclusively(fmt.Sprint("member", index), func() {
+		for range count {
+			m.reload()
+			t.wait(50 * time.Millisecond)
+		}
+	})
+}
+
+// kill kills a softswitch and starts it again.
+func (t *trial) kill(index int, duration time.Duration) {
+	m := t.members[index]
+	t.exclusively(fmt.Sprint("member", index), func() {
+		t.record("n%d killed", index+1)
+		m.kill(unknownTime)
+		t.wait(duration)
+		m.restart()
+	})
+}
+
+// rollingRestart restarts softswitches one after another, each with SIGTERM and, if it has not ended by then, SIGKILL at the earliest time.
+func (t *trial) rollingRestart(first, count int, pause time.Duration) {
+	for i := range count {
+		index := (first + i) % len(t.members)
+		t.exclusively(fmt.Sprint("member", index), func() {
+			t.members[index].terminate()
+			t.wait(pause / 3)
+			t.members[index].restart()
+		})
+	}
+}
--- /dev/null
+++ b/internal/lab/trial_server.go
@@ -0,0 +1,465 @@
+package lab
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"elmseam/internal/faultnet"
+)
+
+// trialServerState is what a trial's server does at a time.
+type trialServerState int
+
+// The states of a trial's server.
+const (
+	serverServing  trialServerState = iota
+	serverHung                      // the process does nothing; its kernel still takes connections and data, whose arrival is recorded
+	serverVanished                  // the machine is cut off: nothing goes in or out
+	serverDead                      // the process is gone: connections are refused
+)
+
+// listenerModes are the modes of the listeners in each state.
+var listenerModes = map[trialServerState]faultnet.Mode{
+	serverServing: faultnet.Accepting, serverHung: faultnet.Accepting, serverVanished: faultnet.Unreachable, serverDead: faultnet.Refusing,
+}
+
+// serverFaults are the probabilities and times of what goes wrong at a server in ordinary operation.
+type serverFaults struct {
+	refuse, fail, reset, spoil, double, mute, closeEarly float64       // probabilities for each set-up, closeEarly for each connection
+	pieces                                               bool          // lines are written in pieces
+	idleClose                                            time.Duration // idle connections are closed after this time; 0: never
+}
+
+// trialServer is a stand-in server of a trial, as PROTOCOL describes it. It has a listener for each softswitch.
+type trialServer struct {
+	checker        *trialChecker
+	reportInterval time.Duration // 0: no reports
+	holdTime       time.Duration // mean duration of a call
+	serviceTime    time.Duration // longest time to answer a set-up
+	listeners      []*faultnet.Listener
+
+	mu      sync.Mutex // guards the fields below
+	name    string     // of the present process
+	rng     *rand.Rand
+	faults  serverFaults
+	state   trialServerState
+	process int // number of the process; calls and connections belong to one
+	conns   map[*trialServerConn]bool
+	calls   map[uint64]*serverCall
+	resumed chan struct{} // closed when the state becomes serving again
+	stopped bool
+	// releases are the releases that a softswitch gets on its next connection as well, by softswitch.
+	releases map[int][]string
+}
+
+// serverCall is a call that stands at a server.
+type serverCall struct {
+	conn   *trialServerConn
+	member int
+}
+
+// trialServerConn is a connection from a softswitch.
+type trialServerConn struct {
+	net.Conn
+	server  string // name of the server when the connection was accepted
+	member  int
+	process int
+	writes  chan serverLine
+	done    chan struct{}   // closed when the connection has ended
+	pending map[uint64]bool // set-ups without an answer; guarded by trialServer.mu
+	offered map[uint64]bool // set-ups received in this connection's life; guarded by trialServer.mu
+}
+
+// serverLine is a line to a softswitch.
+type serverLine struct {
+	text    string
+	written func() // called when the line is written; may be nil
+}
+
+// trialDescription is the description with which a server answers a call.
+func trialDescription(server string, id uint64) string { return fmt.Sprintf("%s:%016x", server, id) }
+
+// newTrialServer starts a server with a listener on each host.
+func newTrialServer(name string, hosts []string, checker *trialChecker, rng *rand.Rand) (*trialServer, error) {
+	s := &trialServer{name: name, checker: checker, rng: rng, conns: make(map[*trialServerConn]bool),
+		calls: make(map[uint64]*serverCall), resumed: make(chan struct{}), releases: make(map[int][]string)}
+	for _, host := range hosts {
+		listener, err := faultnet.Listen(host)
+		if err != nil {
+			return nil, err
+		}
+		s.listeners = append(s.listeners, listener)
+	}
+	return s, nil
+}
+
+// start serves the listeners.
+func (s *trialServer) start() {
+	for member, listener := range s.listeners {
+		go s.accept(member, listener)
+	}
+}
+
+// accept serves the connections of one softswitch.
+func (s *trialServer) accept(member int, listener *faultnet.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		if s.state == serverDead || s.rng.Float64() < s.faults.closeEarly {
+			s.mu.Unlock()
+			faultnet.Reset(conn)
+			continue
+		}
+		c := &trialServerConn{Conn: conn, server: s.name, member: member, process: s.process, writes: make(chan serverLine, 10000), done: make(chan struct{}),
+			pending: make(map[uint64]bool), offered: make(map[uint64]bool)}
+		s.conns[c] = true
+		releases := s.releases[member]
+		delete(s.releases, member)
+		s.mu.Unlock()
+		go s.write(c)
+		go s.serve(c)
+		go s.report(c)
+		for _, release := range releases {
+			s.send(c, release)
+		}
+	}
+}
+
+// report sends the state of the server's group first of all, and then at the interval.
+func (s *trialServer) report(c *trialServerConn) {
+	for s.reportInterval > 0 {
+		s.send(c, `{"op":"group","call":"0000000000000000","with":{"load":"spare:100;total:200;cut_by:0"}}`)
+		select {
+		case <-c.done:
+			return
+		case <-time.After(s.reportInterval):
+		}
+	}
+}
+
+// send queues a line for a connection.
+func (s *trialServer) send(c *trialServerConn, line string) { s.sendAndReport(c, line, nil) }
+
+// sendAndReport queues a line for a connection, and has a function called when it is written.
+func (s *trialServer) sendAndReport(c *trialServerConn, line string, written func()) {
+	select {
+	case c.writes <- serverLine{line, written}:
+	case <-c.done:
+	default:
+	}
+}
+
+// longestGapInLine is the longest time, in milliseconds, between the two pieces of a line.
+const longestGapInLine = 5
+
+// write writes the lines of a connection while the server serves.
+func (s *trialServer) write(c *trialServerConn) {
+	for {
+		select {
+		case <-c.done:
+			return
+		case line := <-c.writes:
+			if !s.awaitServing(c) {
+				return
+			}
+			s.mu.Lock()
+			pieces, cut := s.faults.pieces && s.rng.IntN(4) == 0, 1+s.rng.IntN(len(line.text))
+			s.mu.Unlock()
+			text := line.text + "\n"
+			if pieces {
+				c.Write([]byte(text[:cut]))
+				time.Sleep(time.Duration(cut%(longestGapInLine+1)) * time.Millisecond)
+				text = text[cut:]
+			}
+			if line.written != nil {
+				line.written()
+			}
+			c.Write([]byte(text))
+		}
+	}
+}
+
+// awaitServing waits while the server is hung or vanished. It returns false if the connection or its process has ended.
+func (s *trialServer) awaitServing(c *trialServerConn) bool {
+	for {
+		s.mu.Lock()
+		state, process, resumed := s.state, s.process, s.resumed
+		s.mu.Unlock()
+		switch {
+		case process != c.process:
+			return false
+		case state == serverServing:
+			return true
+		}
+		select {
+		case <-resumed:
+		case <-c.done:
+			return false
+		}
+	}
+}
+
+// serve reads a connection until it ends.
+func (s *trialServer) serve(c *trialServerConn) {
+	lines := bufio.NewScanner(c)
+	lines.Buffer(make([]byte, 4<<10), 64<<10)
+	s.mu.Lock()
+	idleClose := s.faults.idleClose
+	s.mu.Unlock()
+	for {
+		if idleClose > 0 {
+			c.SetReadDeadline(time.Now().Add(idleClose))
+		}
+		if !lines.Scan() {
+			break
+		}
+		var message struct {
+			Op   string `json:"op"`
+			Call string `json:"call"`
+		}
+		if err := json.Unmarshal(lines.Bytes(), &message); err != nil {
+			s.checker.report("malformed line to a server", "%s: %.80q", c.server, lines.Text())
+			continue
+		}
+		id, err := strconv.ParseUint(message.Call, 16, 64)
+		if err != nil {
+			continue
+		}
+		switch message.Op {
+		case "offer":
+			s.receiveOffer(c, id)
+		case "end":
+			s.receiveEnd(c, id)
+		case "test":
+			s.send(c, fmt.Sprintf(`{"op":"tested","call":%q,"with":{},"why":1}`, message.Call))
+		}
+	}
+	s.endConn(c)
+}
+
+// endConn ends a connection with its set-ups. The calls that were answered on it stand on.
+func (s *trialServer) endConn(c *trialServerConn) {
+	s.mu.Lock()
+	delete(s.conns, c)
+	pending := c.pending
+	c.pending = map[uint64]bool{}
+	s.mu.Unlock()
+	close(c.done)
+	c.Close()
+	for id := range pending {
+		s.checker.attemptEnded(c.server, id, true)
+	}
+}
+
+// receiveOffer records a set-up and answers it later.
+func (s *trialServer) receiveOffer(c *trialServerConn, id uint64) {
+	s.checker.offerReceived(c.member, c.server, id)
+	s.mu.Lock()
+	c.pending[id], c.offered[id] = true, true
+	delay := time.Duration(s.rng.Int64N(int64(s.serviceTime) + 1))
+	reset := s.rng.Float64() < s.faults.reset
+	s.mu.Unlock()
+	if reset {
+		faultnet.Reset(c.Conn)
+		return
+	}
+	time.AfterFunc(delay, func() { s.answer(c, id) })
+}
+
+// answer answers a set-up that is still pending, once the server serves.
+func (s *trialServer) answer(c *trialServerConn, id uint64) {
+	if !s.awaitServing(c) {
+		return
+	}
+	s.mu.Lock()
+	if !c.pending[id] || s.process != c.process || s.stopped {
+		s.mu.Unlock()
+		return
+	}
+	draw, faults := s.rng.Float64(), s.faults
+	within := func(probability float64) bool {
+		draw -= probability
+		return draw < 0
+	}
+	refusal := ""
+	switch {
+	case within(faults.mute):
+		s.mu.Unlock()
+		return
+	case within(faults.spoil): // the set-up stays pending: the softswitch has to end it
+		s.mu.Unlock()
+		s.send(c, fmt.Sprintf(`{"op":"accept","call":"%016x","with":{},"desc":"`, id))
+		return
+	case within(faults.refuse):
+		refusal = fmt.Sprintf(`{"op":"end","call":"%016x","with":{"note":"swamped"},"why":34}`, id)
+	case within(faults.fail):
+		refusal = fmt.Sprintf(`{"op":"end","call":"%016x","with":{},"why":47}`, id)
+	}
+	delete(c.pending, id)
+	double := s.rng.Float64() < faults.double
+	hold := time.Duration(s.rng.ExpFloat64() * float64(s.holdTime))
+	if refusal == "" {
+		s.calls[id] = &serverCall{c, c.member}
+	}
+	s.mu.Unlock()
+	s.checker.attemptEnded(c.server, id, false)
+	if refusal != "" {
+		s.send(c, refusal)
+		return
+	}
+	s.checker.established(c.server, id)
+	text := fmt.Sprintf(`{"op":"accept","call":"%016x","with":{},"desc":%q}`, id, trialDescription(c.server, id))
+	s.send(c, text)
+	if double {
+		time.AfterFunc(5*time.Millisecond, func() { s.send(c, text) })
+	}
+	time.AfterFunc(hold, func() { s.release(c.process, id) })
+}
+
+// receiveEnd handles the end of a set-up or the release of a call by the softswitch.
+func (s *trialServer) receiveEnd(c *trialServerConn, id uint64) {
+	s.mu.Lock()
+	pending, standing := false, s.calls[id] != nil
+	for conn := range s.conns {
+		if conn.pending[id] && conn.member == c.member {
+			pending = true
+			delete(conn.pending, id)
+		}
+	}
+	delete(s.calls, id)
+	s.mu.Unlock()
+	if pending {
+		s.checker.attemptEnded(c.server, id, true)
+	}
+	if standing {
+		s.checker.callEnded(id, "released by the softswitch", releaseLimit)
+	}
+	s.send(c, fmt.Sprintf(`{"op":"ended","call":"%016x","with":{}}`, id))
+}
+
+// release ends a call of a process in the ordinary way. While the server can't serve, it waits.
+func (s *trialServer) release(process int, id uint64) {
+	for {
+		s.mu.Lock()
+		call := s.calls[id]
+		state, resumed := s.state, s.resumed
+		if call == nil || s.process != process || s.stopped {
+			s.mu.Unlock()
+			return
+		}
+		if state == serverServing {
+			break
+		}
+		s.mu.Unlock()
+		<-resumed
+	}
+	defer s.mu.Unlock()
+	call := s.calls[id]
+	conn := call.conn
+	if !s.conns[conn] {
+		conn = s.anyConn(call.member)
+	}
+	if conn == nil { // the release goes out on the next connection
+		time.AfterFunc(20*time.Millisecond, func() { s.release(process, id) })
+		return
+	}
+	delete(s.calls, id)
+	text := fmt.Sprintf(`{"op":"end","call":"%016x","with":{},"why":16}`, id)
+	s.sendAndReport(conn, text, func() { s.checker.callEnded(id, "released by the server", releaseLimit) })
+	s.releases[call.member] = append(s.releases[call.member], text)
+}
+
+// anyConn returns an open connection from a softswitch, or nil. The caller holds mu.
+func (s *trialServer) anyConn(member int) *trialServerConn {
+	for conn := range s.conns {
+		if conn.member == member && conn.process == s.process {
+			return conn
+		}
+	}
+	return nil
+}
+
+// setState changes what the server does.
+func (s *trialServer) setState(state trialServerState) {
+	s.mu.Lock()
+	s.state = state
+	if state == serverServing {
+		close(s.resumed)
+		s.resumed = make(chan struct{})
+	}
+	s.mu.Unlock()
+	for _, listener := range s.listeners {
+		listener.SetMode(listenerModes[state])
+	}
+}
+
+// hasState says whether the server is in a state.
+func (s *trialServer) hasState(state trialServerState) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state == state
+}
+
+// rename makes the server another one under the same address.
+func (s *trialServer) rename(name string) {
+	s.mu.Lock()
+	s.name = name
+	s.mu.Unlock()
+}
+
+// currentName returns the name of the present process.
+func (s *trialServer) currentName() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.name
+}
+
+// loseCalls ends all calls of the present process, whose callers the server can't inform, and makes the next process the present one.
+func (s *trialServer) loseCalls(detail string) {
+	s.mu.Lock()
+	calls := s.calls
+	s.calls = make(map[uint64]*serverCall)
+	clear(s.releases)
+	s.process++
+	s.mu.Unlock()
+	for id := range calls {
+		s.checker.callEnded(id, detail, silentReleaseLimit)
+	}
+}
+
+// resetConns resets the connections of all processes.
+func (s *trialServer) resetConns() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		faultnet.Reset(conn.Conn)
+	}
+}
+
+// setFaults changes what goes wrong in ordinary operation.
+func (s *trialServer) setFaults(faults serverFaults) {
+	s.mu.Lock()
+	s.faults = faults
+	s.mu.Unlock()
+}
+
+// close ends the server.
+func (s *trialServer) close() {
+	s.mu.Lock()
+	s.stopped = true
+	s.mu.Unlock()
+	for _, listener := range s.listeners {
+		listener.Close()
+	}
+	s.setState(serverServing)
+	s.resetConns()
+}
