A planned restart ends before SIGKILL can come at its earliest

Cause: MaxStopWait was max(longest deadline, 3 s) + 0.6 s. PROTOCOL lets SIGKILL come 0.7 s after the longest deadline, which counts as 3 s where it is longer; with a deadline of 1 s the process was still taking set-ups 2 s after that, with 9 s almost 6 s. Evidence: TestSetUpsLostAtEarliestKill on the code before: connections ended 3.66, 3.66 and 9.66 s after SIGTERM with deadlines of 50 ms, 1 s and 9 s; 0.75, 1.7 and 3.7 s are allowed. Change: min instead of max; MaxStopWait holds even if the grace for new calls is longer, as with very short deadlines. Why it works: every set-up is answered and every connection closed in order 0.04 s before the earliest kill. Result: the test passes, as do the other tests of stops and hand-overs.

--- a/cmd/elmseam/stop_test.go
+++ b/cmd/elmseam/stop_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -121,3 +122,47 @@
 	fmt.Fprintf(peer, `{"op":"accept","call":%q,"with":{},"desc":"x"}`+"\n", peer.wantLine(`"offer"`))
 	caller.wantCallerMessage(9, 1)
 }
+
+// TestSetUpsLostAtEarliestKill guards against set-ups that are unanswered when SIGKILL comes at its earliest, the longest deadline (3 s at
+// most) and 0.7 s after SIGTERM, while a server hangs and callers go on sending on their open connections.
+func TestSetUpsLostAtEarliestKill(t *testing.T) {
+	for deadline, killAfter := range map[time.Duration]time.Duration{
+		50 * time.Millisecond: 750 * time.Millisecond, time.Second: 1700 * time.Millisecond, 9 * time.Second: 3700 * time.Millisecond,
+	} {
+		t.Run(deadline.String(), func(t *testing.T) {
+			t.Parallel()
+			hung := listen(t)
+			process := newProgram(t, serverEntry("s", "in_service", hung))
+			settings := strings.ReplaceAll(testSettings, `"hard-limit-us":3000000`, fmt.Sprintf(`"hard-limit-us":%d`, deadline.Microseconds()))
+			settings = strings.ReplaceAll(settings, `"objective-us":1000000`, `"objective-us":10000`)
+			process.writeConfig(process.channel, settings, serverEntry("s", "in_service", hung))
+			process.launch("")
+			peer := acceptServer(t, hung)
+			caller := dial(t, process.listen)
+			caller.sendSetUp(1)
+			id := peer.wantLine(`"offer"`)
+			fmt.Fprintf(peer, `{"op":"accept","call":%q,"with":{},"desc":"x"}`+"\n", id) // a call that stands throughout
+			caller.wantCallerMessage(9, 1)
+			go io.Copy(io.Discard, peer.reader)
+			stoppedAt := time.Now()
+			process.cmd.Process.Signal(syscall.SIGTERM)
+			lastSent := make(chan time.Time, 1)
+			go func() {
+				sentAt := time.Now()
+				for call := uint64(2); ; call++ {
+					if _, err := caller.Write(setUpMessage("voice", call)); err != nil || !pause(t.Context().Done(), time.Millisecond) {
+						lastSent <- sentAt
+						return
+					}
+					sentAt = time.Now()
+				}
+			}()
+			_, err := io.Copy(io.Discard, caller.reader)
+			if ended := time.Since(stoppedAt); err != nil || ended > killAfter {
+				t.Errorf("the connection ends %v after SIGTERM with %v, want its orderly end by %v", ended, err, killAfter)
+			}
+			caller.Close()
+			<-lastSent
+		})
+	}
+}
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -55,6 +55,9 @@
 	reservedSockets = 14
 )
 
+// maxCountedDeadline is the longest time that a planned restart leaves to set-ups, whatever their deadlines.
+const maxCountedDeadline = 3 * time.Second
+
 // endedCallBytes is the approximate memory, in bytes, that one remembered ended call takes.
 const endedCallBytes = 128
 
@@ -91,9 +94,9 @@
 			MaxTransferredCalls: 4000, // this many calls fit into one hand-over message
 			HandOverGrace:       100 * time.Millisecond,
 			StopGrace:           700 * time.Millisecond,
-			MaxStopWait:         max(deployment.MaxDeadline, 3*time.Second) + 600*time.Millisecond,
-			StopLinger:          60 * time.Millisecond,             // data that crosses the close of a connection arrives within 50 ms
-			CallerConnsTarget:   maxCallerConns - maxCallerConns/8, // the remaining eighth is for connections being opened or closed
+			MaxStopWait:         min(deployment.MaxDeadline, maxCountedDeadline) + 600*time.Millisecond, // SIGKILL may come 0.1 s later
+			StopLinger:          60 * time.Millisecond,                                                  // data that crosses the close of a connection arrives within 50 ms
+			CallerConnsTarget:   maxCallerConns - maxCallerConns/8,                                      // the remaining eighth is for connections being opened or closed
 			NewConnGrace:        250 * time.Millisecond,
 			MaxOpen:             deployment.MaxOpenCalls,
 			MaxEndedCalls:       int(memoryBytes / 8 / endedCallBytes),
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -304,7 +304,7 @@
 	case tokenStopGrace:
 		c.stopGraceOver = true
 	case tokenMaxStopWait:
-		if c.stopGraceOver && !c.closing {
+		if c.stopGraceOver = true; !c.closing {
 			c.failOpenSetUps()
 			c.beginClosing()
 		}
