A connection made between the resets of a dying process proves nothing

Cause: the new process was dialled between the resets of the two former connections; that connection was then taken for one from before the outage, so its first message ended the outage. Evidence: the softswitch's log has the outage's begin, doubt and end within 0.3 ms; TestConnectionBetweenResetsProvesNothing fails on the code before. Change: connections have a generation, which grows when an outage or a series of resets begins.

--- a/internal/core/liveness.go
+++ b/internal/core/liveness.go
@@ -20,15 +20,16 @@
 
 // livenessTracker is what is known of the life of a server.
 type livenessTracker struct {
-	lastAliveAt   Time // last sign of life
-	outageSince   Time // last sign of life before the present outage; 0: no outage
-	dialFailed    bool // no connection could be made during the outage
-	mayBeRenewed  bool // the process that serves after the outage may be another one
-	reconnected   bool // the server can be reached again, but may be another process
-	resetsSince   Time // when the first of the last series of resets came; 0: none came
-	timerSet      bool // a timer for checkLiveness is set
-	verifying     bool // the dial under way only verifies that the server can be reached
-	lostTimerFrom Time // outageSince for which a timer was set; 0: none was
+	lastAliveAt    Time // last sign of life
+	outageSince    Time // last sign of life before the present outage; 0: no outage
+	dialFailed     bool // no connection could be made during the outage
+	mayBeRenewed   bool // the process that serves after the outage may be another one
+	reconnected    bool // the server can be reached again, but may be another process
+	resetsSince    Time // when the first of the last series of resets came; 0: none came
+	connGeneration int  // of the next connection; it grows when an outage or a series of resets begins
+	timerSet       bool // a timer for checkLiveness is set
+	verifying      bool // the dial under way only verifies that the server can be reached
+	lostTimerFrom  Time // outageSince for which a timer was set; 0: none was
 }
 
 // recordServerInput records that something has come on a connection of a server.
@@ -39,7 +40,7 @@
 		return
 	}
 	conn.unansweredSince = 0
-	if conn.upAt <= s.outageSince {
+	if s.outageSince != 0 && conn.generation < s.outageGeneration {
 		c.endOutage(s)
 	}
 }
@@ -62,28 +63,41 @@
 	}
 	if !dialFailed && ev.Reset && (s.resetsSince == 0 || c.now-s.resetsSince > resetSeriesWindow) {
 		s.resetsSince = c.now
+		s.connGeneration++
 	}
-	allReset := !dialFailed && ev.Reset && !s.hasConnBefore(s.resetsSince)
+	allReset := !dialFailed && ev.Reset && !s.hasEarlierConn()
 	if !dialFailed && !allReset && len(s.conns) > 0 {
 		return
 	}
-	c.beginOutage(s)
+	if allReset { // a new process may have given signs of life between the resets
+		c.beginOutage(s, min(s.lastAliveAt, s.resetsSince))
+	} else {
+		c.beginOutageNow(s)
+	}
 	s.dialFailed = s.dialFailed || dialFailed
 	s.mayBeRenewed = s.mayBeRenewed || allReset || dialFailed && ev.Reset
 	s.reconnected = allReset && len(s.conns) > 0
 }
 
-// hasConnBefore says whether a connection to the server is open that was made before the time.
-func (s *server) hasConnBefore(at Time) bool {
-	return slices.ContainsFunc(s.conns, func(conn *serverConn) bool { return conn.upAt < at })
+// hasEarlierConn says whether a connection to the server is open that was made before the last outage or series of resets.
+func (s *server) hasEarlierConn() bool {
+	return slices.ContainsFunc(s.conns, func(conn *serverConn) bool { return conn.generation < s.connGeneration })
+}
+
+// beginOutageNow begins an outage, unless there is one: all connections are from before it.
+func (c *Core) beginOutageNow(s *server) {
+	if s.outageSince == 0 {
+		s.connGeneration++
+		c.beginOutage(s, s.lastAliveAt)
+	}
 }
 
-// beginOutage begins an outage, unless there is one.
-func (c *Core) beginOutage(s *server) {
+// beginOutage begins an outage, unless there is one. since is the last sign of life before it.
+func (c *Core) beginOutage(s *server, since Time) {
 	if s.outageSince != 0 {
 		return
 	}
-	s.outageSince = s.lastAliveAt
+	s.outageSince, s.outageGeneration = since, s.connGeneration
 	c.stats.Failures.ServerOutages++
 	c.emit(Trace{Kind: TraceOutageBegan, Server: s.Name, SilentFor: c.now - s.outageSince, Calls: len(s.established)})
 	c.setLostTimer(s)
@@ -191,7 +205,7 @@
 	if c.now-s.lastAliveAt >= c.limits.LivenessCheckAfter && !s.reconnected && !s.dialPending {
 		s.verifying = true
 		if !c.startDial(s) && len(s.conns) == 0 {
-			c.beginOutage(s)
+			c.beginOutageNow(s)
 			s.dialFailed = true
 		}
 	}
--- a/internal/core/liveness_test.go
+++ b/internal/core/liveness_test.go
@@ -94,3 +94,23 @@
 		t.Errorf("effects %q, want no dial without established calls", effects)
 	}
 }
+
+// A new process may take a server's address so fast that a connection to it is made between the resets of the former connections. Its
+// messages show nothing about the calls of the former process.
+func TestConnectionBetweenResetsProvesNothing(t *testing.T) {
+	h := newLivenessHarness(t)
+	h.core.limits.ConnsPerServer = map[Protocol]int{"": 2}
+	h.step(ServerUp{Server: "a", Address: "a:1", Conn: 20})
+	h.advance(time.Second)
+	h.step(ServerDown{Server: "a", Conn: 10, Reset: true})
+	h.step(ServerUp{Server: "a", Address: "a:1", Conn: 12})
+	h.step(ServerDown{Server: "a", Conn: 20, Reset: true})
+	for range 9 {
+		h.step(ServerReport{Server: "a", Conn: 12})
+		if h.core.calls[1] == nil {
+			return
+		}
+		h.advance(time.Second)
+	}
+	t.Error("the call of the former process is still established")
+}
--- a/internal/core/servermsgs.go
+++ b/internal/core/servermsgs.go
@@ -37,7 +37,7 @@
 // serverConn is a connection to a server.
 type serverConn struct {
 	id              ConnID
-	upAt            Time // when the connection was made
+	generation      int  // connGeneration of the server when the connection was made
 	lastOfferAt     Time // when the last offer went out on the connection
 	unusable        bool // a message on the connection could not be decoded, or the connection counts as dead: no new offer goes there
 	unansweredSince Time // time of the first set-up or probe sent since the connection last brought something; 0: none
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -324,7 +324,7 @@
 		c.emit(CloseConn{To: ev.Conn})
 		return
 	}
-	s.conns = append(s.conns, &serverConn{id: ev.Conn, upAt: c.now})
+	s.conns = append(s.conns, &serverConn{id: ev.Conn, generation: s.connGeneration})
 	s.redialDelay = 0
 	for _, id := range s.pendingReleases {
 		c.sendEnd(s, id)
--- a/internal/faultnet/listener.go
+++ b/internal/faultnet/listener.go
@@ -32,7 +32,7 @@
 	mode    Mode
 	changed chan struct{} // closed and replaced when the mode changes
 	closed  bool
-	fillers map[string]net.Conn // connections that fill the backlog, by their local address
+	fillers []net.Conn // connections that fill the backlog
 }
 
 // Sizes of the backlog of a listener that is unreachable, and of one that is not. The kernel completes one connection more than the size.
@@ -50,8 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{address: listener.Addr().String(), tcp: listener.(*net.TCPListener), changed: make(chan struct{}),
-		fillers: make(map[string]net.Conn)}, nil
+	return &Listener{address: listener.Addr().String(), tcp: listener.(*net.TCPListener), changed: make(chan struct{})}, nil
 }
 
 // Addr returns the address of the listener, which stays the same in all modes.
@@ -79,27 +78,11 @@
 			continue
 		case err != nil:
 			return nil, err
-		case l.discardFiller(conn):
-			continue
 		}
 		return conn, nil
 	}
 }
 
-// discardFiller closes a connection that filled the backlog, and reports whether it was one.
-func (l *Listener) discardFiller(conn net.Conn) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	filler := l.fillers[conn.RemoteAddr().String()]
-	if filler == nil {
-		return false
-	}
-	delete(l.fillers, conn.RemoteAddr().String())
-	filler.Close()
-	conn.Close()
-	return true
-}
-
 // SetMode changes how new connections are treated. Open connections are not affected.
 func (l *Listener) SetMode(mode Mode) error {
 	l.mu.Lock()
@@ -132,11 +115,30 @@
 	case Crowded:
 		l.tcp.SetDeadline(time.Unix(1, 0))
 	case Accepting:
+		if former == Unreachable {
+			l.discardBacklog()
+		}
 		l.tcp.SetDeadline(time.Time{})
 	}
 	return l.setBacklog(ordinaryBacklog)
 }
 
+// discardBacklog resets the connections that came up while the backlog was being filled. The caller holds l.mu.
+func (l *Listener) discardBacklog() {
+	l.tcp.SetDeadline(time.Now().Add(time.Millisecond))
+	for {
+		conn, err := l.tcp.Accept()
+		if err != nil {
+			break
+		}
+		Reset(conn)
+	}
+	for _, filler := range l.fillers {
+		filler.Close()
+	}
+	l.fillers = nil
+}
+
 // setBacklog changes the size of the kernel's backlog.
 func (l *Listener) setBacklog(size int) error {
 	raw, err := l.tcp.SyscallConn()
@@ -161,7 +163,7 @@
 			}
 			return err
 		}
-		l.fillers[conn.LocalAddr().String()] = conn
+		l.fillers = append(l.fillers, conn)
 	}
 }
 
--- a/internal/lab/trial_server.go
+++ b/internal/lab/trial_server.go
@@ -402,7 +402,6 @@
 	}
 }
 
-
 // rename makes the server another one under the same address.
 func (s *trialServer) rename(name string) {
 	s.mu.Lock()
@@ -439,7 +438,6 @@
 	}
 }
 
-
 // close ends the server.
 func (s *trialServer) close() {
 	s.mu.Lock()
