--- a/internal/core/liveness.go
+++ b/internal/core/liveness.go
@@ -20,16 +20,17 @@
 
 // livenessTracker is what is known of the life of a server.
 type livenessTracker struct {
-	lastAliveAt    Time // last sign of life
-	outageSince    Time // last sign of life before the present outage; 0: no outage
-	dialFailed     bool // no connection could be made during the outage
-	mayBeRenewed   bool // the process that serves after the outage may be another one
-	reconnected    bool // the server can be reached again, but may be another process
-	resetsSince    Time // when the first of the last series of resets came; 0: none came
-	connGeneration int  // of the next connection; it grows when an outage or a series of resets begins
-	timerSet       bool // a timer for checkLiveness is set
-	verifying      bool // the dial under way only verifies that the server can be reached
-	lostTimerFrom  Time // outageSince for which a timer was set; 0: none was
+	lastAliveAt      Time // last sign of life
+	outageSince      Time // last sign of life before the present outage; 0: no outage
+	dialFailed       bool // no connection could be made during the outage
+	mayBeRenewed     bool // the process that serves after the outage may be another one
+	reconnected      bool // the server can be reached again, but may be another process
+	resetsSince      Time // when the first of the last series of resets came; 0: none came
+	connGeneration   int  // of the next connection; it grows when an outage or a series of resets begins
+	outageGeneration int  // connections of an earlier generation are from before the outage
+	timerSet         bool // a timer for checkLiveness is set
+	verifying        bool // the dial under way only verifies that the server can be reached
+	lostTimerFrom    Time // outageSince for which a timer was set; 0: none was
 }
 
 // recordServerInput records that something has come on a connection of a server.
