An outage of a second is enough to doubt that a server's process survived it

Cause: outages under 2 s (MinServerOutage) were taken for connections that come up late, so the next connection ended them. Change: 1 s, the longest time in which a connection may come up late. So that a late connection does not put live calls in doubt, an orderly close by the server counts as a sign of life (ConnEnd).

--- a/cmd/elmseam/vanish_test.go
+++ b/cmd/elmseam/vanish_test.go
@@ -180,6 +180,7 @@
 		"server that reports every 1 s":     {reportInterval: time.Second},
 		"server that has not reported yet":  {},
 		"set-ups go on":                     {reportInterval: time.Second, setUpsGoOn: true},
+		"new process after 1.2 s":           {reportInterval: 300 * time.Millisecond, returnAfter: 1200 * time.Millisecond},
 		"new process after 4 s":             {reportInterval: 300 * time.Millisecond, returnAfter: 4 * time.Second},
 		"new process after 6 s":             {reportInterval: 900 * time.Millisecond, returnAfter: 6 * time.Second},
 		"new process, server never reports": {returnAfter: 5500 * time.Millisecond},
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -82,7 +82,7 @@
 			MaxRemovedServers:   16,
 			MaxPendingReleases:  1000,
 			ServerLostAfter:     7500 * time.Millisecond, // a release is due 8 s after the end of its call at the latest
-			MinServerOutage:     2 * time.Second,
+			MinServerOutage:     time.Second,
 			LivenessCheckAfter:  3500 * time.Millisecond, // after MaxSilence, and early enough for several dials
 			LivenessRecheck:     time.Second,
 			ReportedDrainTTL:    10 * time.Second,       // a server list arrives up to 7 s late
--- a/internal/core/liveness.go
+++ b/internal/core/liveness.go
@@ -62,11 +62,15 @@
 	if !dialFailed && !c.limits.Transient[s.Protocol] { // the protocol has heartbeats of its own
 		s.lastAliveAt = max(s.lastAliveAt, c.now-ev.SilentFor)
 	}
-	if !dialFailed && ev.Reset && (s.resetsSince == 0 || c.now-s.resetsSince > resetSeriesWindow) {
+	reset := ev.End == ConnEndReset
+	if ev.End == ConnEndClosed && s.outageSince == 0 {
+		s.lastAliveAt = c.now
+	}
+	if !dialFailed && reset && (s.resetsSince == 0 || c.now-s.resetsSince > resetSeriesWindow) {
 		s.resetsSince = c.now
 		s.connGeneration++
 	}
-	allReset := !dialFailed && ev.Reset && !s.hasEarlierConn()
+	allReset := !dialFailed && reset && !s.hasEarlierConn()
 	if !dialFailed && !allReset && len(s.conns) > 0 {
 		return
 	}
@@ -76,7 +80,7 @@
 		c.beginOutageNow(s)
 	}
 	s.dialFailed = s.dialFailed || dialFailed
-	s.mayBeRenewed = s.mayBeRenewed || allReset || dialFailed && ev.Reset
+	s.mayBeRenewed = s.mayBeRenewed || allReset || dialFailed && reset
 	s.reconnected = allReset && len(s.conns) > 0
 }
 
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -58,6 +58,16 @@
 	Value  float64
 }
 
+// ConnEnd says what the server's side did when a connection to it ended or could not be made.
+type ConnEnd uint8
+
+// What the server's side did.
+const (
+	ConnEndSilent ConnEnd = iota // nothing, or it is not known: this side closed the connection, or gave up waiting for it
+	ConnEndClosed                // it closed the connection in order
+	ConnEndReset                 // it reset or refused the connection, as a kernel does for a process that is gone
+)
+
 // Event is an input of Step. The types below implement it, as do the event types declared in membership.go, maintenance.go,
 // knowledge.go, budget.go and probe.go.
 type Event interface{ event() }
@@ -113,7 +123,7 @@
 		Address   string
 		Conn      ConnID
 		SilentFor time.Duration // time since something came on the connection; only for protocols with heartbeats of their own
-		Reset     bool          // the server's side reset or refused the connection, as the kernel does for a process that is gone
+		End       ConnEnd
 	}
 	// ServerAnswer reports that a server has answered a set-up: the call is established.
 	ServerAnswer struct {
--- a/internal/lab/trial.go
+++ b/internal/lab/trial.go
@@ -87,7 +87,7 @@
 		if err != nil {
 			return err
 		}
-		server.faults, server.holdTime, server.serviceTime, server.reportInterval = t.plan.faults, t.plan.holdTime, t.plan.serviceTime, t.plan.reportInterval
+		server.capacity, server.faults, server.holdTime, server.serviceTime, server.reportInterval = t.plan.capacity, t.plan.faults, t.plan.holdTime, t.plan.serviceTime, t.plan.reportInterval
 		t.servers = append(t.servers, server)
 		server.start()
 		entries = append(entries, serverChange{name: server.name, status: "in_service"})
--- a/internal/lab/trial_faults.go
+++ b/internal/lab/trial_faults.go
@@ -17,8 +17,12 @@
 		t.wait(duration)
 		if newProcess {
 			server.resetConns()
+			server.startCold()
 		}
 		server.setState(serverServing)
+		if newProcess && t.rngUint64()%2 == 0 { // otherwise the list never notices
+			t.channel.publish(false, serverChange{server.currentName(), "in_service", time.Now().UnixMilli()})
+		}
 		t.record("%s back", server.currentName())
 	})
 }
@@ -44,6 +48,7 @@
 		server.loseCalls("process died")
 		server.resetConns()
 		t.wait(duration)
+		server.startCold()
 		server.setState(serverServing)
 		t.channel.publish(false, serverChange{server.currentName(), "in_service", time.Now().UnixMilli()})
 		t.record("%s restarted", server.currentName())
@@ -68,6 +73,7 @@
 		name := fmt.Sprintf("%s-%d", former[:2], t.renamed)
 		t.mu.Unlock()
 		server.rename(name)
+		server.startCold()
 		server.setState(serverServing)
 		t.channel.publish(false, serverChange{name, "in_service", time.Now().UnixMilli()})
 		t.record("%s in place of %s", name, former)
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"regexp"
@@ -95,7 +96,7 @@
 	conn, err := net.DialTimeout("tcp", e.Address, cfg.ConnectTimeout)
 	if err != nil {
 		p.log.Debug().Err(err).Str("server", e.Server).Msg("server unreachable")
-		p.loop.Post(core.ServerDown{Server: e.Server, Address: e.Address, Reset: errors.Is(err, syscall.ECONNREFUSED)})
+		p.loop.Post(core.ServerDown{Server: e.Server, Address: e.Address, End: connEnd(err)})
 		return
 	}
 	p.connsOutsideAcceptor.Add(1)
@@ -106,7 +107,18 @@
 	p.loop.Attach(s.connID, s, core.ServerUp{Server: e.Server, Address: e.Address, Conn: s.connID})
 	err = s.readLines(conn, cfg.ServerConn)
 	p.log.Info().Err(err).Str("server", e.Server).Uint64("conn", uint64(s.connID)).Msg("connection to server ended")
-	p.loop.Post(core.ServerDown{Server: e.Server, Conn: s.connID, Reset: errors.Is(err, syscall.ECONNRESET)})
+	p.loop.Post(core.ServerDown{Server: e.Server, Conn: s.connID, End: connEnd(err)})
+}
+
+// connEnd says what the server's side did when a connection ended, or could not be made, with the error.
+func connEnd(err error) core.ConnEnd {
+	switch {
+	case errors.Is(err, io.EOF):
+		return core.ConnEndClosed
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.ECONNREFUSED):
+		return core.ConnEndReset
+	}
+	return core.ConnEndSilent
 }
 
 // readLines reads a server's messages until the connection ends, and returns the error that ended it.
