Changes are known in time after one failed call to discovery, or slow answers

A set-up could go to a draining server 7.5 s after discovery had the change and could be reached (6 s are allowed after a failed call), and for as long as discovery took over 2.5 s to answer. Cause: after a renewal of a silent watch that failed, the next one came a whole RenewAfter (5 s) later, on top of the 2.5 s until the first was given up. And each call was given up after 2.5 s, so a slower channel never got one through. Change: a failed renewal is repeated after 0.5 s.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -112,9 +112,10 @@
 			LingerTimeout: 250 * time.Millisecond, MaxLingerBytes: 256 << 10,
 		},
 		Feed: feed.Limits{
-			ConnectTimeout: time.Second, ReadTimeout: 2500 * time.Millisecond, // the channel sends a comment every second
-			RenewAfter: 5 * time.Second, // the channel counts an update as received 7 s after it sent it
-			RetryDelay: 100 * time.Millisecond, MaxEventSize: 1 << 20, InitialBufferSize: 4 << 10,
+			ConnectTimeout: time.Second, HeaderTimeout: 5 * time.Second, HedgeAfter: 2 * time.Second, ReadTimeout: 2500 * time.Millisecond, // the channel sends a comment every second
+			RenewAfter:      5 * time.Second,        // the channel counts an update as received 7 s after it sent it
+			RenewRetryDelay: 500 * time.Millisecond, // a change counts as known 6 s after a failed call
+			RetryDelay:      100 * time.Millisecond, MaxEventSize: 1 << 20, InitialBufferSize: 4 << 10,
 		},
 		ConnectTimeout: deployment.ConnectTimeout,
 		ConfirmTimeout: 15 * time.Second, // lower limit of timer T1 in ITU-T Q.764
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -23,8 +23,11 @@
 // Limits are the timeouts and size limits of the channel's connections.
 type Limits struct {
 	ConnectTimeout    time.Duration // max time to connect
-	ReadTimeout       time.Duration // max time to the end of the response header, and of each line; then the connection is closed
+	HeaderTimeout     time.Duration // max time from a request to the end of the response header; then the call is given up
+	HedgeAfter        time.Duration // time without a response header after which another call is made besides those under way
+	ReadTimeout       time.Duration // max time to the end of each line; then the connection is closed
 	RenewAfter        time.Duration // time without an event after which a connection is replaced by a new one
+	RenewRetryDelay   time.Duration // time after a failed renewal until the next one
 	RetryDelay        time.Duration // min time between two attempts to connect, except after Follow and for a renewal (RenewAfter)
 	MaxEventSize      int           // max size of a line, and of an event's data, in bytes
 	InitialBufferSize int           // initial size of the read buffer, in bytes
@@ -149,34 +152,13 @@
 	return err
 }
 
-// openStream opens a connection to the channel and requests the events after the last one.
-func (f *Feed) openStream(ctx context.Context, address string) (*responseReader, error) {
-	dialer := net.Dialer{Timeout: f.Limits.ConnectTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	response := &responseReader{conn: conn, buf: transport.NewBuffer(f.Limits.InitialBufferSize, f.Limits.MaxEventSize)}
-	response.stopAfterFunc = context.AfterFunc(ctx, func() { conn.Close() })
-	conn.SetDeadline(time.Now().Add(f.Limits.ReadTimeout)) // covers the request and the whole response header
-	_, err = fmt.Fprintf(conn, "GET /cmd/next HTTP/1.1\r\nHost: %s\r\nAccept: text/event-stream\r\nLast-Event-ID: %d\r\n\r\n", address, f.lastCursor())
-	if err == nil {
-		err = response.readHeader()
-	}
-	if err != nil {
-		response.close()
-		return nil, err
-	}
-	return response, nil
-}
-
 // readUntilReplaced handles the events of a connection until the connection ends. It returns the connection that replaces it, or
 // the error that ended it.
 //
 // A connection may stop delivering events although its comments (lines without an event) still arrive, while the channel
 // counts the events as delivered. So when no event has arrived for Limits.RenewAfter, the function opens a second connection,
-// which replaces the first one once its response header has arrived; if it fails, the next attempt follows after another
-// RenewAfter. Events that both deliver are handled once, by their id.
+// which replaces the first one once its response header has arrived; if it fails, the next attempt follows after
+// RenewRetryDelay. Events that both deliver are handled once, by their id.
 func (f *Feed) readUntilReplaced(ctx context.Context, address string, response *responseReader) (*responseReader, error) {
 	var mu sync.Mutex // guards replacement and connEnded
 	var replacement *responseReader
@@ -189,7 +171,7 @@
 		defer mu.Unlock()
 		switch {
 		case err != nil && !connEnded:
-			renewTimer.Reset(f.Limits.RenewAfter)
+			renewTimer.Reset(f.Limits.RenewRetryDelay)
 		case err == nil && (connEnded || replacement != nil):
 			candidate.close()
 		case err == nil:
@@ -292,6 +274,7 @@
 type responseReader struct {
 	conn           net.Conn
 	buf            *transport.Buffer
+	cancel         func()      // cancels the context whose end closes the connection
 	stopAfterFunc  func() bool // detaches the connection from the context whose end closes it
 	chunked        bool
 	chunkRemaining int    // unread bytes of the current chunk; meaningless unless chunked
@@ -301,14 +284,12 @@
 // close closes the connection.
 func (r *responseReader) close() {
 	r.stopAfterFunc()
+	r.cancel()
 	r.conn.Close()
 }
 
-// Errors of responseReader.
-var (
-	errBadResponse = errors.New("unexpected HTTP response")
-	errTooLong     = errors.New("line or event too long")
-)
+// errTooLong is the error of a line, or of the data of an event, that is longer than the maximum.
+var errTooLong = errors.New("line or event too long")
 
 // readRawLine reads a line of the response as sent, without regard to chunks, and returns it without its line end. It fails on a
 // line that is longer than the buffer's maximum size.
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -25,7 +25,7 @@
 const testTimeout = 10 * time.Second
 
 // testLimits are the limits of the tested feeds.
-var testLimits = Limits{ConnectTimeout: time.Second, ReadTimeout: time.Second, RenewAfter: time.Minute, RetryDelay: time.Millisecond, MaxEventSize: 4096, InitialBufferSize: 16}
+var testLimits = Limits{ConnectTimeout: time.Second, ReadTimeout: time.Second, RenewAfter: time.Minute, RenewRetryDelay: time.Minute, HeaderTimeout: time.Second, HedgeAfter: time.Minute, RetryDelay: time.Millisecond, MaxEventSize: 4096, InitialBufferSize: 16}
 
 // protocolFor, the ProtocolFor of the tested feeds, always returns "f".
 func protocolFor(string) core.Protocol { return "f" }
@@ -340,3 +340,49 @@
 
 // TestMain fails if a test leaks a goroutine or a file descriptor.
 func TestMain(m *testing.M) { leak.Main(m) }
+
+// streamHeader begins the answer to a request.
+const streamHeader = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+
+// TestChangeMissedAfterFailedRenewal guards against a change that is noticed later than 6 s (here 1.2 s) after the channel had it, as one
+// renewal of a silent watch got no answer.
+func TestChangeMissedAfterFailedRenewal(t *testing.T) {
+	listener := listen(t)
+	limits := testLimits
+	limits.RenewAfter, limits.RenewRetryDelay, limits.HeaderTimeout, limits.HedgeAfter = time.Second, 100*time.Millisecond, 500*time.Millisecond, time.Minute
+	lists := startFeed(t, &Feed{Limits: limits}, listener.Addr().String())
+	_, silent := acceptRequest(t, listener)
+	io.WriteString(silent, streamHeader)
+	go func() {
+		for _, err := io.WriteString(silent, ": comment\n\n"); err == nil; _, err = io.WriteString(silent, ": comment\n\n") {
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+	acceptRequest(t, listener) // the renewal, which gets no answer
+	changedAt := time.Now()
+	_, closeConn := serveAnswer(t, listener, streamHeader+eventText(5, "s", "terminating"))
+	defer closeConn()
+	expectServer(t, lists, "s")
+	if elapsed := time.Since(changedAt); elapsed > 1200*time.Millisecond {
+		t.Errorf("the change is noticed after %v, want at most 1.2 s", elapsed)
+	}
+}
+
+// TestSlowChannelNeverAnswered guards against giving every call up while the channel answers each of them, but slowly.
+func TestSlowChannelNeverAnswered(t *testing.T) {
+	listener := listen(t)
+	limits := testLimits
+	limits.ReadTimeout, limits.HeaderTimeout, limits.HedgeAfter = 500*time.Millisecond, 2*time.Second, 400*time.Millisecond
+	lists := startFeed(t, &Feed{Limits: limits}, listener.Addr().String())
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			time.AfterFunc(800*time.Millisecond, func() { io.WriteString(conn, streamHeader+eventText(5, "s", "terminating")) })
+			t.Cleanup(func() { conn.Close() })
+		}
+	}()
+	expectServer(t, lists, "s")
+}
