--- a/internal/lab/trial_checker.go
+++ b/internal/lab/trial_checker.go
@@ -150,6 +150,9 @@
 	}
 	now := c.clock()
 	call.answeredAt, call.served = now, served
+	if call.leftAt != unknownTime { // the answer crossed the caller's end of the call
+		call.excuseRelease()
+	}
 	if late := now - call.dueAt; late > lateAnswerLimit+trialSlack && !call.excused {
 		c.violate("request lost: answered too late", "call %016x through n%d, %v after its time", id, call.member+1, late)
 	} else if late > trialSlack && !call.excused {
--- a/internal/lab/trial_server.go
+++ b/internal/lab/trial_server.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -247,6 +249,9 @@
 			s.send(c, fmt.Sprintf(`{"op":"tested","call":%q,"with":{},"why":1}`, message.Call))
 		}
 	}
+	if errors.Is(lines.Err(), os.ErrDeadlineExceeded) {
+		s.awaitServing(c) // a server that is cut off or hangs closes no idle connection
+	}
 	s.endConn(c)
 }
 
