--- a/cmd/elmseamctl/main_test.go
+++ b/cmd/elmseamctl/main_test.go
@@ -100,6 +100,7 @@
 		"no trace":     {[]string{"check", "replay", file("text", "nothing\n")}, exitUsage},
 		"help":         {[]string{"check", "--help"}, exitPassed},
 		"bad scenario": {[]string{"lab", "run", file("s.toml", "name = \"x\"\nduration = \"5s\"\nsoftswitches = 0\n")}, labExitInvalid},
+		"bad seeds":    {[]string{"lab", "soak", "--seeds", "7-3"}, labExitInvalid},
 		"no program": {[]string{"lab", "run", "--binary", filepath.Join(dir, "none"), "--out", dir, file("t.toml",
 			"name = \"x\"\nduration = \"1s\"\nsoftswitches = 1\n[[server]]\nname = \"s\"\ncapacity = 10\n[[load]]\nrate = 1\n")}, labExitFailed},
 	} {
