An idle connection of a caller stays open while a call of it is established

A caller whose only connection had been idle for 12 s lost it while its call stood, and the release had no connection to go out on; 1 s is allowed. Cause: CallerIdle closed every connection without an open set-up. Callers close connections without calls themselves after 4 s, so this close met just those with calls. Evidence: TestReleaseHasNoConnection on the code before: no release within 1.05 s. Change: connections with established calls, here or on the predecessor, are not idle; the drain's search for idle connections uses the same function. Where descriptors are short they are closed as before (pruneCallerConns).

--- a/cmd/elmseam/vanish_test.go
+++ b/cmd/elmseam/vanish_test.go
@@ -236,3 +236,23 @@
 		})
 	}
 }
+
+// TestReleaseHasNoConnection guards against closing the only connection of a caller, as idle, while its call stands: the release of the call
+// then has nowhere to go.
+func TestReleaseHasNoConnection(t *testing.T) {
+	t.Parallel()
+	listener := listen(t)
+	process := startProgram(t, "", serverEntry("s", "in_service", listener))
+	server := acceptServer(t, listener)
+	caller := dial(t, process.listen)
+	caller.sendSetUp(1)
+	id := server.wantLine(`"offer"`)
+	fmt.Fprintf(server, `{"op":"accept","call":%q,"with":{},"desc":"x"}`+"\n", id)
+	caller.wantCallerMessage(9, 1)
+	go io.Copy(io.Discard, server.reader)
+	pause(t.Context().Done(), 13*time.Second) // longer than the idle time
+	fmt.Fprintf(server, `{"op":"end","call":%q,"with":{},"why":16}`+"\n", id)
+	if released := readReleases(caller, 1, time.Now().Add(1050*time.Millisecond)); released != 1 {
+		t.Error("the call is not released within 1 s")
+	}
+}
--- a/internal/core/callers.go
+++ b/internal/core/callers.go
@@ -154,6 +154,21 @@
 	return busy
 }
 
+// connsWithCalls returns the connections of callers with an open set-up or an established call, here or on the predecessor. The release of
+// an established call goes out on its connection.
+func (c *Core) connsWithCalls() map[ConnID]bool {
+	conns := c.busyConns()
+	for _, call := range c.calls {
+		if !call.callerGone {
+			conns[call.From] = true
+		}
+	}
+	for _, id := range c.predecessorCalls {
+		conns[id] = true
+	}
+	return conns
+}
+
 // pruneCallerConns closes connections of callers that have no open set-up: those from which nothing more can be read and, while there
 // are more than CallerConnsTarget, the best candidates for eviction. Where there is no candidate, the target is exceeded for a while.
 func (c *Core) pruneCallerConns() {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -112,7 +112,7 @@
 	case CallerDown:
 		c.handleCallerDown(ev.Conn)
 	case CallerIdle:
-		if conn := c.callerConns[ev.Conn]; conn != nil && !c.busyConns()[ev.Conn] {
+		if conn := c.callerConns[ev.Conn]; conn != nil && !c.connsWithCalls()[ev.Conn] {
 			c.closeCallerConn(conn)
 		}
 	case CallerMalformed:
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -28,10 +28,7 @@
 	if !c.draining || drainChange != c.drainChanges || c.handingOver {
 		return
 	}
-	busyConns := c.busyConns()
-	for _, call := range c.calls {
-		busyConns[call.From] = true
-	}
+	busyConns := c.connsWithCalls()
 	var idleConns []*callerConn
 	for _, conn := range c.callerConnOrder {
 		if !busyConns[conn.id] && c.limits.Transient[conn.protocol] && c.now >= conn.lastActive+c.limits.DrainIdle {
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -84,8 +84,8 @@
 	}
 	// CallerDown reports that the connection of a caller has ended.
 	CallerDown struct{ Conn ConnID }
-	// CallerIdle reports that nothing has come on the connection of a caller for long. If no set-up is open on the connection, a
-	// GracefulClose follows.
+	// CallerIdle reports that nothing has come on the connection of a caller for long. If no set-up is open on the connection and no
+	// call of it is established, a GracefulClose follows.
 	CallerIdle struct{ Conn ConnID }
 	// CallerMalformed reports that nothing more can be read from the connection of a caller, because its input is malformed or a
 	// message stays incomplete. A GracefulClose follows once no set-up is open on the connection.
--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -85,6 +85,10 @@
 			}
 			s.sendLine(acceptLine, 1)
 			pending.wantFrame(typeAnswer, 1, -1)
+			if name == "nothing" { // a connection that is merely idle also waits for the release of its call
+				s.sendLine(`{"op":"end","call":"%016x","with":{},"why":16}`, 1)
+				pending.wantFrame(typeRelease, 1, 16)
+			}
 			pending.wantCallerEOF()
 		})
 	}
