--- a/cmd/elmseam/vanish_test.go
+++ b/cmd/elmseam/vanish_test.go
@@ -129,6 +129,15 @@
 	time.AfterFunc(refuseFor, func() { m.SetMode(faultnet.Accepting) })
 }
 
+// releaseCall releases a call on all connections.
+func (m *machine) releaseCall(call uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for conn := range m.conns {
+		fmt.Fprintf(conn, `{"op":"end","call":"%016x","with":{},"why":16}`+"\n", call)
+	}
+}
+
 // resetConns resets all connections to the machine.
 func (m *machine) resetConns() {
 	m.mu.Lock()
@@ -241,17 +250,12 @@
 // then has nowhere to go.
 func TestReleaseHasNoConnection(t *testing.T) {
 	t.Parallel()
-	listener := listen(t)
-	process := startProgram(t, "", serverEntry("s", "in_service", listener))
-	server := acceptServer(t, listener)
+	server := startMachine(t, 300*time.Millisecond)
+	process := startProgram(t, "", serverEntry("s", "in_service", server))
 	caller := dial(t, process.listen)
-	caller.sendSetUp(1)
-	id := server.wantLine(`"offer"`)
-	fmt.Fprintf(server, `{"op":"accept","call":%q,"with":{},"desc":"x"}`+"\n", id)
-	caller.wantCallerMessage(9, 1)
-	go io.Copy(io.Discard, server.reader)
+	establishCalls(caller, 1)
 	pause(t.Context().Done(), 13*time.Second) // longer than the idle time
-	fmt.Fprintf(server, `{"op":"end","call":%q,"with":{},"why":16}`+"\n", id)
+	server.releaseCall(1)
 	if released := readReleases(caller, 1, time.Now().Add(1050*time.Millisecond)); released != 1 {
 		t.Error("the call is not released within 1 s")
 	}
