Unreachable listeners never take their own connections for a peer's

Cause: while a listener becomes unreachable, its Accept could return one of the connections that fill its backlog; the stand-in server wrote releases to it. Change: the addresses of these connections are remembered and dropped.

--- a/internal/faultnet/listener.go
+++ b/internal/faultnet/listener.go
@@ -33,6 +33,8 @@
 	changed chan struct{} // closed and replaced when the mode changes
 	closed  bool
 	fillers []net.Conn // connections that fill the backlog
+	// fillerAddresses are the local addresses of the connections that filled the backlog last.
+	fillerAddresses map[string]bool
 }
 
 // Sizes of the backlog of a listener that is unreachable, and of one that is not. The kernel completes one connection more than the size.
@@ -78,11 +80,28 @@
 			continue
 		case err != nil:
 			return nil, err
+		case l.keepAsFiller(conn):
+			continue
 		}
 		return conn, nil
 	}
 }
 
+// keepAsFiller keeps a connection that was accepted while the mode changed, and reports whether it did.
+func (l *Listener) keepAsFiller(conn net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case l.mode != Accepting:
+		l.fillers = append(l.fillers, conn)
+	case l.fillerAddresses[conn.RemoteAddr().String()]:
+		conn.Close()
+	default:
+		return false
+	}
+	return true
+}
+
 // SetMode changes how new connections are treated. Open connections are not affected.
 func (l *Listener) SetMode(mode Mode) error {
 	l.mu.Lock()
@@ -154,6 +173,7 @@
 
 // fillBacklog connects to the listener until a connection does not come up any more. The caller holds l.mu.
 func (l *Listener) fillBacklog() error {
+	l.fillerAddresses = make(map[string]bool)
 	for {
 		conn, err := net.DialTimeout("tcp", l.address, fillTimeout)
 		if err != nil {
@@ -164,6 +184,7 @@
 			return err
 		}
 		l.fillers = append(l.fillers, conn)
+		l.fillerAddresses[conn.LocalAddr().String()] = true
 	}
 }
 
--- a/internal/faultnet/listener_test.go
+++ b/internal/faultnet/listener_test.go
@@ -68,3 +68,30 @@
 		}
 	}
 }
+
+// TestFillerAccepted guards against a connection of the listener's own, which fills the backlog, being taken for one of a peer.
+func TestFillerAccepted(t *testing.T) {
+	listener, err := Listen("127.0.0.1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	accepted := make(chan net.Conn, 1000)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- conn
+		}
+	}()
+	for range 100 {
+		listener.SetMode(Unreachable)
+		listener.SetMode(Accepting)
+	}
+	time.Sleep(50 * time.Millisecond)
+	if len(accepted) > 0 {
+		t.Errorf("%d connections accepted, want none", len(accepted))
+	}
+}
