Calls over M3UA outlive an outage of the association again

What callers saw: none yet; found on reading the fix. Calls of an M3UA server whose association was down for over 1 s would have been released 7.5 s after its last message, although the association was back. Cause: the doubt about a server's process after an outage was applied to all protocols. An M3UA association ends and begins apart from its calls. Evidence: TestAssociationOutageCutsNoCall fails on the code before. Change: only protocols with connections that come and go (Transient) put calls in doubt. An outage that lasts still ends them.

--- a/internal/core/liveness.go
+++ b/internal/core/liveness.go
@@ -117,9 +117,10 @@
 }
 
 // reconnect records that a connection to a server is made. An outage ends if the process can't be another one, or if no established call
-// is from before the outage.
+// is from before the outage. Calls of protocols whose associations end and begin apart from their calls (not Transient) always go on.
 func (c *Core) reconnect(s *server) {
-	s.mayBeRenewed = s.mayBeRenewed || s.dialFailed && c.now-s.outageSince >= c.limits.MinServerOutage
+	longOutage := s.dialFailed && c.now-s.outageSince >= c.limits.MinServerOutage
+	s.mayBeRenewed = s.mayBeRenewed || longOutage && c.limits.Transient[s.Protocol]
 	switch {
 	case s.outageSince == 0:
 		s.lastAliveAt = c.now
--- a/internal/core/liveness_test.go
+++ b/internal/core/liveness_test.go
@@ -114,3 +114,17 @@
 	}
 	t.Error("the call of the former process is still established")
 }
+
+// The calls of a protocol whose associations end and begin apart from its calls outlive an outage that is over in time.
+func TestAssociationOutageCutsNoCall(t *testing.T) {
+	h := newLivenessHarness(t)
+	h.core.limits.Transient = nil
+	h.advance(time.Second)
+	h.step(ServerDown{Server: "a", Conn: 10})
+	h.step(ServerDown{Server: "a", Address: "a:1"})
+	h.advance(3 * time.Second)
+	h.step(ServerUp{Server: "a", Address: "a:1", Conn: 12})
+	if effects := h.advance(20 * time.Second); countEffects(effects, "released") != 0 {
+		t.Errorf("effects %q, want no release", effects)
+	}
+}
