The end of the wait for a server's proof of life is no sign of life

What callers saw: none yet; found on reading the fix. Calls of a server that vanishes a second time while its former calls are in doubt, and sends no reports, would have been released up to 11 s after its last sign of life. Cause: giving up the calls in doubt reset the time of the last sign of life. Besides, a dial that was not even begun, for want of descriptors, left a mark by which a later connection replaced another one. Evidence: TestSecondOutageIsTimedFromLastSignOfLife fails on the code before. Change: the last sign of life stays; the mark is set only for a dial that was begun. Result: core tests pass.

--- a/internal/core/liveness.go
+++ b/internal/core/liveness.go
@@ -163,7 +163,9 @@
 	switch {
 	case c.servers[s.Name] != s:
 	case s.reconnected:
+		lastAliveAt := s.lastAliveAt
 		c.endOutage(s)
+		s.lastAliveAt = lastAliveAt // the end of the wait is no sign of life
 	case len(s.established) > 0:
 		s.outageSince = s.lastAliveAt
 		c.setLostTimer(s)
@@ -209,8 +211,8 @@
 		return
 	}
 	if c.now-s.lastAliveAt >= c.limits.LivenessCheckAfter && !s.reconnected && !s.dialPending {
-		s.verifying = true
-		if !c.startDial(s) && len(s.conns) == 0 {
+		s.verifying = c.startDial(s)
+		if !s.verifying && len(s.conns) == 0 {
 			c.beginOutageNow(s)
 			s.dialFailed = true
 		}
--- a/internal/core/liveness_test.go
+++ b/internal/core/liveness_test.go
@@ -128,3 +128,18 @@
 		t.Errorf("effects %q, want no release", effects)
 	}
 }
+
+// A server that vanishes again while its calls are in doubt after a first outage is noticed as soon as one that vanishes the first time.
+func TestSecondOutageIsTimedFromLastSignOfLife(t *testing.T) {
+	h := newLivenessHarness(t)
+	h.advance(3600 * ms)
+	h.step(ServerDown{Server: "a", Conn: 10})
+	h.step(ServerDown{Server: "a", Address: "a:1"})
+	h.step(ServerUp{Server: "a", Address: "a:1", Conn: 12})
+	h.setUp(2, 9*time.Second)
+	h.wantEffects(h.step(ServerAnswer{Server: "a", Conn: 12, ID: 2}), "answered2@1 ") // the last sign of life
+	effects := h.advance(3950*ms) + h.step(ServerDown{Server: "a", Address: "a:1"}) + h.advance(3550*ms)
+	if countEffects(effects, "released1@1") != 1 || countEffects(effects, "released2@1") != 1 {
+		t.Errorf("effects %q, want both calls released 7.5 s after the last sign of life", effects)
+	}
+}
