Shared set-ups in two tests; a log field that was always 0 is gone

Change: the listener tests and two liveness tests share their set-up, with the same assertions. awaitState had one state only and is called awaitAnyProcess. 'silent connection to server replaced' had a field silent_ms that nobody filled; it goes from the log line, ON-CALL and the comment.

--- a/cmd/elmseam/trace.go
+++ b/cmd/elmseam/trace.go
@@ -28,7 +28,7 @@
 	case core.TraceServerLost:
 		line.Dur("silent_ms", trace.SilentFor).Int("calls", trace.Calls).Msg("server lost, its calls are released")
 	case core.TraceConnReplaced:
-		line.Uint64("conn", uint64(trace.Conn)).Dur("silent_ms", trace.SilentFor).Msg("silent connection to server replaced")
+		line.Uint64("conn", uint64(trace.Conn)).Msg("silent connection to server replaced")
 	case core.TraceAttemptFailed:
 		line.Int("attempt", trace.Attempt).Str("cause", causeNames[trace.Cause]).Msg("attempt failed")
 	case core.TraceCallCut:
--- a/internal/core/liveness_test.go
+++ b/internal/core/liveness_test.go
@@ -20,6 +20,20 @@
 	return h
 }
 
+// newReconnectedHarness returns such a harness in which server "a" can be reached again on connection 12 after an outage of 3.6 s. Its last
+// sign of life is the answer that established call 2 there.
+func newReconnectedHarness(t *testing.T) *harness {
+	t.Helper()
+	h := newLivenessHarness(t)
+	h.advance(3600 * ms)
+	h.step(ServerDown{Server: "a", Conn: 10})
+	h.step(ServerDown{Server: "a", Address: "a:1"})
+	h.step(ServerUp{Server: "a", Address: "a:1", Conn: 12})
+	h.setUp(2, 9*time.Second)
+	h.wantEffects(h.step(ServerAnswer{Server: "a", Conn: 12, ID: 2}), "answered2@1 ")
+	return h
+}
+
 // A server whose last sign of life is 7.5 s old counts as lost if it can't be reached, however late that was noticed. The server is told
 // of the releases as soon as it can be reached, as its process may have survived.
 func TestLostServerIsTimedFromLastSignOfLife(t *testing.T) {
@@ -41,13 +55,7 @@
 // A new connection after an outage does not show that the process with the calls is alive, so they are lost. Calls that were established
 // after the outage go on.
 func TestReconnectedServerLosesCallsWithoutProof(t *testing.T) {
-	h := newLivenessHarness(t)
-	h.advance(3600 * ms)
-	h.step(ServerDown{Server: "a", Conn: 10})
-	h.step(ServerDown{Server: "a", Address: "a:1"})
-	h.step(ServerUp{Server: "a", Address: "a:1", Conn: 12})
-	h.setUp(2, 9*time.Second)
-	h.wantEffects(h.step(ServerAnswer{Server: "a", Conn: 12, ID: 2}), "answered2@1 ")
+	h := newReconnectedHarness(t)
 	h.wantEffects(h.advance(3890*ms), "")
 	h.wantEffects(h.advance(20*ms), "end1@12 released1@1 ")
 	h.wantEffects(h.step(ServerEnd{Server: "a", Conn: 12, ID: 2, Reason: ReasonNormal}), "released2@1 ")
@@ -131,13 +139,7 @@
 
 // A server that vanishes again while its calls are in doubt after a first outage is noticed as soon as one that vanishes the first time.
 func TestSecondOutageIsTimedFromLastSignOfLife(t *testing.T) {
-	h := newLivenessHarness(t)
-	h.advance(3600 * ms)
-	h.step(ServerDown{Server: "a", Conn: 10})
-	h.step(ServerDown{Server: "a", Address: "a:1"})
-	h.step(ServerUp{Server: "a", Address: "a:1", Conn: 12})
-	h.setUp(2, 9*time.Second)
-	h.wantEffects(h.step(ServerAnswer{Server: "a", Conn: 12, ID: 2}), "answered2@1 ") // the last sign of life
+	h := newReconnectedHarness(t)
 	effects := h.advance(3950*ms) + h.step(ServerDown{Server: "a", Address: "a:1"}) + h.advance(3550*ms)
 	if countEffects(effects, "released1@1") != 1 || countEffects(effects, "released2@1") != 1 {
 		t.Errorf("effects %q, want both calls released 7.5 s after the last sign of life", effects)
--- a/internal/core/trace.go
+++ b/internal/core/trace.go
@@ -15,7 +15,7 @@
 	TraceServerReachable                  // a connection is made during an outage, and the established calls are in doubt: SilentFor, Calls
 	TraceServerRecovered                  // the calls from before an outage go on, or none of them is left: SilentFor, Calls
 	TraceServerLost                       // the calls established on a server are released, as it has been lost: SilentFor, Calls
-	TraceConnReplaced                     // a connection counts as dead and is replaced: Conn, SilentFor
+	TraceConnReplaced                     // a connection counts as dead and is replaced: Conn
 	TraceAttemptFailed                    // an attempt ended without an answer: ID, Attempt, Cause
 	TraceCallCut                          // an established call ended without a release by either party: ID
 	TraceSetUpRefused                     // the core refused a set-up without asking the controller: ID, Refusal
@@ -48,7 +48,7 @@
 	Attempt   int // index among the attempts of the call, from 0
 	Cause     elmseam.Cause
 	Refusal   RefusalReason
-	SilentFor time.Duration // time since the last sign of life of the server or the connection
+	SilentFor time.Duration // time since the last sign of life of the server
 	Calls     int           // calls that are established on the server
 }
 
--- a/internal/faultnet/listener_test.go
+++ b/internal/faultnet/listener_test.go
@@ -8,14 +8,15 @@
 	"time"
 )
 
-// TestModes checks what a caller of a listener sees in each mode, and that the listener accepts connections again afterwards.
-func TestModes(t *testing.T) {
+// startListener opens a listener, which is closed when the test ends, and returns a channel with the connections that it accepts.
+func startListener(t *testing.T) (listener *Listener, accepted chan net.Conn) {
+	t.Helper()
 	listener, err := Listen("127.0.0.1")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	accepted := make(chan net.Conn, 10)
+	t.Cleanup(func() { listener.Close() })
+	accepted = make(chan net.Conn, 1000)
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -25,6 +26,12 @@
 			accepted <- conn
 		}
 	}()
+	return listener, accepted
+}
+
+// TestModes checks what a caller of a listener sees in each mode, and that the listener accepts connections again afterwards.
+func TestModes(t *testing.T) {
+	listener, accepted := startListener(t)
 	timedOut := func(err error) bool {
 		var netErr net.Error
 		return errors.As(err, &netErr) && netErr.Timeout()
@@ -71,21 +78,7 @@
 
 // TestFillerAccepted guards against a connection of the listener's own, which fills the backlog, being taken for one of a peer.
 func TestFillerAccepted(t *testing.T) {
-	listener, err := Listen("127.0.0.1")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	accepted := make(chan net.Conn, 1000)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			accepted <- conn
-		}
-	}()
+	listener, accepted := startListener(t)
 	for range 100 {
 		listener.SetMode(Unreachable)
 		listener.SetMode(Accepting)
--- a/internal/lab/trial_server_conn.go
+++ b/internal/lab/trial_server_conn.go
@@ -84,13 +84,13 @@
 	}
 }
 
-// awaitState waits until the server is in a state, or until a channel is closed.
-func (s *trialServer) awaitState(state trialServerState, done <-chan struct{}) {
+// awaitAnyProcess waits until the present process or a later one serves, or until a channel is closed.
+func (s *trialServer) awaitAnyProcess(done <-chan struct{}) {
 	for {
 		s.mu.Lock()
-		reached, resumed := s.state == state, s.resumed
+		serving, resumed := s.state == serverServing, s.resumed
 		s.mu.Unlock()
-		if reached {
+		if serving {
 			return
 		}
 		select {
@@ -137,7 +137,7 @@
 		}
 	}
 	if errors.Is(lines.Err(), os.ErrDeadlineExceeded) {
-		s.awaitState(serverServing, c.done) // a server that is cut off or hangs closes no idle connection
+		s.awaitAnyProcess(c.done) // a server that is cut off or hangs closes no idle connection
 	}
 	s.endConn(c)
 }
@@ -153,6 +153,6 @@
 	for id := range pending {
 		s.checker.attemptEnded(c.server, id, true)
 	}
-	s.awaitState(serverServing, nil) // a machine that is cut off sends no end of the connection
+	s.awaitAnyProcess(nil) // a machine that is cut off sends no end of the connection
 	c.Close()
 }
