Test listener: an unreachable address let one connection through

Cause: not the softswitch. 11.0 s = 3.5 s (its dial that verifies that the server can be reached) + 7.5 s: that dial came up. The listener that plays a vanished machine fills its backlog with connections of its own. An Accept that had passed the check of its deadline when the mode changed took one of them, so the backlog had room for one connection.

Change: SetMode waits until a pending Accept has ended before it fills the backlog, and asks the kernel whether the backlog is full instead of taking a connection that needs 30 ms for the sign of it.

--- a/internal/faultnet/listener.go
+++ b/internal/faultnet/listener.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Mode is how a listener treats new connections.
@@ -25,7 +27,8 @@
 // Listener is a TCP listener whose mode can be changed. Unreachable uses a full backlog, in which the kernel drops the first packet of each
 // further connection.
 type Listener struct {
-	address string
+	address   string
+	accepting sync.Mutex // held while a connection is taken from the backlog; locked after mu
 
 	mu      sync.Mutex // guards the fields below
 	tcp     *net.TCPListener
@@ -43,8 +46,14 @@
 	ordinaryBacklog    = 512
 )
 
-// fillTimeout is the time after which a connection that does not come up shows that the backlog is full.
-const fillTimeout = 30 * time.Millisecond
+// Limits of filling the backlog.
+const (
+	fillAttempts = 50
+	fillTimeout  = 30 * time.Millisecond // of one connection
+)
+
+// errBacklogNotFull means that the backlog could not be filled.
+var errBacklogNotFull = errors.New("the backlog of the listener cannot be filled")
 
 // Listen opens a listener on a free port of a loopback host.
 func Listen(host string) (*Listener, error) {
@@ -74,7 +83,9 @@
 			<-changed
 			continue
 		}
+		l.accepting.Lock()
 		conn, err := tcp.Accept()
+		l.accepting.Unlock()
 		switch {
 		case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed): // the mode has changed, or the listener is closed
 			continue
@@ -126,13 +137,13 @@
 	case Refusing:
 		return l.tcp.Close()
 	case Unreachable:
-		l.tcp.SetDeadline(time.Unix(1, 0)) // ends a pending Accept
+		l.interruptAccept()
 		if err := l.setBacklog(unreachableBacklog); err != nil {
 			return err
 		}
 		return l.fillBacklog()
 	case Crowded:
-		l.tcp.SetDeadline(time.Unix(1, 0))
+		l.interruptAccept()
 	case Accepting:
 		if former == Unreachable {
 			l.discardBacklog()
@@ -171,21 +182,51 @@
 	return listenErr
 }
 
-// fillBacklog connects to the listener until a connection does not come up any more. The caller holds l.mu.
+// interruptAccept ends a pending Accept, and returns when it has ended. The caller holds l.mu.
+func (l *Listener) interruptAccept() {
+	l.tcp.SetDeadline(time.Unix(1, 0))
+	l.accepting.Lock()
+	defer l.accepting.Unlock()
+}
+
+// fillBacklog connects to the listener until the backlog is full. The caller holds l.mu.
 func (l *Listener) fillBacklog() error {
 	l.fillerAddresses = make(map[string]bool)
-	for {
+	for range fillAttempts {
+		full, err := l.backlogFull()
+		if full || err != nil {
+			return err
+		}
 		conn, err := net.DialTimeout("tcp", l.address, fillTimeout)
-		if err != nil {
-			var netErr net.Error
-			if errors.As(err, &netErr) && netErr.Timeout() {
-				return nil
-			}
+		var netErr net.Error
+		switch {
+		case errors.As(err, &netErr) && netErr.Timeout():
+			continue
+		case err != nil:
 			return err
 		}
 		l.fillers = append(l.fillers, conn)
 		l.fillerAddresses[conn.LocalAddr().String()] = true
 	}
+	return errBacklogNotFull
+}
+
+// backlogFull says whether the kernel drops the first packet of each further connection.
+func (l *Listener) backlogFull() (bool, error) {
+	raw, err := l.tcp.SyscallConn()
+	if err != nil {
+		return false, err
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	if err := raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }); err != nil {
+		return false, err
+	}
+	if infoErr != nil {
+		return false, infoErr
+	}
+	waiting, size := info.Unacked, info.Sacked // of a socket that listens
+	return waiting > size, nil
 }
 
 // Close closes the listener.
--- a/internal/faultnet/listener_test.go
+++ b/internal/faultnet/listener_test.go
@@ -88,3 +88,23 @@
 		t.Errorf("%d connections accepted, want none", len(accepted))
 	}
 }
+
+// TestUnreachableListenerAccepts guards against a listener that is unreachable and still accepts a connection which fills its backlog: the
+// next connection of a peer then comes up.
+func TestUnreachableListenerAccepts(t *testing.T) {
+	for range 300 {
+		listener, accepted := startListener(t)
+		peer, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer peer.Close()
+		if err := listener.SetMode(Unreachable); err != nil {
+			t.Fatal(err)
+		}
+		if full, err := listener.backlogFull(); !full || err != nil {
+			t.Fatalf("the backlog is not full (%v), %d connections accepted", err, len(accepted))
+		}
+		listener.Close()
+	}
+}
