Decisions: one unanswered set-up counts once against its server

What callers saw: a server that left one set-up unanswered was blocked, so its calls were diverted or refused.

Cause: an attempt that passes suspectLossAfter sets a timer for assumeLossAfter. If it is reset or cancelled, the timer fires in the next attempt of the call, which then sets a second timer, and both count the attempt as a failure: weight 8, the limit of a block.

Change: an attempt remembers which of the two checks it has had.

Evidence: TestTimerOfEarlierAttempt fails without the change with weight 8 and a block, and passes with it.

--- a/calls.go
+++ b/calls.go
@@ -34,6 +34,8 @@
 	trial        bool // the server was blocked when the attempt was sent
 	presumedLost bool // the attempt or its answer counts as lost and is no sign of a queue
 	cancelled    bool // a Cancel action was emitted
+	suspected    bool // the attempt was unanswered for suspectLossAfter
+	failed       bool // the attempt was unanswered for assumeLossAfter and counts as a failure of its server
 }
 
 // busyNumber is a called number whose lines were all busy.
@@ -274,20 +276,27 @@
 	call := c.calls[id]
 	switch {
 	case call == nil:
-	case call.pendingAttempt == nil:
-		if c.now >= call.notBefore {
-			c.retryCall(call)
-		}
-	case c.now >= call.pendingAttempt.sentAt+c.retransmitIntervals(assumeLossAfter):
+	case call.pendingAttempt != nil:
+		c.checkUnanswered(call.pendingAttempt)
+	case c.now >= call.notBefore:
+		c.retryCall(call)
+	}
+}
+
+// checkUnanswered checks on an attempt that has been unanswered for suspectLossAfter or assumeLossAfter.
+// Each of the two takes effect once, as a timer of an earlier attempt of the call may fire too.
+func (c *Controller) checkUnanswered(a *attempt) {
+	assumeLossAt := a.sentAt + c.retransmitIntervals(assumeLossAfter)
+	switch {
+	case c.now >= assumeLossAt && !a.failed:
+		a.failed, a.presumedLost = true, true
 		// Where the server reports a low load, the connection is at fault.
-		if call.pendingAttempt.presumedLost = true; !c.reportedIdle(call.pendingAttempt.server) {
-			c.recordFailure(call.pendingAttempt.server, unansweredWeight)
+		if !c.reportedIdle(a.server) {
+			c.recordFailure(a.server, unansweredWeight)
 		}
-	case c.now >= call.pendingAttempt.sentAt+c.retransmitIntervals(suspectLossAfter):
-		call.pendingAttempt.presumedLost = c.reportedIdle(call.pendingAttempt.server)
-		c.emit(SetTimer{
-			Token: uint32(call.id), At: call.pendingAttempt.sentAt + c.retransmitIntervals(assumeLossAfter),
-		})
+	case c.now >= a.sentAt+c.retransmitIntervals(suspectLossAfter) && !a.suspected:
+		a.suspected, a.presumedLost = true, c.reportedIdle(a.server)
+		c.emit(SetTimer{Token: uint32(a.call.id), At: assumeLossAt})
 	}
 }
 
--- a/controller_test.go
+++ b/controller_test.go
@@ -537,6 +537,33 @@
 	h.expectServer("trial", h.establish(1, 20*ms), 1)
 }
 
+// TestTimerOfEarlierAttempt guards against one unanswered set-up that counts as two and blocks its server.
+func TestTimerOfEarlierAttempt(t *testing.T) {
+	h := newHarness(t, testSettings(), 2)
+	h.warmUp(2)
+	h.lastCall++
+	id := h.lastCall
+	timers := h.handle(Arrival{Call: id, Cell: 1, TimeLeft: 9 * time.Second})
+	resetAt := h.now + 350*ms
+	for end := h.now + 5*time.Second; h.now < end; h.advance(10 * ms) {
+		if h.now == resetAt {
+			timers = append(timers, h.handle(Outcome{Call: id, Server: 1, Cause: CauseReset})...)
+		}
+		for _, action := range slices.Clone(timers) {
+			timer, isTimer := action.(SetTimer)
+			if !isTimer || timer.At <= h.now {
+				timers = slices.DeleteFunc(timers, func(other Action) bool { return other == action })
+			}
+			if isTimer && timer.At <= h.now {
+				timers = append(timers, h.handle(TimerFired{Token: timer.Token})...)
+			}
+		}
+	}
+	if s := h.controller.serversByID[2]; s.failureWeight != unansweredWeight || s.blocked {
+		t.Errorf("one unanswered set-up: weight %d, blocked %v", s.failureWeight, s.blocked)
+	}
+}
+
 // An unanswered set-up together with recent reports of a low load shows a loss, not a queue (incident
 // i54d70c).
 func TestUnansweredSetUpOfIdleServer(t *testing.T) {
