Core: releases that wait for a caller's connection expire, and their number is limited

What callers saw: a release that came minutes after its call had ended, where 1 min is the longest wait; the list of waiting releases grew without a limit.

Cause: each connection of any protocol put the waiting releases through sendRelease again, which queued those that found no connection anew, with the time of that moment.

Change: a release is tried without being queued again, so it keeps the time at which its call ended. At most MaxCallerReleases wait (a sixteenth of the memory); the oldest is dropped, and its circuit freed.

Evidence: TestWaitingReleasesNeverExpire fails without the change (3 releases wait where 2 may, all sent after 100 s) and passes with it.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -61,6 +61,9 @@
 // endedCallBytes is the approximate memory, in bytes, that one remembered ended call takes.
 const endedCallBytes = 128
 
+// waitingReleaseBytes is the approximate memory, in bytes, that a release to a caller takes while it waits for a connection.
+const waitingReleaseBytes = 64
+
 // buildLimits returns the limits, without those of TierConfig: some are derived from the configuration file or the
 // deployment's settings, the others are constants.
 func buildLimits(parsed configFile, deployment settings.Deployment) Limits {
@@ -81,6 +84,7 @@
 			UnresponsiveAfter:   100 * time.Millisecond, // a server that isn't overloaded answers sooner
 			MaxRemovedServers:   16,
 			MaxPendingReleases:  1000,
+			MaxCallerReleases:   int(memoryBytes / 16 / waitingReleaseBytes),
 			ServerLostAfter:     7500 * time.Millisecond, // a release is due 8 s after the end of its call at the latest
 			MinServerOutage:     time.Second,
 			LivenessCheckAfter:  3500 * time.Millisecond, // after MaxSilence, and early enough for several dials
--- a/internal/core/callers.go
+++ b/internal/core/callers.go
@@ -25,7 +25,7 @@
 	protocol Protocol
 	id       ID
 	reason   Reason
-	queuedAt Time // when the release was last put on the list; each flushReleases that finds no connection for it sets it again
+	queuedAt Time // when the call ended
 }
 
 // handleCallerUp handles a new connection of a caller.
@@ -101,43 +101,71 @@
 	return conn.used || !c.limits.Transient[conn.protocol]
 }
 
-// sendRelease tells a caller that an established call has ended, on the connection of the call or, if that is gone, on another of the same
-// protocol: preferably one that has had established calls, then the one active last.
-//
-// If there is none, the release goes to the successor during a hand-over of transient connections, and otherwise waits for the next
-// connection.
+// sendRelease tells a caller that an established call has ended. Without a connection that can take the release, it goes to the successor
+// during a hand-over of transient connections, and otherwise waits for the next connection.
 func (c *Core) sendRelease(protocol Protocol, to ConnID, id ID, reason Reason) {
+	release := &pendingRelease{protocol, id, reason, c.now}
+	if c.trySendRelease(release, to) {
+		return
+	}
+	c.pendingReleases = append(c.pendingReleases, release)
+	for len(c.pendingReleases) > c.limits.MaxCallerReleases {
+		c.dropRelease(c.pendingReleases[0])
+		c.pendingReleases = c.pendingReleases[1:]
+	}
+}
+
+// trySendRelease sends a release on a connection, on another of the same protocol if that one is gone, or to the successor. It returns
+// false if there is none of them.
+func (c *Core) trySendRelease(release *pendingRelease, to ConnID) bool {
 	if c.callerConns[to] == nil {
-		var bestConn *callerConn
-		for _, conn := range c.callerConnOrder {
-			if conn.protocol == protocol && c.acceptsReleases(conn) && (bestConn == nil || conn.hadEstablished && !bestConn.hadEstablished || conn.hadEstablished == bestConn.hadEstablished && conn.lastActive >= bestConn.lastActive) {
-				bestConn = conn
-			}
+		conn := c.connForRelease(release.protocol)
+		if conn == nil && c.handingOver && c.limits.Transient[release.protocol] {
+			c.emit(ToSuccessor{Protocol: release.protocol, Effect: Released{ID: release.id, Reason: release.reason}})
+			return true
 		}
-		if bestConn == nil && c.handingOver && c.limits.Transient[protocol] {
-			c.emit(ToSuccessor{Protocol: protocol, Effect: Released{ID: id, Reason: reason}})
-			return
+		if conn == nil {
+			return false
 		}
-		if bestConn == nil {
-			c.pendingReleases = append(c.pendingReleases, &pendingRelease{protocol, id, reason, c.now})
-			return
+		to = conn.id
+	}
+	c.emit(Released{To: to, ID: release.id, Reason: release.reason})
+	return true
+}
+
+// connForRelease returns the connection of a protocol that a release of any call goes out on: preferably one that has had established
+// calls, then the one active last. It returns nil if there is none.
+func (c *Core) connForRelease(protocol Protocol) (best *callerConn) {
+	for _, conn := range c.callerConnOrder {
+		if conn.protocol == protocol && c.acceptsReleases(conn) && (best == nil || conn.betterForRelease(best)) {
+			best = conn
 		}
-		to = bestConn.id
 	}
-	c.emit(Released{To: to, ID: id, Reason: reason})
+	return best
+}
+
+// betterForRelease says whether a release goes out on this connection rather than on an older one.
+func (conn *callerConn) betterForRelease(older *callerConn) bool {
+	if conn.hadEstablished != older.hadEstablished {
+		return conn.hadEstablished
+	}
+	return conn.lastActive >= older.lastActive
 }
 
 // flushReleases sends the releases that have waited for a connection. A release whose wait has reached EndedCallTTL is dropped.
 func (c *Core) flushReleases() {
-	releases := c.pendingReleases
-	c.pendingReleases = nil
-	for _, release := range releases {
-		if release.queuedAt > c.now-c.limits.EndedCallTTL {
-			c.sendRelease(release.protocol, 0, release.id, release.reason)
-		} else {
-			c.emit(ForgetCall{Protocol: release.protocol, ID: release.id})
+	c.pendingReleases = slices.DeleteFunc(c.pendingReleases, func(release *pendingRelease) bool {
+		if release.queuedAt <= c.now-c.limits.EndedCallTTL {
+			c.dropRelease(release)
+			return true
 		}
-	}
+		return c.trySendRelease(release, 0)
+	})
+}
+
+// dropRelease gives a release up.
+func (c *Core) dropRelease(release *pendingRelease) {
+	c.emit(ForgetCall{Protocol: release.protocol, ID: release.id})
 }
 
 // busyConns returns the connections of callers with an open set-up, here or on the predecessor.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -55,7 +55,7 @@
 	c, err := New(settings, 1, Limits{
 		AnswerMargin: 15 * ms, RebindTimeout: 100 * ms, InitialRedialDelay: 100 * ms, MaxRedialDelay: 500 * ms,
 		Probe:           probe.Limits{Permitted: len(settings.Tenants) > 0, Rate: 5, Burst: 2, Timeout: 300 * ms},
-		ServerLostAfter: 6 * time.Second, StopGrace: 700 * ms, MaxStopWait: 9 * time.Second, CallerConnsTarget: 100, MaxOpen: 100, MaxCallBytes: 100, EndedCallTTL: time.Minute, ReportedDrainTTL: 5 * time.Second,
+		ServerLostAfter: 6 * time.Second, StopGrace: 700 * ms, MaxStopWait: 9 * time.Second, CallerConnsTarget: 100, MaxCallerReleases: 100, MaxOpen: 100, MaxCallBytes: 100, EndedCallTTL: time.Minute, ReportedDrainTTL: 5 * time.Second,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/core/ops_test.go
+++ b/internal/core/ops_test.go
@@ -58,6 +58,30 @@
 	h.wantEffects(h.step(SetUp{ID: 8, From: 3, Cell: 0, TimeLeft: 5 * time.Second, At: h.now}), "released7@3 offer8@10 ")
 }
 
+// TestWaitingReleasesNeverExpire guards against releases that are sent long after their calls have ended, or kept without a limit.
+func TestWaitingReleasesNeverExpire(t *testing.T) {
+	h := newHarness(t)
+	h.enableDrains()
+	h.core.limits.MaxCallerReleases = 2
+	for id := ID(7); id <= 9; id++ {
+		h.setUp(id, 5*time.Second)
+		h.step(ServerAnswer{Server: "a", ID: id})
+	}
+	h.step(CallerDown{Conn: 1})
+	for id := ID(7); id <= 9; id++ {
+		h.step(ServerEnd{Server: "a", ID: id, Reason: ReasonNormal})
+	}
+	if waiting := h.core.Retained().PendingReleases; waiting != 2 {
+		t.Errorf("%d releases wait, want 2", waiting)
+	}
+	for conn := ConnID(2); conn < 7; conn++ {
+		h.advance(20 * time.Second)
+		h.step(CallerUp{Conn: conn, Protocol: "m"})
+	}
+	h.step(CallerUp{Conn: 8, Protocol: "f"})
+	h.wantEffects(h.step(SetUp{ID: 10, From: 8, Cell: 0, TimeLeft: 5 * time.Second, At: h.now}), "offer10@10 ")
+}
+
 // The counters count each set-up once, by its class and final answer. The counters of a class that a new configuration drops are kept.
 // Servers that get no new set-ups count as unhealthy.
 func TestStats(t *testing.T) {
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -425,6 +425,7 @@
 	MaxServerConns      int               // max connections to all servers together; 0: no limit
 	UnresponsiveAfter   time.Duration     // a connection without input for this long after a set-up or a probe is avoided for new set-ups
 	MaxPendingReleases  int               // max releases per server that wait for a connection; the oldest are dropped
+	MaxCallerReleases   int               // max releases to callers that wait for a connection; the oldest are dropped
 	MaxRemovedServers   int               // max removed servers that are remembered in case they come back
 	ServerLostAfter     time.Duration     // time from the last sign of life of a server that can't be reached until its calls count as lost
 	MinServerOutage     time.Duration     // an outage shorter than this does not put the established calls in doubt
--- a/internal/explore/callmodel.go
+++ b/internal/explore/callmodel.go
@@ -103,7 +103,7 @@
 func (c Config) limits() core.Limits {
 	const ms = time.Millisecond
 	return core.Limits{
-		AnswerMargin: 15 * ms, RebindTimeout: 100 * ms, InitialRedialDelay: 100 * ms, MaxRedialDelay: 500 * ms, UnresponsiveAfter: 100 * ms, MaxRemovedServers: 4, MaxPendingReleases: 8,
+		AnswerMargin: 15 * ms, RebindTimeout: 100 * ms, InitialRedialDelay: 100 * ms, MaxRedialDelay: 500 * ms, UnresponsiveAfter: 100 * ms, MaxRemovedServers: 4, MaxPendingReleases: 8, MaxCallerReleases: 8,
 		ServerLostAfter: 5 * time.Second, DrainGrace: 500 * ms, DrainRefuseAfter: 1500 * ms, DrainCheckInterval: time.Minute, DrainIdle: 20 * ms,
 		Transient: map[core.Protocol]bool{}, StopGrace: 700 * ms, MaxStopWait: time.Minute,
 		CallerConnsTarget: 8, MaxOpen: 100, MaxCallBytes: 1 << 20, RetryAfterHint: 100 * ms, EndedCallTTL: time.Minute, MaxEndedCalls: 100, MaxRoutes: 4,
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -52,7 +52,7 @@
 // interval. The interval is long, so that a stall of the test machine does not count as such a delay.
 func newScenario(t *testing.T, options ...func(*scenario)) *scenario {
 	t.Helper()
-	s := &scenario{T: t, effects: make(chan core.Effect, 100), limits: core.Limits{RebindTimeout: 100 * time.Millisecond, InitialRedialDelay: time.Millisecond,
+	s := &scenario{T: t, effects: make(chan core.Effect, 100), limits: core.Limits{MaxCallerReleases: 100, RebindTimeout: 100 * time.Millisecond, InitialRedialDelay: time.Millisecond,
 		MaxRedialDelay: time.Millisecond, ServerLostAfter: time.Minute, CallerConnsTarget: 100, MaxOpen: 100, MaxCallBytes: 1 << 20, EndedCallTTL: time.Minute,
 		Transient: map[core.Protocol]bool{Protocol: true}}}
 	for _, option := range options {
