Descriptors: callers, servers, M3UA and management keep within the limit together

What operators saw: with every caller's connection in use, connections to servers at their limit, M3UA callers and management, 1,168 of 1,024 descriptors could be wanted. Dials and accepts then fail with 'too many open files'.

Cause: M3UA callers (a quarter of the platform's) and the 16 management connections stood beside the sum.

Change: divideSockets (internal/config/sockets.go) gives each its share, and their sum is the limit. M3UA callers take theirs from the servers' share, and only if M3UA is on.

--- a/cmd/elmseam/main.go
+++ b/cmd/elmseam/main.go
@@ -62,6 +62,9 @@
 	if err != nil {
 		return err
 	}
+	if signalling.Enabled {
+		cfg.ShareSocketsWithM3UA()
+	}
 	membersPath, membersPathSet := os.LookupEnv("ELMSEAM_MEMBERS")
 	if !membersPathSet {
 		membersPath = membersFile
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -33,7 +33,9 @@
 	PeerListen string   // host:port on which the tier's datagrams arrive
 	Peers      []string // addresses of the tier's softswitches, by index
 
-	topLevelKeys map[string]json.RawMessage // top-level keys of the configuration file
+	sockets               int                        // file descriptors that the process may hold
+	socketsSharedWithM3UA bool                       // ShareSocketsWithM3UA was called
+	topLevelKeys          map[string]json.RawMessage // top-level keys of the configuration file
 }
 
 // configFile is the JSON form of the configuration file.
@@ -140,10 +142,18 @@
 	if _, err = elmseam.New(cfg.Settings, cfg.Seed); err != nil {
 		return nil, err
 	}
+	cfg.sockets = parsed.Limits.Sockets
 	cfg.Limits = buildLimits(parsed, cfg.Deployment)
 	return cfg, nil
 }
 
+// ShareSocketsWithM3UA sets a part of the file descriptors aside for M3UA callers. Reload keeps it so.
+func (c *Config) ShareSocketsWithM3UA() {
+	shares := divideSockets(c.sockets, true)
+	c.socketsSharedWithM3UA = true
+	c.Limits.MaxM3UACallers, c.Limits.Core.MaxServerConns = shares.m3uaCallers, shares.servers
+}
+
 // Reload reads the configuration again. The new file must contain every top-level key of the old one, with a value other
 // than null. The classes of the old configuration keep their indexes.
 func Reload(getenv func(string) string, old *Config) (*Config, error) {
@@ -156,6 +166,9 @@
 			return nil, fmt.Errorf("%s: missing", key)
 		}
 	}
+	if old.socketsSharedWithM3UA {
+		cfg.ShareSocketsWithM3UA()
+	}
 	settings.KeepClassIndexes(old.Deployment, &cfg.Deployment, &cfg.Settings, old.Settings)
 	return cfg, nil
 }
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -27,7 +27,8 @@
 	Feed           feed.Limits
 	ConnectTimeout time.Duration // longest time to connect to a server
 	ConfirmTimeout time.Duration // wait for the confirmation of a release (M3UA) before the release is sent again
-	MaxCallerConns int           // max. simultaneous connections of platform callers; M3UA callers may have a quarter as many besides
+	MaxCallerConns int           // max. simultaneous connections of platform callers
+	MaxM3UACallers int           // max. simultaneous connections of M3UA callers; 0 unless ShareSocketsWithM3UA was called
 	EventQueue     int           // max. events that wait for the core
 	StatsInterval  time.Duration // time between two snapshots of the statistics
 	Mgmt           mgmt.Limits
@@ -40,21 +41,6 @@
 	GCPercent   int                // heap growth, in per cent, that triggers a garbage collection (GOGC)
 }
 
-// minSockets is the lowest number of file descriptors (limits.sockets in the configuration file) that the softswitch
-// starts with.
-const minSockets = 32
-
-// Numbers of file descriptors that decide how many callers and servers can be connected.
-const (
-	// scarceSocketsBelow is the number of file descriptors below which callers get a smaller share of them, so that
-	// enough remain for servers.
-	scarceSocketsBelow = 200
-
-	// reservedSockets is the number of file descriptors for the process itself: standard streams, pollers, listeners,
-	// the command channel and a dial that is being aborted.
-	reservedSockets = 14
-)
-
 // maxCountedDeadline is the longest time that a planned restart leaves to set-ups, whatever their deadlines.
 const maxCountedDeadline = 3 * time.Second
 
@@ -69,10 +55,7 @@
 func buildLimits(parsed configFile, deployment settings.Deployment) Limits {
 	maxMessageSize := 16 << 10
 	memoryBytes := int64(parsed.Limits.MemoryMB) << 20
-	maxCallerConns := parsed.Limits.Sockets / 2     // well-behaved callers use a third; the M3UA protocol may accept a quarter of this besides
-	if parsed.Limits.Sockets < scarceSocketsBelow { // with few descriptors, connections to servers need the larger share
-		maxCallerConns = parsed.Limits.Sockets * 2 / 5
-	}
+	shares := divideSockets(parsed.Limits.Sockets, false)
 	limits := Limits{
 		Core: core.Limits{
 			AnswerMargin:        15 * time.Millisecond,
@@ -80,7 +63,7 @@
 			InitialRedialDelay:  100 * time.Millisecond,
 			MaxRedialDelay:      500 * time.Millisecond,
 			ConnsPerServer:      map[core.Protocol]int{platform.Protocol: 2},
-			MaxServerConns:      parsed.Limits.Sockets - maxCallerConns - reservedSockets,
+			MaxServerConns:      shares.servers,
 			UnresponsiveAfter:   100 * time.Millisecond, // a server that isn't overloaded answers sooner
 			MaxRemovedServers:   16,
 			MaxPendingReleases:  1000,
@@ -100,7 +83,7 @@
 			StopGrace:           700 * time.Millisecond,
 			MaxStopWait:         min(deployment.MaxDeadline, maxCountedDeadline) + 550*time.Millisecond, // SIGKILL may come 0.15 s later
 			StopLinger:          60 * time.Millisecond,                                                  // data that crosses the close of a connection arrives within 50 ms
-			CallerConnsTarget:   maxCallerConns - maxCallerConns/8,                                      // the remaining eighth is for connections being opened or closed
+			CallerConnsTarget:   shares.callers - shares.callers/8,                                      // the remaining eighth is for connections being opened or closed
 			NewConnGrace:        250 * time.Millisecond,
 			MaxOpen:             deployment.MaxOpenCalls,
 			MaxEndedCalls:       int(memoryBytes / 8 / endedCallBytes),
@@ -123,10 +106,10 @@
 		},
 		ConnectTimeout: deployment.ConnectTimeout,
 		ConfirmTimeout: 15 * time.Second, // lower limit of timer T1 in ITU-T Q.764
-		MaxCallerConns: maxCallerConns,
+		MaxCallerConns: shares.callers,
 		EventQueue:     4096,
 		StatsInterval:  50 * time.Millisecond, // statistics may be up to 0.5 s old
-		Mgmt: mgmt.Limits{MaxConns: min(16, parsed.Limits.Sockets/16), MaxRequestSize: 8 << 10,
+		Mgmt: mgmt.Limits{MaxConns: shares.mgmt, MaxRequestSize: 8 << 10,
 			ReadTimeout: 2 * time.Second, WriteTimeout: time.Second, MaxStatsAge: 2 * time.Second, MaxOrders: 16},
 		HandOver: handover.Limits{
 			HelloTimeout: time.Second, ExitTimeout: 2 * time.Second, WriteTimeout: time.Second, MaxMessageSize: 128 << 10,
@@ -142,7 +125,7 @@
 	limits.ServerConn.LingerTimeout = 50 * time.Millisecond
 	// Data queued for platform callers that don't read, and the data of open calls, take at most a quarter of the memory
 	// each, unless the queues need more to hold two of the largest messages each.
-	limits.CallerConn.MaxQueuedBytes = min(limits.CallerConn.MaxQueuedBytes, max(int(memoryBytes/4)/maxCallerConns, 2*maxMessageSize))
+	limits.CallerConn.MaxQueuedBytes = min(limits.CallerConn.MaxQueuedBytes, max(int(memoryBytes/4)/shares.callers, 2*maxMessageSize))
 	limits.Core.MaxCallBytes = int(memoryBytes / 4)
 	if limits.ConnectTimeout <= 0 {
 		limits.ConnectTimeout = 500 * time.Millisecond
--- a/internal/config/signalling.go
+++ b/internal/config/signalling.go
@@ -50,7 +50,7 @@
 func (c *Config) M3UA(file m3ua.FileConfig) m3ua.Config {
 	return m3ua.Config{
 		FileConfig: file, Deployment: c.Deployment, CallerConn: c.Limits.CallerConn, ServerConn: c.Limits.ServerConn,
-		ConnectTimeout: c.Limits.ConnectTimeout, MaxCallerConns: c.Limits.MaxCallerConns / 4, ConfirmTimeout: c.Limits.ConfirmTimeout,
+		ConnectTimeout: c.Limits.ConnectTimeout, MaxCallerConns: c.Limits.MaxM3UACallers, ConfirmTimeout: c.Limits.ConfirmTimeout,
 	}
 }
 
