Hand-over: a caller's connection no longer overtakes the messages before it

What happens: SendFile wrote beside the queue, so a successor could get a caller's connection before KindTransferring, or an effect after a connection that was sent later.

Change: a message with a file goes through the same queue; SendFile waits until it is written.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -87,15 +87,21 @@
 	conn    *net.UnixConn
 	limits  Limits
 	readBuf []byte
-	writeMu sync.Mutex // serializes the writes of writeLoop and SendFile
 
 	mu          sync.Mutex // guards the fields below
-	queue       [][]byte   // encoded messages
-	queuedBytes int        // total size of the messages in queue
-	writing     bool       // writeLoop is running
+	queue       []queuedMessage
+	queuedBytes int  // total size of the messages in queue that Send has queued
+	writing     bool // writeLoop is running
 	closed      bool
 }
 
+// queuedMessage is a message that waits to be written.
+type queuedMessage struct {
+	payload     []byte
+	controlData []byte     // socket control data; nil: no file is attached
+	result      chan error // receives the result of the write; nil: nobody waits for it
+}
+
 // newPeer returns the peer at the other end of conn.
 func newPeer(conn *net.UnixConn, limits Limits) *Peer {
 	return &Peer{conn: conn, limits: limits, readBuf: make([]byte, limits.MaxMessageSize)}
@@ -104,8 +110,19 @@
 // Close closes the connection and drops the queue.
 func (p *Peer) Close() {
 	p.mu.Lock()
-	p.closed, p.queue = true, nil
+	p.closeLocked()
 	p.mu.Unlock()
+}
+
+// closeLocked is Close for callers that hold p.mu.
+func (p *Peer) closeLocked() {
+	p.closed = true
+	for _, queued := range p.queue {
+		if queued.result != nil {
+			queued.result <- net.ErrClosed
+		}
+	}
+	p.queue = nil
 	p.conn.Close()
 }
 
@@ -119,11 +136,15 @@
 		return
 	}
 	if p.queuedBytes += len(payload); err != nil || len(payload) > p.limits.MaxMessageSize || p.queuedBytes > p.limits.MaxQueuedBytes {
-		p.closed, p.queue = true, nil
-		p.conn.Close()
+		p.closeLocked()
 		return
 	}
-	p.queue = append(p.queue, payload)
+	p.enqueue(queuedMessage{payload: payload})
+}
+
+// enqueue adds a message to the queue. The caller holds p.mu.
+func (p *Peer) enqueue(msg queuedMessage) {
+	p.queue = append(p.queue, msg)
 	if !p.writing {
 		p.writing = true
 		go p.writeLoop()
@@ -139,27 +160,25 @@
 			p.mu.Unlock()
 			return
 		}
-		payload := p.queue[0]
+		msg := p.queue[0]
 		p.queue = p.queue[1:]
-		p.queuedBytes -= len(payload)
+		if msg.result == nil {
+			p.queuedBytes -= len(msg.payload)
+		}
 		p.mu.Unlock()
-		if p.writeMessage(payload, nil) != nil {
+		p.conn.SetWriteDeadline(time.Now().Add(p.limits.WriteTimeout))
+		_, _, err := p.conn.WriteMsgUnix(msg.payload, msg.controlData, nil)
+		switch {
+		case msg.result != nil:
+			msg.result <- err
+		case err != nil:
 			p.Close()
 		}
 	}
 }
 
-// writeMessage writes one encoded message, with socket control data if there is any.
-func (p *Peer) writeMessage(payload, controlData []byte) error {
-	p.writeMu.Lock()
-	defer p.writeMu.Unlock()
-	p.conn.SetWriteDeadline(time.Now().Add(p.limits.WriteTimeout))
-	_, _, err := p.conn.WriteMsgUnix(payload, controlData, nil)
-	return err
-}
-
-// SendFile sends a message with the file descriptor of source attached. It blocks until the message is in the socket's
-// buffer, and may overtake queued messages. After an error the connection stays open.
+// SendFile sends a message with the file descriptor of source attached, after the messages that are queued. It blocks until the message is
+// in the socket's buffer. After an error the connection stays open.
 func (p *Peer) SendFile(msg Message, source syscall.Conn) error {
 	payload, err := json.Marshal(msg)
 	if err != nil {
@@ -174,12 +193,25 @@
 	}
 	var writeErr error
 	// File().Fd() is not used here: it would put the file into blocking mode for both processes.
-	if err := rawConn.Control(func(fd uintptr) { writeErr = p.writeMessage(payload, syscall.UnixRights(int(fd))) }); err != nil {
+	if err := rawConn.Control(func(fd uintptr) { writeErr = p.sendAndWait(payload, syscall.UnixRights(int(fd))) }); err != nil {
 		return err
 	}
 	return writeErr
 }
 
+// sendAndWait queues a message with socket control data and waits until it is written.
+func (p *Peer) sendAndWait(payload, controlData []byte) error {
+	result := make(chan error, 1)
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return net.ErrClosed
+	}
+	p.enqueue(queuedMessage{payload, controlData, result})
+	p.mu.Unlock()
+	return <-result
+}
+
 // Flush waits until the queue is written or dropped, for at most limits.WriteTimeout.
 func (p *Peer) Flush() {
 	for deadline := time.Now().Add(p.limits.WriteTimeout); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -57,3 +57,50 @@
 		t.Errorf("newer process: %v, want an error with the reason", err)
 	}
 }
+
+// testLimits are the limits of the tests with connectedPair.
+var testLimits = Limits{HelloTimeout: 50 * time.Millisecond, WriteTimeout: time.Second, MaxMessageSize: 1 << 10, MaxQueuedBytes: 1 << 20}
+
+// connectedPair returns both ends of a connection between two processes.
+func connectedPair(t *testing.T) (older, newer *net.UnixConn) {
+	t.Helper()
+	listener, err := Listen(filepath.Join(t.TempDir(), "x.sock"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	path := listener.Addr().String()
+	conn, err := net.Dial("unixpacket", strings.TrimSuffix(path, filepath.Ext(path)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	newer = conn.(*net.UnixConn)
+	if older, err = listener.AcceptUnix(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { older.Close(); newer.Close() })
+	return older, newer
+}
+
+// TestConnectionOvertakesQueuedMessage guards against a caller's connection that arrives before the messages that were sent before it.
+func TestConnectionOvertakesQueuedMessage(t *testing.T) {
+	older, newer := connectedPair(t)
+	sender, receiver := newPeer(older, testLimits), newPeer(newer, testLimits)
+	for range 100 {
+		sender.Send(Message{Kind: KindTransferring})
+		if err := sender.SendFile(Message{Kind: KindCallerConn}, older); err != nil {
+			t.Fatal(err)
+		}
+		for _, want := range []Kind{KindTransferring, KindCallerConn} {
+			msg, file, err := receiver.Receive()
+			if err != nil || msg.Kind != want || (file != nil) != (want == KindCallerConn) {
+				t.Fatalf("%+v, %v, want %s", msg, err, want)
+			}
+			file.Close()
+		}
+	}
+	sender.Close()
+	if err := sender.SendFile(Message{Kind: KindCallerConn}, newer); err == nil {
+		t.Error("a file is sent after Close")
+	}
+}
