Hand-over: a message with two files leaves no descriptor open

Cause: the message was refused without closing the files that came with it.

Evidence: with TestFilesOfRefusedMessageStayOpen, the package's leak check finds 9 descriptors where there were 7; with the change 7.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -261,11 +261,19 @@
 		return nil, nil
 	}
 	messages, err := syscall.ParseSocketControlMessage(controlData)
-	if err != nil || len(messages) != 1 {
-		return nil, fmt.Errorf("%d control messages, want 1: %w", len(messages), errTruncated)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errTruncated, err)
+	}
+	var fds []int
+	for _, message := range messages {
+		if messageFDs, err := syscall.ParseUnixRights(&message); err == nil {
+			fds = append(fds, messageFDs...)
+		}
 	}
-	fds, err := syscall.ParseUnixRights(&messages[0])
-	if err != nil || len(fds) != 1 {
+	if len(fds) != 1 {
+		for _, fd := range fds {
+			syscall.Close(fd)
+		}
 		return nil, fmt.Errorf("%d files, want 1: %w", len(fds), errTruncated)
 	}
 	syscall.CloseOnExec(fds[0])
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -104,3 +104,16 @@
 		t.Error("a file is sent after Close")
 	}
 }
+
+// TestFilesOfRefusedMessageStayOpen guards against a message with two files whose descriptors stay open.
+func TestFilesOfRefusedMessageStayOpen(t *testing.T) {
+	older, newer := connectedPair(t)
+	raw, err := older.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw.Control(func(fd uintptr) { older.WriteMsgUnix([]byte("{}"), syscall.UnixRights(int(fd), int(fd)), nil) })
+	if _, _, err := newPeer(newer, testLimits).Receive(); err == nil {
+		t.Error("a message with two files is accepted")
+	} // leak.Main counts the descriptors
+}
