Hand-over: a silent process blocks no upgrade and resets no caller

What was seen: two processes that connected to the hand-over socket and said nothing made the next upgrade fail (the successor found no listener in time, then the address in use). One that was silent while the listener was being closed had the connections in the accept queue reset, and one that was silent during an exit kept its connection.

Cause: connections to the socket were answered one after another, the listener counted as shared before the first message had come, and the end of a refusal was awaited also where none was sent.

Change: up to four first messages are awaited at a time; the listener counts as shared from the moment it is sent, decided under one lock (offerListener); a silent connection is closed after HelloTimeout.

--- a/cmd/elmseam/upgrade.go
+++ b/cmd/elmseam/upgrade.go
@@ -29,16 +29,15 @@
 
 	predecessor *handover.Peer // nil if there was no predecessor
 
-	mu                          sync.Mutex                  // guards the fields below
-	successorListener           *net.UnixListener           // where a successor connects
-	takenOverConns              map[core.ConnID]core.ConnID // this process's id of each connection taken over, by the predecessor's id
-	successor                   *handover.Peer              // nil if there is no successor; kept if it disconnects after the transfer began
-	listenerSharedWithSuccessor bool                        // the successor has the callers' listener too, or is being sent it
-	listenerClosing             bool                        // the callers' listener is being closed
-	successorServing            bool                        // the successor serves callers
-	stopRequested               bool                        // a stop of this process was requested
-	transferBegun               bool                        // the transfer of callers' connections has begun; it is never reset
-	transferredConns            map[core.ConnID]bool        // callers' connections that the successor has; nil without a successor
+	mu                sync.Mutex                  // guards the fields below
+	successorListener *net.UnixListener           // where a successor connects
+	takenOverConns    map[core.ConnID]core.ConnID // this process's id of each connection taken over, by the predecessor's id
+	successor         *handover.Peer              // it has the callers' listener too; nil: none; kept if it disconnects after the transfer began
+	listenerClosing   bool                        // the callers' listener is being closed
+	successorServing  bool                        // the successor serves callers
+	stopRequested     bool                        // a stop of this process was requested
+	transferBegun     bool                        // the transfer of callers' connections has begun; it is never reset
+	transferredConns  map[core.ConnID]bool        // callers' connections that the successor has; nil without a successor
 }
 
 // takeOver obtains the callers' listener from a running process that serves the address. It returns false if there is no
@@ -145,6 +144,9 @@
 	}
 }
 
+// maxPendingSuccessors is the largest number of processes whose first message is awaited at a time. A silent one must not delay a successor.
+const maxPendingSuccessors = 4
+
 // listenForSuccessor opens the hand-over socket for successors, unless it is open or this process is transferring its callers'
 // connections. If that fails, there is no hand-over to a successor.
 func (u *upgrader) listenForSuccessor() {
@@ -160,22 +162,42 @@
 	}
 	u.successorListener = listener
 	go func() {
+		pending := make(chan struct{}, maxPendingSuccessors)
 		for {
 			conn, err := listener.AcceptUnix()
 			if err != nil {
 				return
 			}
-			u.acceptSuccessor(conn)
+			pending <- struct{}{}
+			go func() {
+				u.acceptSuccessor(conn)
+				<-pending
+			}()
 		}
 	}()
 }
 
-// acceptSuccessor answers a process that asks to take over. It refuses if another process is already taking over, or if the
-// listener is being closed or can't be passed on; handover.AcceptSuccessor refuses other versions and addresses.
+// acceptSuccessor answers a process that asks to take over, and follows it if it may.
 func (u *upgrader) acceptSuccessor(conn *net.UnixConn) {
+	successor, err := handover.AwaitHello(conn, u.listenAddr, u.handOverLimits)
+	if err == nil {
+		err = u.offerListener(successor)
+	}
+	if err != nil {
+		u.log.Warn().Err(err).Msg("hand-over to a successor refused or failed")
+		return
+	}
+	u.log.Info().Msg("successor connected")
+	u.memoryLimiter.addProcesses(1)
+	go u.followSuccessor(successor)
+}
+
+// offerListener sends a successor the callers' listener. It refuses if another process is already taking over, or if the listener is being
+// closed or can't be passed on. It closes the connection on an error.
+func (u *upgrader) offerListener(successor *handover.Peer) error {
 	u.mu.Lock()
-	refusal := ""
 	listener, ok := u.listener.(syscall.Conn)
+	refusal := ""
 	switch {
 	case u.successor != nil:
 		refusal = "another process is taking over"
@@ -183,24 +205,18 @@
 		refusal = handover.ReasonExiting
 	case !ok:
 		refusal = "the listener can't be handed over"
-	default:
-		u.listenerSharedWithSuccessor = true
 	}
-	u.mu.Unlock()
-	successor, err := handover.AcceptSuccessor(conn, u.listenAddr, refusal, listener, u.handOverLimits)
-	if err != nil {
-		u.mu.Lock()
-		u.listenerSharedWithSuccessor = u.successor != nil
+	if refusal != "" {
 		u.mu.Unlock()
-		u.log.Warn().Err(err).Msg("hand-over to a successor refused or failed")
-		return
+		return successor.Refuse(refusal)
+	}
+	defer u.mu.Unlock() // after the listener is sent: closeListener has to know whether it is shared
+	if err := successor.SendFile(handover.Message{Kind: handover.KindListener, Version: handover.Version}, listener); err != nil {
+		successor.Close()
+		return err
 	}
-	u.log.Info().Msg("successor connected")
-	u.memoryLimiter.addProcesses(1)
-	u.mu.Lock()
 	u.successor, u.transferredConns = successor, make(map[core.ConnID]bool)
-	u.mu.Unlock()
-	go u.followSuccessor(successor)
+	return nil
 }
 
 // followSuccessor handles the successor's messages until its connection ends.
@@ -235,7 +251,7 @@
 	transferredConns := u.transferredConns
 	u.transferredConns = nil
 	if !u.transferBegun {
-		u.successor, u.successorServing, u.listenerSharedWithSuccessor = nil, false, false
+		u.successor, u.successorServing = nil, false
 		if u.stopRequested {
 			u.platform.MarkStopping()
 		}
@@ -265,7 +281,7 @@
 func (u *upgrader) closeListener() {
 	u.mu.Lock()
 	u.listenerClosing = true
-	shared := u.listenerSharedWithSuccessor
+	shared := u.successor != nil
 	u.mu.Unlock()
 	if shared {
 		u.listener.Close()
--- a/cmd/elmseam/upgrade_test.go
+++ b/cmd/elmseam/upgrade_test.go
@@ -15,6 +15,11 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/rs/zerolog"
+
+	"elmseam/internal/handover"
+	"elmseam/internal/platform"
 )
 
 // startSuccessor starts a successor of p, and waits until the successor reports that it is ready to serve.
@@ -174,6 +179,56 @@
 	}
 }
 
+// TestSilentPeerBlocksUpgrade guards against a process that connects to the hand-over socket and says nothing: a successor found no listener,
+// and the address in use.
+func TestSilentPeerBlocksUpgrade(t *testing.T) {
+	dir, srv := t.TempDir(), listen(t)
+	predecessor := startUpgradable(t, dir, serverEntry("s", "in_service", srv))
+	for range 2 {
+		silent, err := net.Dial("unixpacket", filepath.Join(dir, "elmseam-n1.sock"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer silent.Close()
+	}
+	if !predecessor.startSuccessor(dir).acceptsSetUps() {
+		t.Error("the successor does not accept set-ups")
+	}
+}
+
+// TestSilentPeerResetsCallers guards against callers whose connections wait to be accepted and are reset when the process ends, because a
+// process that connected to the hand-over socket and says nothing counts as a successor.
+func TestSilentPeerResetsCallers(t *testing.T) {
+	callers := listen(t)
+	successors, err := handover.Listen(filepath.Join(t.TempDir(), "x.sock"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer successors.Close()
+	limits := handover.Limits{HelloTimeout: 300 * time.Millisecond, WriteTimeout: time.Second, MaxMessageSize: 1000}
+	u := &upgrader{listener: callers, handOverLimits: limits, platform: platform.New(platform.Config{}, nil, zerolog.Nop()), log: zerolog.Nop()}
+	silent, err := net.Dial("unixpacket", strings.TrimSuffix(successors.Addr().String(), filepath.Ext(successors.Addr().String())))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	conn, err := successors.AcceptUnix()
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused := make(chan struct{})
+	go func() {
+		u.acceptSuccessor(conn)
+		close(refused)
+	}()
+	time.Sleep(50 * time.Millisecond)
+	u.closeListener()
+	if err := callers.(*net.TCPListener).SetDeadline(time.Time{}); err != nil {
+		t.Errorf("the listener is closed before its connections are accepted: %v", err)
+	}
+	<-refused
+}
+
 // TestUpgradeUnderLoad makes calls, each caller on a connection of its own and in split writes, during three successive
 // hand-overs. Every set-up must get exactly one answer, every established call exactly one release, and no connection
 // may close.
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -337,39 +337,37 @@
 	return listener, nil
 }
 
-// AcceptSuccessor receives the KindHello message of a process that has connected, and sends it the listener if the process asks
-// for the address listen in this version of the format. Otherwise, or if refusal is not empty, it sends the reason instead, and
-// returns it as the error. It closes the connection on an error, unless the reason is ReasonExiting.
-func AcceptSuccessor(conn *net.UnixConn, listen, refusal string, listener syscall.Conn, limits Limits) (*Peer, error) {
+// AwaitHello receives the KindHello message of a process that has connected. If the process speaks another version of the format or asks for
+// another address than listen, AwaitHello refuses. It closes the connection on an error.
+func AwaitHello(conn *net.UnixConn, listen string, limits Limits) (*Peer, error) {
 	p := newPeer(conn, limits)
 	conn.SetReadDeadline(time.Now().Add(limits.HelloTimeout))
 	msg, file, err := p.Receive()
 	if file != nil {
 		file.Close()
 	}
-	if err == nil {
-		switch {
-		case msg.Kind != KindHello || msg.Version != Version:
-			refusal = fmt.Sprintf("version %d is spoken here", Version)
-		case msg.Listen != listen:
-			refusal = fmt.Sprintf("%s is served here", listen)
-		}
-		if refusal != "" {
-			p.Send(Message{Kind: KindRefused, Version: Version, RefusalReason: refusal})
-			p.Flush()
-			err = errors.New(refusal)
-		} else {
-			err = p.SendFile(Message{Kind: KindListener, Version: Version}, listener)
-		}
-	}
 	conn.SetReadDeadline(time.Time{})
 	switch {
-	case err == nil:
-		return p, nil
-	case refusal == ReasonExiting: // the refused process waits for the end of the connection, which comes when this process ends
+	case err != nil:
+		p.Close()
+		return nil, err
+	case msg.Kind != KindHello || msg.Version != Version:
+		return nil, p.Refuse(fmt.Sprintf("version %d is spoken here", Version))
+	case msg.Listen != listen:
+		return nil, p.Refuse(fmt.Sprintf("%s is served here", listen))
+	}
+	return p, nil
+}
+
+// Refuse tells the successor why it is refused, and returns the reason as an error. It closes the connection, unless the reason is
+// ReasonExiting: that successor waits for the end of the connection, which comes when this process ends.
+func (p *Peer) Refuse(reason string) error {
+	p.Send(Message{Kind: KindRefused, Version: Version, RefusalReason: reason})
+	p.Flush()
+	if reason == ReasonExiting {
 		go func() { p.Receive(); p.Close() }()
-	default:
+	} else {
 		p.Close()
 	}
-	return nil, err
+	return errors.New(reason)
 }
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -43,7 +43,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := AcceptSuccessor(conn, tcpListener.Addr().String(), ReasonExiting, tcpListener.(syscall.Conn), limits); err == nil || !strings.Contains(err.Error(), ReasonExiting) {
+	successor, err := AwaitHello(conn, tcpListener.Addr().String(), limits)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := successor.Refuse(ReasonExiting); err == nil || !strings.Contains(err.Error(), ReasonExiting) {
 		t.Errorf("older process: %v, want an error with the reason", err)
 	}
 	select {
@@ -105,6 +109,18 @@
 	}
 }
 
+// TestSilentSuccessorKeepsConnection guards against a process that connects, says nothing and keeps its connection for ever.
+func TestSilentSuccessorKeepsConnection(t *testing.T) {
+	older, newer := connectedPair(t)
+	if _, err := AwaitHello(older, "127.0.0.1:1", testLimits); err == nil {
+		t.Fatal("a silent process is accepted")
+	}
+	newer.SetReadDeadline(time.Now().Add(time.Second))
+	if _, _, err := newPeer(newer, testLimits).Receive(); err == nil || strings.Contains(err.Error(), "timeout") {
+		t.Errorf("the connection is still open: %v", err)
+	}
+}
+
 // TestFilesOfRefusedMessageStayOpen guards against a message with two files whose descriptors stay open.
 func TestFilesOfRefusedMessageStayOpen(t *testing.T) {
 	older, newer := connectedPair(t)
