Tier: only a softswitch's own observations are passed on

What happens: a member that heard that a server fails, or how long a set-up takes there, passed both on as its own observations. Members hear their own reports back, and a server that recovered for all stays 'failing' until each of them has seen a call established.

Cause: a tier report raised the same fields that Observed reads.

Change: what the tier told is kept beside (tierFailureWeight, tierMinSetUpTime) and counts in the decisions as before.

Evidence: TestTierReportPassedOn fails if Observed gives the values that count ('want nothing of the report'), as before, and passes now. No decision changes: all tests of the module pass as they were, one of them now reads the round trip instead of the field.

--- a/calls.go
+++ b/calls.go
@@ -188,7 +188,7 @@
 		c.establishedCounter.add(c.now)
 	}
 	s.establishedCounter.add(c.now)
-	s.failureWeight = 0
+	s.failureWeight, s.tierFailureWeight = 0, 0
 	if s.minSetUpTime == 0 || ev.SetUpTime < s.minSetUpTime {
 		s.minSetUpTime = ev.SetUpTime
 	}
@@ -333,7 +333,8 @@
 // Errors have to block a server, as one that fails every call at once looks idle and would attract all
 // calls. An unresponsive server looks loaded anyway, as its set-ups stay pending.
 func (c *Controller) recordFailure(s *server, weight int) {
-	if s.failureWeight += weight; s.failureWeight >= maxFailureWeight {
+	s.failureWeight += weight
+	if max(s.failureWeight, s.tierFailureWeight+weight) >= maxFailureWeight {
 		// An error does not replace another cause of a block.
 		errorsOnly := weight < unansweredWeight && (s.blockedForErrors || !s.blocked)
 		c.blockServer(s, 0)
--- a/controller_test.go
+++ b/controller_test.go
@@ -1585,8 +1585,8 @@
 		h.reportLoad(s, 900, 1000, 0)
 		c.ApplyTierReport(h.now, s, TierReport{Rate: 5, MinSetUpTime: 15 * ms})
 	}
-	if minSetUpTime := c.serversByID[1].minSetUpTime; minSetUpTime != 15*ms {
-		t.Errorf("minimum set-up time of %v, want the reported 15ms", minSetUpTime)
+	if roundTrip := c.serversByID[1].maxRoundTrip(); roundTrip != 22500*time.Microsecond {
+		t.Errorf("round trip of %v, want 1.5 times the reported 15ms", roundTrip)
 	}
 	check := func(when string, minQuota, maxQuota float64) {
 		t.Helper()
@@ -1612,6 +1612,20 @@
 	check("after half a minute", 4, 6)
 }
 
+// TestTierReportPassedOn guards against members that hear their own reports back as observations of others.
+func TestTierReportPassedOn(t *testing.T) {
+	h := newHarness(t, testSettings(), 1)
+	h.controller.ApplyTierReport(h.now, 1, TierReport{Failing: true, MinSetUpTime: 15 * ms})
+	observation, _ := h.controller.Observed(1, h.now)
+	if observation.FailureWeight != 0 || observation.MinSetUpTime != 0 {
+		t.Errorf("observation %+v, want nothing of the report", observation)
+	}
+	h.establish(1, 20*ms)
+	if observation, _ = h.controller.Observed(1, h.now); observation.MinSetUpTime != 20*ms {
+		t.Errorf("observation %+v, want the set-up time seen here", observation)
+	}
+}
+
 // A hold-back share reported by members replaces an older one of this softswitch, but no newer one, and
 // lifts no block. A server that is failing for most members is blocked at the next failure here, and not
 // before.
--- a/load.go
+++ b/load.go
@@ -37,10 +37,10 @@
 		s.reportedHoldBack, s.holdBackExpiry = report.HoldBackShare, expiry
 	}
 	if report.Failing {
-		s.failureWeight = max(s.failureWeight, maxFailureWeight-1)
+		s.tierFailureWeight = maxFailureWeight - 1
 	}
-	if s.minSetUpTime == 0 {
-		s.minSetUpTime = report.MinSetUpTime
+	if s.minSetUpTime == 0 && s.tierMinSetUpTime == 0 {
+		s.tierMinSetUpTime = report.MinSetUpTime
 	}
 	if (c.newlyStarted(now) || c.importedRateShare > 0) &&
 		s.establishedCounter.count == 0 && report.Rate > 0 {
@@ -139,7 +139,11 @@
 
 // maxRoundTrip returns the longest set-up time that shows no queue at the server.
 func (s *server) maxRoundTrip() time.Duration {
-	return time.Duration(roundTripVariation * float64(s.minSetUpTime))
+	shortest := s.minSetUpTime
+	if told := s.tierMinSetUpTime; shortest == 0 || told > 0 && told < shortest {
+		shortest = told
+	}
+	return time.Duration(roundTripVariation * float64(shortest))
 }
 
 // currentAnswerDelay returns the delay of a server's answers beyond the round trip: the delay of the last
--- a/servers.go
+++ b/servers.go
@@ -28,14 +28,16 @@
 	lineTryBudget    bucket  // budget of set-ups for free lines that no own call has freed
 	thinningCredit   float64 // credit earned by set-ups at the admitted share; one that passes uses 1
 
-	minSetUpTime    time.Duration // shortest set-up time seen or told by the tier, taken for the round trip
-	answerDelay     time.Duration // set-up time of the last call beyond maxRoundTrip
-	answerDelayAt   Time          // time of that call's answer
-	pendingAttempts []*attempt    // unanswered attempts, oldest first
+	minSetUpTime     time.Duration // shortest set-up time seen, taken for the round trip; 0: none
+	tierMinSetUpTime time.Duration // set-up time told by the tier before one was seen; 0: none
+	answerDelay      time.Duration // set-up time of the last call beyond maxRoundTrip
+	answerDelayAt    Time          // time of that call's answer
+	pendingAttempts  []*attempt    // unanswered attempts, oldest first
 
 	establishedCounter decayingCounter // calls of this softswitch that the server established
 	rateBeforeRestart  float64         // highest known rate of such calls before the last restart, per second
 	failureWeight      int             // weight of consecutive failures
+	tierFailureWeight  int             // weight that counts at least, as the server fails for the tier
 	blockedForErrors   bool            // blocked for errors: the server answers, and not every call fails
 
 	maxReportedRate float64 // highest rate reported, in set-ups per second
@@ -52,6 +54,7 @@
 	id                      ServerID
 	maxLines, lastKnownRate float64       // server.maxLines and the last known rate in set-ups per second
 	minSetUpTime            time.Duration // server.minSetUpTime
+	tierMinSetUpTime        time.Duration // server.tierMinSetUpTime
 	removedAt               Time          // time at which the server was dropped
 }
 
@@ -82,7 +85,7 @@
 		if drop {
 			delete(c.serversByID, s.id)
 			c.removedServers = append(c.removedServers, removedServer{
-				s.id, s.maxLines, c.lastKnownRate(s), s.minSetUpTime, c.now,
+				s.id, s.maxLines, c.lastKnownRate(s), s.minSetUpTime, s.tierMinSetUpTime, c.now,
 			})
 		}
 		return drop
@@ -106,8 +109,8 @@
 	s := &server{id: id, allottedRate: -1}
 	for _, old := range c.removedServers {
 		if old.id == id {
-			s.maxLines, s.rateBeforeRestart, s.minSetUpTime =
-				old.maxLines, old.lastKnownRate, old.minSetUpTime
+			s.maxLines, s.rateBeforeRestart = old.maxLines, old.lastKnownRate
+			s.minSetUpTime, s.tierMinSetUpTime = old.minSetUpTime, old.tierMinSetUpTime
 		}
 	}
 	return s
@@ -123,7 +126,8 @@
 	} else if s.startedAt != entry.Started {
 		*s = server{
 			id: s.id, allottedRate: -1, pendingAttempts: s.pendingAttempts, minSetUpTime: s.minSetUpTime,
-			maxLines: s.maxLines, rateBeforeRestart: c.lastKnownRate(s),
+			tierMinSetUpTime: s.tierMinSetUpTime,
+			maxLines:         s.maxLines, rateBeforeRestart: c.lastKnownRate(s),
 		}
 	}
 	s.cell, s.phase, s.startedAt = entry.Cell, entry.Phase, entry.Started
--- a/tier.go
+++ b/tier.go
@@ -20,8 +20,7 @@
 	}
 }
 
-// Observation is what this softswitch has observed of a server itself. A tier report can have raised the
-// FailureWeight, and supplies the MinSetUpTime until a shorter one is seen here.
+// Observation is what this softswitch has observed of a server itself, without what tier reports told.
 type Observation struct {
 	HoldBackShare   float64       // hold-back share of the last report to this softswitch, 0 to 1
 	HoldBackShareAt Time          // time of that report; 0: none
