Knowledge: a member is heard again after a restart with its clock set back

What happens: the entries and queries of a restarted member were ignored by all that knew its earlier process, for good, if its clock had been set back or the restart came 24.8 to 49.7 days after the earlier start; and those of a member that ran for 49.7 days.

Cause: incarnations are start times in 32 bits of milliseconds, ordered; stamps count milliseconds in 32 bits. Nobody told a member that its messages count as old.

Change (internal/knowledge/incarnation.go): the receiver of a message of an earlier incarnation tells the sender the one it knows, and the sender takes the next, as membership does. A process begins another incarnation before its stamps wrap.

--- a/internal/knowledge/knowledge_test.go
+++ b/internal/knowledge/knowledge_test.go
@@ -216,3 +216,41 @@
 		t.Errorf("40 set-ups/s taken over by four members, this one with 20/s: factor %v, want 1.5", factor)
 	}
 }
+
+// TestRestartedMemberIgnored guards against a member whose entries and queries are ignored for good by those that knew its earlier process:
+// after a restart with the clock set back, after one 25 to 50 days later, and after 2^32 ms of running.
+func TestRestartedMemberIgnored(t *testing.T) {
+	const day = 24 * time.Hour
+	for name, test := range map[string]struct {
+		restartAfter, clockBack, runFor time.Duration
+	}{
+		"clock set back":       {restartAfter: time.Minute, clockBack: time.Hour},
+		"restart after 30 d":   {restartAfter: 30 * day},
+		"restart after 24.8 d": {restartAfter: (1 << 31) * ms},
+		"running for 50 d":     {runFor: 50 * day},
+	} {
+		t.Run(name, func(t *testing.T) {
+			receiver, _ := newReducer(t, 0, 2, epoch, 7)
+			writer, _ := newReducer(t, 1, 2, epoch, 7)
+			receiver.Step(epoch, Piggyback{1, piggybackOf(writer, epoch, 7, Observation{Rate: 1})})
+			now := epoch + test.restartAfter
+			if test.restartAfter > 0 {
+				writer, _ = newReducer(t, 1, 2, now-test.clockBack, 7)
+			}
+			for end := now + test.runFor; now < end; now += day { // they talk once a day
+				receiver.Step(now, Piggyback{1, piggybackOf(writer, now-test.clockBack, 7, Observation{Rate: 2})})
+			}
+			for range 2 { // the first message may be ignored
+				now += time.Second
+				for _, e := range receiver.Step(now, Piggyback{1, piggybackOf(writer, now-test.clockBack, 7, Observation{Rate: 3})}) {
+					if send, ok := e.(Send); ok {
+						writer.Step(now-test.clockBack, Datagram{0, send.Data})
+					}
+				}
+			}
+			if v := receiver.View(now, 7); v.Rate != 3 {
+				t.Errorf("%+v, want the rate of 3 that the member reported last", v)
+			}
+		})
+	}
+}
--- a/internal/knowledge/reducer.go
+++ b/internal/knowledge/reducer.go
@@ -40,12 +40,14 @@
 
 // Reducer is one member's state of the knowledge protocol. It is not safe for concurrent use.
 type Reducer struct {
-	cfg               Config
-	now               Time
-	startedAt         Time
-	rng               *rand.Rand
-	effects           []Effect
-	localObservations map[uint32]Observation // own observations, by the hash of the server's name
+	cfg         Config
+	now         Time
+	rng         *rand.Rand
+	incarnation uint32 // identifies this process to the other members
+	// incarnationStartedAt is the time that the stamps of messages count from.
+	incarnationStartedAt Time
+	effects              []Effect
+	localObservations    map[uint32]Observation // own observations, by the hash of the server's name
 	// sendOrder holds the local servers, those whose entries were sent longest ago first.
 	sendOrder     []uint32
 	observers     []observerState // by member
@@ -69,8 +71,9 @@
 	if err := cfg.Limits.Check(); err != nil {
 		return nil, nil, err
 	}
-	r := &Reducer{cfg: cfg, now: now, startedAt: now, rng: rand.New(rand.NewPCG(cfg.Seed, 0x6b6e6f77)), localObservations: make(map[uint32]Observation),
+	r := &Reducer{cfg: cfg, now: now, rng: rand.New(rand.NewPCG(cfg.Seed, 0x6b6e6f77)), localObservations: make(map[uint32]Observation),
 		observers: make([]observerState, cfg.TierSize), available: make([]bool, cfg.TierSize), queried: make(map[int]bool)}
+	r.beginIncarnation(uint32(now / time.Millisecond))
 	r.setTimer(cfg.Limits.RetryInterval / 8) // time for the server list to arrive; without it sendQueries only waits on
 	return r, r.takeEffects(), nil
 }
@@ -190,9 +193,13 @@
 		r.counters.Malformed++
 		return
 	}
+	if msg.Kind == kindIncarnation {
+		r.handleIncarnationReport(msg)
+		return
+	}
 	delay := r.extraDelay(&r.observers[from], msg)
 	if delay < 0 { // the message is of an earlier incarnation of the sender
-		r.counters.Stale++
+		r.reportIncarnation(from)
 		return
 	}
 	if msg.Kind == kindQuery {
@@ -213,7 +220,7 @@
 func (r *Reducer) extraDelay(observer *observerState, msg message) time.Duration {
 	const maxDrift = 0.02
 	lag := int64(r.now/time.Millisecond) - int64(msg.Stamp)
-	if observer.Seen && int32(msg.Incarnation-observer.Incarnation) < 0 {
+	if observer.Seen && incarnationBefore(msg.Incarnation, observer.Incarnation) {
 		return -1
 	}
 	if !observer.Seen || msg.Incarnation != observer.Incarnation {
@@ -324,12 +331,6 @@
 	maxNotFreshPiggybacked = 1
 )
 
-// withSenderFields returns the message with tier size, incarnation and stamp filled in.
-func (r *Reducer) withSenderFields(msg message) message {
-	msg.TierSize, msg.Incarnation, msg.Stamp = uint16(r.cfg.TierSize), uint32(r.startedAt/time.Millisecond), uint32((r.now-r.startedAt)/time.Millisecond)
-	return msg
-}
-
 // send sends a message to a member in a separate datagram.
 func (r *Reducer) send(to int, msg message) {
 	data := datagram.Encode(Version, r.withSenderFields(msg))
--- a/internal/knowledge/types.go
+++ b/internal/knowledge/types.go
@@ -182,11 +182,12 @@
 	Kind messageKind
 	// TierSize is the number of members in the sender's tier.
 	TierSize uint16
-	// Incarnation identifies the sender's incarnation: its start time in milliseconds, the low 32 bits.
+	// Incarnation identifies the sender's incarnation.
 	Incarnation uint32
-	// Stamp is the time at which the message was sent, in milliseconds since the sender's start.
+	// Stamp is the time at which the message was sent, in milliseconds since the incarnation began.
 	Stamp uint32
-	// Items holds the encoded entries one after another; empty in a query and in the answer of a member without entries.
+	// Items holds the encoded entries one after another; empty in a query and in the answer of a member without entries. In a
+	// message of kindIncarnation it holds the incarnation.
 	Items []int64
 }
 
@@ -197,6 +198,7 @@
 const (
 	kindQuery   messageKind = iota // asks for all entries of the receiver
 	kindEntries                    // carries entries of the sender
+	kindIncarnation                // carries the incarnation of the receiver that the sender knows
 	numKinds                       // number of kinds
 )
 
@@ -297,6 +299,12 @@
 	if m.Kind >= numKinds || int(m.TierSize) != tierSize {
 		return errIncompatible
 	}
+	if m.Kind == kindIncarnation {
+		if !validIncarnationReport(m.Items) {
+			return datagram.ErrMalformed
+		}
+		return nil
+	}
 	for items := m.Items; len(items) > 0; {
 		_, _, n := decodeObservation(items, time.Hour) // any time will do: the observation is not used
 		if n == 0 {
