--- a/internal/knowledge/types.go
+++ b/internal/knowledge/types.go
@@ -196,10 +196,10 @@
 
 // The kinds of knowledge messages.
 const (
-	kindQuery   messageKind = iota // asks for all entries of the receiver
-	kindEntries                    // carries entries of the sender
-	kindIncarnation                // carries the incarnation of the receiver that the sender knows
-	numKinds                       // number of kinds
+	kindQuery       messageKind = iota // asks for all entries of the receiver
+	kindEntries                        // carries entries of the sender
+	kindIncarnation                    // carries the incarnation of the receiver that the sender knows
+	numKinds                           // number of kinds
 )
 
 // Bit layout and units of an entry, which is encoded as three to six integers:
--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -467,6 +467,32 @@
 	c.Close()
 }
 
+// TestTransferTakesTimeOfMessage guards against a connection that is closed as malformed, because its transfer failed and took the time in which
+// a message had to be complete.
+func TestTransferTakesTimeOfMessage(t *testing.T) {
+	s := newScenario(t, func(s *scenario) { s.limits.MaxStopWait = time.Minute })
+	s.changeConfig(func(c *Config) { c.CallerConn.MessageTimeout = 200 * time.Millisecond })
+	successor := &stubSuccessor{make(chan core.Transfer, 2), make(chan error), make(chan core.Effect, 9)}
+	s.platform.SetSuccessor(successor)
+	s.callerConn.Write(setUpFrame(7, "voice", "9000", "")) // the process goes on for this call
+	s.wantLine(`"offer"`, `0007"`)
+	s.callerConn = s.dial(s.callerListener)
+	message := setUpFrame(1, "voice", "9000", "")
+	s.callerConn.Write(message[:20])
+	s.loop.Post(core.HandOver{})
+	for range 2 {
+		<-successor.transfers
+	}
+	time.Sleep(250 * time.Millisecond)
+	for range 2 {
+		successor.results <- io.ErrClosedPipe
+	}
+	s.callerConn.Write(message[20:])
+	s.wantLine(`"offer"`, `0001"`)
+	s.sendLine(acceptLine, 1)
+	s.wantFrame(typeAnswer, 1, -1)
+}
+
 // addStalledCaller connects a caller that has a set-up pending and reads nothing. queuedBytes is the number of filler bytes
 // queued for that caller, which it has to read before any message.
 func (s *scenario) addStalledCaller(id core.ID) (client *scenario, c *callerConn, queuedBytes int64) {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -384,6 +384,20 @@
 	s.wantFrame(typeRelease, 14, 41)
 }
 
+// TestGiveUpNeverComes guards against a set-up that is neither answered nor given up, as the release behind it is malformed or incomplete.
+func TestGiveUpNeverComes(t *testing.T) {
+	s := newScenario(t)
+	malformed := appendFrame(nil, typeRelease, 1, appendParam(nil, paramCause, 1, 2))
+	s.callerConn.Write(append(setUpFrame(1, "voice", "5000", ""), malformed...))
+	s.wantFrame(typeRelease, 1, 100)
+	s.callerConn = s.dial(s.callerListener)
+	s.callerConn.Write(append(setUpFrame(2, "voice", "5000", ""), releaseFrame(2, 16)[:12]...))
+	s.wantLine(`"offer"`, `0002"`)
+	s.callerConn.Write(releaseFrame(2, 16)[12:])
+	s.wantFrame(typeReleaseAck, 2, -1)
+	s.wantLine(`"end"`, `0002"`)
+}
+
 // A connection on which no complete message arrives within the message timeout must be closed, also if a message stops half-way
 // or arrives byte by byte. Each byte used to restart the timeout, so that one message could hold a connection for hours. A
 // connection that has carried a message must stay open for the longer idle timeout.
