--- a/cmd/elmseam/main.go
+++ b/cmd/elmseam/main.go
@@ -217,10 +217,14 @@
 			log.Info().Str("m3ua", m3uaListener.Addr().String()).Msg("M3UA endpoint listening")
 		}
 		backgroundTasks = append(backgroundTasks, func() {
-			for err != nil { // the predecessor holds the address until it exits
+			for errors.Is(err, syscall.EADDRINUSE) { // the predecessor holds the address until it exits
 				time.Sleep(retryDelay)
 				m3uaListener, err = net.Listen("tcp", signalling.M3UA.Listen)
 			}
+			if err != nil {
+				log.Error().Err(err).Msg("m3ua.listen: no M3UA callers are served")
+				return
+			}
 			defer m3uaListener.Close()
 			m3uaProtocol.Serve(m3uaListener)
 		})
--- a/internal/m3ua/caller.go
+++ b/internal/m3ua/caller.go
@@ -20,19 +20,20 @@
 }
 
 // Serve accepts and serves callers' connections until the listener is closed. It does not wait for them to end.
-func (m *M3UA) Serve(l net.Listener) {
-	transport.NewAcceptor(func() int { return m.config.Load().MaxCallerConns }, func(conn net.Conn) {
-		c := &callerConn{session: m.newSession(conn, m.config.Load().CallerConn)}
-		c.handleOther = c.handleMessage
-		c.aspUpTimer = time.AfterFunc(c.limits.MessageTimeout, func() { conn.Close() })
-		defer c.aspUpTimer.Stop()
-		err := c.read()
-		m.sampledLog.Info().Err(err).Stringer("caller", conn.RemoteAddr()).Msg("association ended")
-		c.deactivate()
-		if _, malformed := err.(*protocolError); malformed { // gives the peer time to read the ERR
-			c.outbox.Linger(conn)
-		}
-	}).Serve(l)
+func (m *M3UA) Serve(l net.Listener) { m.acceptor.Serve(l) }
+
+// serveCaller serves a caller's connection until it ends.
+func (m *M3UA) serveCaller(conn net.Conn) {
+	c := &callerConn{session: m.newSession(conn, m.config.Load().CallerConn)}
+	c.handleOther = c.handleMessage
+	c.aspUpTimer = time.AfterFunc(c.limits.MessageTimeout, func() { conn.Close() })
+	defer c.aspUpTimer.Stop()
+	err := c.read()
+	m.sampledLog.Info().Err(err).Stringer("caller", conn.RemoteAddr()).Msg("association ended")
+	c.deactivate()
+	if _, malformed := err.(*protocolError); malformed { // gives the peer time to read the ERR
+		c.outbox.Linger(conn)
+	}
 }
 
 // FreeCircuit frees the circuit of a call whose caller is not notified of the call's end.
@@ -174,7 +175,7 @@
 // in use repeats the same call after its association was lost, and keeps the call's id.
 func (c *callerConn) handleSetUp(circ circuitID, iam isupMessage, receivedAt core.Time) {
 	setUp := core.SetUp{
-		From: c.connID, Class: c.m3ua.classOfCategory(iam.category), Number: hashNumber(iam.digits), NumberText: iam.digits, Desc: iam.desc,
+		From: c.connID, Class: c.m3ua.classOfCategory(iam.category), Number: core.NumberValue(iam.digits), NumberText: iam.digits, Desc: iam.desc,
 		Cell: -1, At: receivedAt,
 	}
 	if cell, ok := c.m3ua.Cells[strconv.Itoa(int(circ.dpc))]; ok {
--- a/internal/m3ua/m3ua.go
+++ b/internal/m3ua/m3ua.go
@@ -4,8 +4,9 @@
 	"crypto/rand"
 	"encoding/binary"
 	"fmt"
-	"hash/fnv"
+	"maps"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -44,36 +45,69 @@
 	} `toml:"server"`
 }
 
+// maxPointCode is the largest point code, of 24 bits.
+const maxPointCode = 0xffffff
+
 // Check returns an error that names an invalid field, or nil if it finds none.
 func (f *FileConfig) Check() error {
 	if _, _, err := net.SplitHostPort(f.Listen); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	switch {
-	case f.PointCode == 0 || f.PointCode > 0xffffff:
-		return fmt.Errorf("point_code: %d is not between 1 and 16777215", f.PointCode)
+	case f.PointCode == 0 || f.PointCode > maxPointCode:
+		return fmt.Errorf("point_code: %d is not between 1 and %d", f.PointCode, maxPointCode)
 	case f.HeartbeatMS <= 0:
 		return fmt.Errorf("heartbeat_ms: %d is not positive", f.HeartbeatMS)
 	case f.Circuits <= 0 || f.Circuits > 1<<16:
 		return fmt.Errorf("circuits: %d is not between 1 and 65536", f.Circuits)
 	}
-	for name, category := range f.Categories {
+	if err := f.checkCategories(); err != nil {
+		return err
+	}
+	for text := range f.Cells {
+		pointCode, err := strconv.ParseUint(text, 10, 24)
+		if err != nil {
+			return fmt.Errorf("cells.%s: not a point code", text)
+		}
+		if text != strconv.FormatUint(pointCode, 10) {
+			return fmt.Errorf("cells.%s: is to be written as %d", text, pointCode)
+		}
+	}
+	return f.checkServers()
+}
+
+// checkCategories checks the categories of classes. A category stands for one class.
+func (f *FileConfig) checkCategories() error {
+	classes := make(map[int]string)
+	for _, name := range slices.Sorted(maps.Keys(f.Categories)) {
+		category := f.Categories[name]
 		if category < 0 || category > 255 {
 			return fmt.Errorf("categories.%s: %d is not between 0 and 255", name, category)
 		}
-	}
-	for pointCode := range f.Cells {
-		if _, err := strconv.ParseUint(pointCode, 10, 24); err != nil {
-			return fmt.Errorf("cells.%s: not a point code", pointCode)
+		if other, used := classes[category]; used {
+			return fmt.Errorf("categories.%s: %d is the category of %s", name, category, other)
 		}
+		classes[category] = name
 	}
+	return nil
+}
+
+// checkServers checks the servers.
+func (f *FileConfig) checkServers() error {
+	names := make(map[string]bool)
 	for i, s := range f.Servers {
 		if _, _, err := net.SplitHostPort(s.Address); err != nil {
 			return fmt.Errorf("server[%d].address: %w", i, err)
 		}
-		if s.Name == "" || s.PointCode == 0 {
-			return fmt.Errorf("server[%d]: name or point_code missing", i)
+		switch {
+		case s.Name == "":
+			return fmt.Errorf("server[%d].name: missing", i)
+		case names[s.Name]:
+			return fmt.Errorf("server[%d].name: %q is the name of another server", i, s.Name)
+		case s.PointCode == 0 || s.PointCode > maxPointCode:
+			return fmt.Errorf("server[%d].point_code: %d is not between 1 and %d", i, s.PointCode, maxPointCode)
 		}
+		names[s.Name] = true
 	}
 	return nil
 }
@@ -98,8 +132,9 @@
 	log            zerolog.Logger
 	sampledLog     zerolog.Logger    // for lines that a peer can cause at any rate
 	trunks         map[string]*trunk // by server name
-	lastCallSerial atomic.Uint64     // serial number in the id that newCallID returned last
-	callIDPrefix   uint64            // random high half of the ids that newCallID returns
+	acceptor       *transport.Acceptor
+	lastCallSerial atomic.Uint64 // serial number in the id that newCallID returned last
+	callIDPrefix   uint64        // random high half of the ids that newCallID returns
 
 	mu            sync.Mutex            // guards the fields below
 	callByCircuit map[circuitID]core.ID // calls on callers' circuits
@@ -114,6 +149,7 @@
 		FileConfig: cfg.FileConfig, loop: l, log: log, sampledLog: transport.SampledLogger(log), trunks: make(map[string]*trunk),
 		callByCircuit: make(map[circuitID]core.ID), circuitByCall: make(map[core.ID]circuitID), activeCallers: make(map[*callerConn]bool),
 	}
+	m.acceptor = transport.NewAcceptor(func() int { return m.config.Load().MaxCallerConns }, m.serveCaller)
 	m.Configure(cfg)
 	for name := range cfg.Categories {
 		if m.classByName(name) < 0 {
@@ -130,7 +166,10 @@
 }
 
 // Configure replaces the settings. The FileConfig stays that of the start, and open connections keep their limits.
-func (m *M3UA) Configure(cfg Config) { m.config.Store(&cfg) }
+func (m *M3UA) Configure(cfg Config) {
+	m.config.Store(&cfg)
+	m.acceptor.MaxConnsChanged()
+}
 
 // Servers returns the list of servers in the signalling file.
 func (m *M3UA) Servers() core.ServerList {
@@ -176,13 +215,3 @@
 func (m *M3UA) newCallID() core.ID {
 	return core.ID(m.callIDPrefix | m.lastCallSerial.Add(1)&0xffffffff)
 }
-
-// hashNumber returns the value by which the core compares called numbers, 0 for an empty number.
-func hashNumber(digits string) uint64 {
-	if digits == "" {
-		return 0
-	}
-	h := fnv.New64a()
-	h.Write([]byte(digits))
-	return h.Sum64()
-}
--- a/internal/m3ua/m3ua_test.go
+++ b/internal/m3ua/m3ua_test.go
@@ -470,6 +470,33 @@
 	client.wantMessage(t, msgBEATACK)
 }
 
+// TestInactiveAssociationEndsSetUps guards against an association that ends before it is active and takes the set-ups of the trunk with it, and
+// whose end is logged as the use of a closed connection.
+func TestInactiveAssociationEndsSetUps(t *testing.T) {
+	listener := listen(t)
+	var log bytes.Buffer
+	file := serverFileConfig("s", 100, listener)
+	file.Circuits, file.HeartbeatMS = 1, 1000
+	reducer, err := core.New(elmseam.Settings{Classes: []elmseam.Class{{Aim: time.Second, Deadline: 9 * time.Second, Worth: 1}}, MaxAttempts: 4, OwnCell: -1}, 1, core.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	eventLoop := loop.New(reducer, 16, func(core.Effect) {}, zerolog.Nop())
+	m, err := New(Config{FileConfig: file, Deployment: testDeployment, ServerConn: testLimits, ConnectTimeout: 50 * time.Millisecond}, eventLoop, zerolog.New(&log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	trunk := m.trunks["s"]
+	cic, _ := trunk.Allocate(7)
+	m.Dial(core.Dial{Server: "s", Address: listener.Addr().String()}) // nobody answers
+	if call, ok := trunk.Answered(cic); call != 7 || !ok {
+		t.Error("the set-up was given up")
+	}
+	if !strings.Contains(log.String(), errActivationTimeout.Error()) {
+		t.Errorf("log %s, want the time-out", log.String())
+	}
+}
+
 // TestUnconfirmedReleaseIsRepeated guards against losing a circuit permanently when a server loses a REL, or its
 // own RLC: the softswitch must repeat the REL.
 func TestUnconfirmedReleaseIsRepeated(t *testing.T) {
--- a/internal/m3ua/server.go
+++ b/internal/m3ua/server.go
@@ -72,12 +72,16 @@
 	})
 	defer activationTimer.Stop()
 	err = s.read()
-	if !s.active && err == nil {
+	if !s.active && (err == nil || errors.Is(err, net.ErrClosed)) { // the activation timer closes the connection
 		err = errActivationTimeout
 	}
 	m.log.Info().Err(err).Str("server", e.Server).Msg("association with server ended")
-	trunk.withLock(trunk.ConnLost)
-	m.loop.Post(core.ServerDown{Server: e.Server, Conn: s.connID, SilentFor: m.loop.Now() - s.lastInputAt})
+	if s.active {
+		trunk.withLock(trunk.ConnLost)
+		m.loop.Post(core.ServerDown{Server: e.Server, Conn: s.connID, SilentFor: m.loop.Now() - s.lastInputAt})
+	} else { // no set-up went out on the connection
+		m.loop.Post(core.ServerDown{Server: e.Server, Address: e.Address})
+	}
 	s.outbox.Flush() // sends the ERR, if any, that answers the last message
 }
 
--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -145,9 +145,10 @@
 // must be answered on the same connection, and new ones go over another. All of them used to end as reset.
 func TestMalformedServerMessage(t *testing.T) {
 	for name, line := range map[string]string{
-		"cut short":     `{"op":"accept","call":"0000000000000001","with":{},"de`,
-		"unknown type":  `{"op":"nonsense","call":"0000000000000001","with":{}}`,
-		"invalid cause": `{"op":"end","call":"0000000000000001","with":{},"why":"x"}`,
+		"cut short":              `{"op":"accept","call":"0000000000000001","with":{},"de`,
+		"unknown type":           `{"op":"nonsense","call":"0000000000000001","with":{}}`,
+		"bytes after the object": `{"op":"accept","call":"0000000000000001","with":{}}` + "\x00{",
+		"invalid cause":          `{"op":"end","call":"0000000000000001","with":{},"why":"x"}`,
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newScenario(t)
--- a/internal/platform/json.go
+++ b/internal/platform/json.go
@@ -50,7 +50,7 @@
 		}
 		return s.skipValue(0)
 	})
-	if err == nil && s.peek() != 0 {
+	if err == nil && !s.atEnd() {
 		err = errJSON
 	}
 	return msg, err
@@ -74,7 +74,13 @@
 	return 0
 }
 
-// consume consumes c if it is the next byte after white space, and reports whether it was.
+// atEnd reports whether nothing but white space is left.
+func (s *jsonScanner) atEnd() bool {
+	s.peek()
+	return s.pos == len(s.data)
+}
+
+// consume consumes c, which is not 0, if it is the next byte after white space, and reports whether it was.
 func (s *jsonScanner) consume(c byte) bool {
 	if s.peek() != c {
 		return false
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -53,14 +53,15 @@
 // New returns a Platform that exchanges events and effects with l.
 func New(cfg Config, l *loop.Loop, log zerolog.Logger) *Platform {
 	p := &Platform{loop: l, log: log, sampledLog: transport.SampledLogger(log)}
-	p.Configure(cfg)
 	p.acceptor = transport.NewAcceptor(func() int { return p.config.Load().MaxCallerConns }, p.serveCaller)
+	p.Configure(cfg)
 	return p
 }
 
 // Configure replaces the settings. Open connections keep the limits that they were opened with.
 func (p *Platform) Configure(cfg Config) {
 	p.config.Store(&activeConfig{cfg, cfg.Deployment.ClassIndexes()})
+	p.acceptor.MaxConnsChanged()
 }
 
 // ClassNames returns the names of the request classes, by class index.
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -432,6 +432,17 @@
 	}
 }
 
+// TestNumberZeroIsNone guards against the number "0" counting as none, so that it could never be known to be busy.
+func TestNumberZeroIsNone(t *testing.T) {
+	s := newScenario(t)
+	for number, want := range map[string]bool{"": false, "0": true, "7f3a9c21e0b4d655": true} {
+		ev := s.platform.setUpEvent(1, frame{callID: 1, class: "voice", timeLeft: "500", numberText: number}, 0)
+		if (ev.Number != 0) != want || ev.Number != core.NumberValue(number) {
+			t.Errorf("number %q has the value %d", number, ev.Number)
+		}
+	}
+}
+
 // isTimeout reports whether err means that a network operation has timed out.
 func isTimeout(err error) bool {
 	ne, ok := err.(net.Error)
--- a/internal/platform/setup.go
+++ b/internal/platform/setup.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"hash/fnv"
 	"math"
 	"slices"
 	"strconv"
@@ -17,7 +16,7 @@
 // set-up with an error, which costs them work.
 func (p *Platform) setUpEvent(conn core.ConnID, setUp frame, receivedAt core.Time) core.SetUp {
 	ev := core.SetUp{ID: setUp.callID, From: conn, ClassName: setUp.class, Tenant: setUp.tenant,
-		NumberText: setUp.numberText, Number: numberValue(setUp.numberText), Desc: setUp.desc, Cell: -1, At: receivedAt}
+		NumberText: setUp.numberText, Number: core.NumberValue(setUp.numberText), Desc: setUp.desc, Cell: -1, At: receivedAt}
 	timeLeft, err := strconv.ParseFloat(setUp.timeLeft, 64)
 	cfg := p.config.Load()
 	classIndex, classKnown := cfg.classIndexes[setUp.class]
@@ -61,17 +60,3 @@
 	maxTimeLeft = 1e9     // milliseconds
 	maxCells    = 1 << 16 // cell index
 )
-
-// numberValue converts a called number to the value by which the controller (package elmseam) compares numbers: hexadecimal
-// digits to their value if it fits into 64 bits, other text to a hash. 0 stands for a set-up without a number.
-func numberValue(text string) uint64 {
-	if text == "" {
-		return 0
-	}
-	if n, err := strconv.ParseUint(text, 16, 64); err == nil {
-		return n
-	}
-	hash := fnv.New64a()
-	hash.Write([]byte(text))
-	return hash.Sum64()
-}
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -27,7 +27,7 @@
 	maxConns    func() int     // the current maximum of open connections
 	serveConn   func(net.Conn) // serves a connection; the acceptor closes it afterwards
 	activeConns atomic.Int64
-	slotFreed   chan struct{}  // receives a value when a connection has ended, for waitForSlot
+	slotFreed   chan struct{}  // receives a value when a connection has ended or the maximum has changed, for waitForSlot
 	wg          sync.WaitGroup // counts Serve and each connection's goroutine
 
 	mu                  sync.Mutex // guards the fields below
@@ -37,7 +37,7 @@
 }
 
 // NewAcceptor returns an acceptor that calls serveConn for each connection. maxConns returns the max number of open connections;
-// it is called before each accept, and while Serve waits at the maximum, each time a connection has ended.
+// it is called before each accept, and while Serve waits at the maximum, each time a connection has ended or MaxConnsChanged was called.
 func NewAcceptor(maxConns func() int, serveConn func(net.Conn)) *Acceptor {
 	return &Acceptor{maxConns: maxConns, serveConn: serveConn, slotFreed: make(chan struct{}, 1), backlogDrainStarted: make(chan struct{})}
 }
@@ -75,16 +75,21 @@
 	a.wg.Go(func() {
 		defer func() {
 			a.activeConns.Add(-1)
-			select {
-			case a.slotFreed <- struct{}{}:
-			default:
-			}
+			a.MaxConnsChanged()
 		}()
 		defer conn.Close()
 		a.serveConn(conn)
 	})
 }
 
+// MaxConnsChanged has Serve look at the max number of open connections again.
+func (a *Acceptor) MaxConnsChanged() {
+	select {
+	case a.slotFreed <- struct{}{}:
+	default:
+	}
+}
+
 // Wait waits until Serve has returned and all connections it accepted have ended.
 func (a *Acceptor) Wait() { a.wg.Wait() }
 
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -233,5 +234,42 @@
 	}
 }
 
+// TestRaisedLimitUnnoticed guards against connections that wait at the limit after it was raised, until another one ends.
+func TestRaisedLimitUnnoticed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var limit atomic.Int64
+	served := make(chan struct{}, 2)
+	ended := make(chan struct{})
+	acceptor := NewAcceptor(func() int { return int(limit.Load()) }, func(net.Conn) { served <- struct{}{}; <-ended })
+	limit.Store(1)
+	go acceptor.Serve(listener)
+	for range 2 {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+	}
+	<-served
+	select {
+	case <-served:
+		t.Error("a connection above the limit is served")
+	case <-time.After(50 * time.Millisecond):
+	}
+	limit.Store(2)
+	acceptor.MaxConnsChanged()
+	select {
+	case <-served:
+	case <-time.After(5 * time.Second):
+		t.Error("the raised limit is not noticed")
+	}
+	listener.Close()
+	close(ended)
+	acceptor.Wait()
+}
+
 // TestMain fails if a test leaks a goroutine or a file descriptor.
 func TestMain(m *testing.M) { leak.Main(m) }
