Core: an outage while calls are in doubt is no longer forgotten

Cause: a server had one outage at a time. While one call of it was in doubt after resets, twelve others were established, the machine vanished, and a new process answered before the first call was given up. The second outage was taken for the first one, whose end at 7.5 s was taken for the end of all doubt.

TestOutageDuringDoubtForgotten plays these steps and fails without the change.

Change: each established call has its own doubt, with the last sign of life before the outage that put it there and that outage's generation. A message on a connection, or a release, ends the doubt of the outages that its process is shown to have outlived, and of no earlier one (TestProofEndsLaterDoubtOnly). The calls in doubt of an outage are those established on connections from before it. A server is dialled after 3.5 s of silence also while calls are in doubt: TestReconnectedServerLosesCallsWithoutProof now wants that dial, as a machine can vanish then too; before, it wanted none.

No state per outage is left, only per call.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -293,7 +293,7 @@
 		}
 	case tokenServerLost:
 		if s := c.servers[token.server]; s != nil {
-			c.expireOutage(s)
+			c.loseDoubtfulCalls(s)
 		}
 	case tokenLiveness:
 		if s := c.servers[token.server]; s != nil {
--- a/internal/core/liveness.go
+++ b/internal/core/liveness.go
@@ -10,27 +10,34 @@
 // A machine that has vanished gives no sign: its connections stay open and silent, and new ones never come up. The calls established on
 // it are over, and their callers have to be told within a limit that begins when the machine vanished, not when this process noticed.
 // All times here therefore count from the server's last sign of life. A sign of life is anything that a server sends, and a connection
-// that is made outside an outage.
+// that is made.
 //
 // An outage begins when the last connection to a server ends, when none can be made, or when all connections are reset at once, as by a
-// process that dies. A new connection does not end it if there may be a new process, which knows none of the calls: after a dial that was
-// refused, after resets of all connections, and when the server could not be reached for MinServerOutage. What ends it then is a message on
-// a connection from before the outage, or a release of a call from before the outage. Without either, these calls are lost at
-// ServerLostAfter.
+// process that dies. It puts the calls established before in doubt, and is over when a connection is made. That ends the doubt too, unless
+// there may be a new process, which knows none of the calls: after a dial that was refused, after resets of all connections, and when the
+// server could not be reached for MinServerOutage. What ends it then is a message on a connection from before the outage, or a release of a
+// call that was put in doubt by it or before. Without either, a call is lost ServerLostAfter after the last sign of life before the outage
+// that put it in doubt. Another outage may begin while calls are in doubt: they keep their limit, and those established since get their own.
 
 // livenessTracker is what is known of the life of a server.
 type livenessTracker struct {
 	lastAliveAt      Time // last sign of life
-	outageSince      Time // last sign of life before the present outage; 0: no outage
+	unreachable      bool // an outage has begun, and no connection was made since
+	outageSince      Time // last sign of life before the last outage
+	outageGeneration int  // generation of the last outage: connections of an earlier one are from before it
 	dialFailed       bool // no connection could be made during the outage
 	mayBeRenewed     bool // the process that serves after the outage may be another one
-	reconnected      bool // the server can be reached again, but may be another process
+	doubtGeneration  int  // of the last outage whose calls may be in doubt; 0: none
 	resetsSince      Time // when the first of the last series of resets came; 0: none came
 	connGeneration   int  // of the next connection; it grows when an outage or a series of resets begins
-	outageGeneration int  // connections of an earlier generation are from before the outage
 	timerSet         bool // a timer for checkLiveness is set
 	verifying        bool // the dial under way only verifies that the server can be reached
-	lostTimerFrom    Time // outageSince for which a timer was set; 0: none was
+}
+
+// callDoubt says whether the process that knows an established call may be gone.
+type callDoubt struct {
+	since      Time // last sign of life before the outage that put the call in doubt; 0: not in doubt
+	generation int  // generation of that outage
 }
 
 // recordServerInput records that something has come on a connection of a server.
@@ -41,16 +48,34 @@
 		return
 	}
 	conn.unansweredSince = 0
-	if s.outageSince != 0 && conn.generation < s.outageGeneration {
-		c.endOutage(s)
+	if conn.generation < s.doubtGeneration {
+		c.endDoubt(s, conn.generation+1)
 	}
 }
 
 // recordServerRelease records that a server has released an established call, so its process is the one that knows the call.
 func (c *Core) recordServerRelease(s *server, call *call) {
-	if call.establishedAt <= s.outageSince {
-		c.endOutage(s)
+	if call.doubt.since != 0 {
+		c.endDoubt(s, call.doubt.generation)
+	}
+}
+
+// endDoubt records that the process of a server has outlived all outages of the generation and of later ones. The calls that these put in
+// doubt go on.
+func (c *Core) endDoubt(s *server, generation int) {
+	for _, call := range s.established {
+		if call.doubt.generation >= generation {
+			call.doubt = callDoubt{}
+		}
 	}
+	s.doubtGeneration = min(s.doubtGeneration, generation-1)
+	c.emit(Trace{Kind: TraceServerRecovered, Server: s.Name, SilentFor: c.now - s.outageSince, Calls: len(s.established)})
+	c.endOutage(s)
+}
+
+// endOutage makes a server count as reachable.
+func (c *Core) endOutage(s *server) {
+	s.unreachable, s.dialFailed, s.mayBeRenewed, s.lastAliveAt = false, false, false, c.now
 }
 
 // resetSeriesWindow is the longest time between two resets by the same process that dies.
@@ -58,30 +83,46 @@
 
 // recordServerDown records the end of a connection to a server, which is no longer among its connections, or a dial that failed.
 func (c *Core) recordServerDown(s *server, ev ServerDown) {
-	dialFailed := ev.Conn == 0
-	if !dialFailed && !c.limits.Transient[s.Protocol] { // the protocol has heartbeats of its own
+	if ev.Conn == 0 {
+		c.recordFailedDial(s, ev.End)
+		return
+	}
+	if !c.limits.Transient[s.Protocol] { // the protocol has heartbeats of its own
 		s.lastAliveAt = max(s.lastAliveAt, c.now-ev.SilentFor)
 	}
-	reset := ev.End == ConnEndReset
-	if ev.End == ConnEndClosed && s.outageSince == 0 {
+	switch {
+	case ev.End == ConnEndReset:
+		c.recordReset(s)
+	case ev.End == ConnEndClosed && !s.unreachable:
 		s.lastAliveAt = c.now
 	}
-	if !dialFailed && reset && (s.resetsSince == 0 || c.now-s.resetsSince > resetSeriesWindow) {
+	if len(s.conns) == 0 {
+		c.beginOutageNow(s)
+	}
+}
+
+// recordFailedDial records that no connection to a server could be made.
+func (c *Core) recordFailedDial(s *server, end ConnEnd) {
+	c.beginOutageNow(s)
+	s.dialFailed = true
+	s.mayBeRenewed = s.mayBeRenewed || end == ConnEndReset
+}
+
+// recordReset records that a connection to a server was reset. When no connection is left from before the series of resets, a process may
+// have died. A new one may have given signs of life between the resets.
+func (c *Core) recordReset(s *server) {
+	if s.resetsSince == 0 || c.now-s.resetsSince > resetSeriesWindow {
 		s.resetsSince = c.now
 		s.connGeneration++
 	}
-	allReset := !dialFailed && reset && !s.hasEarlierConn()
-	if !dialFailed && !allReset && len(s.conns) > 0 {
+	if s.hasEarlierConn() {
 		return
 	}
-	if allReset { // a new process may have given signs of life between the resets
-		c.beginOutage(s, min(s.lastAliveAt, s.resetsSince))
-	} else {
-		c.beginOutageNow(s)
+	c.beginOutage(s, min(s.lastAliveAt, s.resetsSince))
+	s.mayBeRenewed = true
+	if len(s.conns) > 0 {
+		c.reconnect(s)
 	}
-	s.dialFailed = s.dialFailed || dialFailed
-	s.mayBeRenewed = s.mayBeRenewed || allReset || dialFailed && reset
-	s.reconnected = allReset && len(s.conns) > 0
 }
 
 // hasEarlierConn says whether a connection to the server is open that was made before the last outage or series of resets.
@@ -91,100 +132,89 @@
 
 // beginOutageNow begins an outage, unless there is one: all connections are from before it.
 func (c *Core) beginOutageNow(s *server) {
-	if s.outageSince == 0 {
+	if !s.unreachable {
 		s.connGeneration++
 		c.beginOutage(s, s.lastAliveAt)
 	}
 }
 
-// beginOutage begins an outage, unless there is one. since is the last sign of life before it.
+// beginOutage begins an outage, unless there is one. since is the last sign of life before it. The calls established on connections from
+// before the outage are in doubt from now on; those that are already keep their limit.
 func (c *Core) beginOutage(s *server, since Time) {
-	if s.outageSince != 0 {
+	if s.unreachable {
 		return
 	}
-	s.outageSince, s.outageGeneration = since, s.connGeneration
+	s.unreachable, s.outageSince = true, since
+	s.outageGeneration, s.doubtGeneration = s.connGeneration, s.connGeneration
 	c.stats.Failures.ServerOutages++
-	c.emit(Trace{Kind: TraceOutageBegan, Server: s.Name, SilentFor: c.now - s.outageSince, Calls: len(s.established)})
-	c.setLostTimer(s)
+	c.emit(Trace{Kind: TraceOutageBegan, Server: s.Name, SilentFor: c.now - since, Calls: len(s.established)})
+	if s.putCallsInDoubt() {
+		c.setTimer(max(since+c.limits.ServerLostAfter, c.now), Token{kind: tokenServerLost, server: s.Name})
+	}
 }
 
-// setLostTimer has expireOutage called when the calls from before the outage count as lost.
-func (c *Core) setLostTimer(s *server) {
-	if s.lostTimerFrom != s.outageSince {
-		s.lostTimerFrom = s.outageSince
-		c.setTimer(max(s.outageSince+c.limits.ServerLostAfter, c.now), Token{kind: tokenServerLost, server: s.Name})
+// putCallsInDoubt puts the calls in doubt that were established on connections from before the outage and are not in doubt yet. It returns
+// whether there are any.
+func (s *server) putCallsInDoubt() (found bool) {
+	for _, call := range s.established {
+		if call.doubt.since == 0 && call.connGeneration < s.outageGeneration {
+			call.doubt = callDoubt{max(s.outageSince, 1), s.outageGeneration}
+			found = true
+		}
 	}
+	return found
 }
 
-// reconnect records that a connection to a server is made. An outage ends if the process can't be another one, or if no established call
-// is from before the outage. Calls of protocols whose associations end and begin apart from their calls (not Transient) always go on.
+// reconnect records that a connection to a server is made. The calls go on if the process can't be another one. Calls of protocols whose
+// associations end and begin apart from their calls (not Transient) always go on.
 func (c *Core) reconnect(s *server) {
-	longOutage := s.dialFailed && c.now-s.outageSince >= c.limits.MinServerOutage
-	s.mayBeRenewed = s.mayBeRenewed || longOutage && c.limits.Transient[s.Protocol]
-	switch {
-	case s.outageSince == 0:
+	if !s.unreachable {
 		s.lastAliveAt = c.now
-	case !s.mayBeRenewed, !s.hasCallsBefore(s.outageSince):
-		c.endOutage(s)
-	default:
-		s.reconnected = true
-		c.emit(Trace{Kind: TraceServerReachable, Server: s.Name, SilentFor: c.now - s.outageSince, Calls: len(s.established)})
+		return
+	}
+	longOutage := s.dialFailed && c.now-s.outageSince >= c.limits.MinServerOutage
+	mayBeRenewed := s.mayBeRenewed || longOutage && c.limits.Transient[s.Protocol]
+	if !mayBeRenewed || !s.hasDoubtfulCalls() {
+		c.endDoubt(s, s.outageGeneration)
+		return
 	}
+	c.emit(Trace{Kind: TraceServerReachable, Server: s.Name, SilentFor: c.now - s.outageSince, Calls: len(s.established)})
+	c.endOutage(s)
 }
 
-// hasCallsBefore says whether a call was established on the server at the time or before.
-func (s *server) hasCallsBefore(at Time) bool {
+// hasDoubtfulCalls says whether an established call of the server is in doubt.
+func (s *server) hasDoubtfulCalls() bool {
 	for _, call := range s.established {
-		if call.establishedAt <= at {
+		if call.doubt.since != 0 {
 			return true
 		}
 	}
 	return false
 }
 
-// endOutage records that the process from before the outage is alive, or that none of its calls is left.
-func (c *Core) endOutage(s *server) {
-	c.emit(Trace{Kind: TraceServerRecovered, Server: s.Name, SilentFor: c.now - s.outageSince, Calls: len(s.established)})
-	c.forgetOutage(s)
-}
-
-// forgetOutage makes a server count as alive.
-func (c *Core) forgetOutage(s *server) {
-	s.outageSince, s.dialFailed, s.mayBeRenewed, s.reconnected, s.lastAliveAt = 0, false, false, false, c.now
+// forgetOutages makes a server count as alive, as another process has taken its place.
+func (c *Core) forgetOutages(s *server) {
+	c.endOutage(s)
+	s.doubtGeneration = 0
 }
 
-// expireOutage gives up the calls from before an outage that has lasted for ServerLostAfter. If the server is still unreachable and has
-// calls that were established after a connection was made, a further outage begins for them.
-func (c *Core) expireOutage(s *server) {
-	if s.outageSince == 0 || c.now < s.outageSince+c.limits.ServerLostAfter {
-		return
-	}
-	c.loseCallsBefore(s, s.outageSince)
-	switch {
-	case c.servers[s.Name] != s:
-	case s.reconnected:
-		lastAliveAt := s.lastAliveAt
-		c.endOutage(s)
-		s.lastAliveAt = lastAliveAt // the end of the wait is no sign of life
-	case len(s.established) > 0:
-		s.outageSince = s.lastAliveAt
-		c.setLostTimer(s)
+// loseDoubtfulCalls ends the calls of a server that have been in doubt for ServerLostAfter. The server is told as soon as it can be reached:
+// its process may have survived.
+func (c *Core) loseDoubtfulCalls(s *server) {
+	var lost []*call
+	for _, call := range inArrivalOrder(s.established) {
+		if call.doubt.since != 0 && c.now >= call.doubt.since+c.limits.ServerLostAfter {
+			lost = append(lost, call)
+		}
 	}
-}
-
-// loseCallsBefore ends the calls that were established on a server at the time or before. The server is told as soon as it can be
-// reached: its process may have survived.
-func (c *Core) loseCallsBefore(s *server, at Time) {
-	if !s.hasCallsBefore(at) {
+	if len(lost) == 0 {
 		return
 	}
 	c.stats.Failures.ServersLost++
-	c.emit(Trace{Kind: TraceServerLost, Server: s.Name, SilentFor: c.now - s.outageSince, Calls: len(s.established)})
-	for _, call := range inArrivalOrder(s.established) {
-		if call.establishedAt <= at {
-			c.releaseAtServer(s, call.ID)
-			c.cutEstablished(call)
-		}
+	c.emit(Trace{Kind: TraceServerLost, Server: s.Name, SilentFor: c.now - lost[0].doubt.since, Calls: len(s.established)})
+	for _, call := range lost {
+		c.releaseAtServer(s, call.ID)
+		c.cutEstablished(call)
 	}
 }
 
@@ -195,6 +225,14 @@
 	c.endEstablished(call, ReasonReset, elmseam.Outcome{Cause: elmseam.CauseReset})
 }
 
+// generationOf returns the generation of a connection, or that of the next one if the connection has ended.
+func (s *server) generationOf(id ConnID) int {
+	if conn := s.connByID(id); conn != nil {
+		return conn.generation
+	}
+	return s.connGeneration
+}
+
 // watchLiveness has checkLiveness called while calls are established on a server.
 func (c *Core) watchLiveness(s *server) {
 	if !s.timerSet && c.limits.LivenessCheckAfter > 0 && c.limits.Transient[s.Protocol] {
@@ -210,7 +248,7 @@
 	if len(s.established) == 0 {
 		return
 	}
-	if c.now-s.lastAliveAt >= c.limits.LivenessCheckAfter && !s.reconnected && !s.dialPending {
+	if c.now-s.lastAliveAt >= c.limits.LivenessCheckAfter && !s.dialPending {
 		s.verifying = c.startDial(s)
 		if !s.verifying && len(s.conns) == 0 {
 			c.beginOutageNow(s)
--- a/internal/core/servermsgs.go
+++ b/internal/core/servermsgs.go
@@ -69,7 +69,7 @@
 	setUpTime := c.now - call.attempt.startedAt
 	call.attempt = nil
 	delete(s.outstanding, call.ID)
-	call.server, call.answerDesc, call.answered, call.establishedAt = s, ev.Desc, true, c.now
+	call.server, call.answerDesc, call.answered, call.connGeneration = s, ev.Desc, true, s.generationOf(ev.Conn)
 	c.callBytes += len(ev.Desc) - len(call.SetUp.Desc)
 	call.keptBytes += len(ev.Desc) - len(call.SetUp.Desc)
 	call.SetUp.Desc = nil
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -25,7 +25,7 @@
 			c.resetEstablishedCalls(s)
 			c.closeServerConns(s)
 			s.pendingReleases = nil // they were for the former process
-			c.forgetOutage(s)
+			c.forgetOutages(s)
 		}
 		s.Server, s.listSource, s.drainReport = entry, ev.Source, drainReport{listedAt: c.now}
 		changedServers = append(changedServers, s)
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -45,7 +45,7 @@
 	stats.Members, stats.Maintenance, stats.Quotas, stats.Knowledge = c.memberStats(), c.maintenanceStats(), c.quotaStats(), c.knowledgeStats()
 	stats.Failures.ReleasesWaiting = len(c.pendingReleases)
 	for _, s := range c.serverOrder {
-		if s.outageSince != 0 && !s.reconnected {
+		if s.unreachable {
 			stats.Failures.ServersUnreachable++
 		}
 		if s.Phase == 0 { // phase 0 is Gone: the server is kept only for its remaining calls
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -400,7 +400,7 @@
 	tokenAttemptTimeout                    // an attempt has had no answer
 	tokenReleaseGuard                      // the release guard of a waiting attempt has ended
 	tokenRedial                            // a server may be dialled again
-	tokenServerLost                        // the calls from before an outage of a server count as lost
+	tokenServerLost                        // calls that an outage of a server has put in doubt count as lost
 	tokenLiveness                          // a server with established calls may have been silent for LivenessCheckAfter
 	tokenStopGrace                         // the grace of a stop or a hand-over has ended
 	tokenDrainCheck                        // idle connections are closed during a drain
