--- a/internal/leak/leak.go
+++ b/internal/leak/leak.go
@@ -21,7 +21,7 @@
 		code = 1
 	}
 	if after := OpenDescriptors(); after > before && code == 0 {
-		fmt.Printf("%d descriptors before the tests, %d after\n", before, after)
+		fmt.Printf("%d descriptors before the tests, %d after: %s\n", before, after, strings.Join(descriptorTargets(), ", "))
 		code = 1
 	}
 	os.Exit(code)
@@ -29,12 +29,16 @@
 
 // OpenDescriptors returns the number of open file descriptors of this process, without the anonymous ones (epoll, eventfd)
 // that the Go runtime's poller opens.
-func OpenDescriptors() (count int) {
+func OpenDescriptors() int { return len(descriptorTargets()) }
+
+// descriptorTargets returns what the descriptors that OpenDescriptors counts refer to.
+func descriptorTargets() (targets []string) {
 	entries, _ := os.ReadDir("/proc/self/fd")
 	for _, entry := range entries {
-		if target, err := os.Readlink("/proc/self/fd/" + entry.Name()); err == nil && !strings.HasPrefix(target, "anon_") {
-			count++
+		target, err := os.Readlink("/proc/self/fd/" + entry.Name())
+		if err == nil && !strings.HasPrefix(target, "anon_") {
+			targets = append(targets, target)
 		}
 	}
-	return count
+	return targets
 }
