Discovery: failed calls back off with full jitter instead of 10 calls a second in step

What operators saw: while discovery refused, reset or answered an error, each softswitch called again 10 times a second, all in step after a common outage: 300 softswitches are 3,000 calls a second when it returns.

Cause: the only wait was RetryDelay, 100 ms from the start of the call before.

Change: internal/backoff (no I/O) gives an exponential backoff with full jitter, from 100 ms to 2.5 s; the feed uses it after calls that brought neither an event nor a comment, and for failed renewals. A connection that carried something is still replaced at once. Renewals of a watch without events are up to 20 % earlier at random, as softswitches that got the same event renewed in step. The line that a connection ended is sampled now: it came 10 times a second.

TestFailingChannelFlooded fails without the backoff.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"elmseam/internal/backoff"
 	"elmseam/internal/core"
 	"elmseam/internal/feed"
 	"elmseam/internal/handover"
@@ -44,6 +45,9 @@
 // maxCountedDeadline is the longest time that a planned restart leaves to set-ups, whatever their deadlines.
 const maxCountedDeadline = 3 * time.Second
 
+// DiscoveryRetry bounds the waits after failed calls to the command channel. A change counts as known 6 s after the channel can be reached.
+var DiscoveryRetry = backoff.Limits{Base: 100 * time.Millisecond, Max: 2500 * time.Millisecond}
+
 // endedCallBytes is the approximate memory, in bytes, that one remembered ended call takes.
 const endedCallBytes = 128
 
@@ -100,9 +104,9 @@
 		},
 		Feed: feed.Limits{
 			ConnectTimeout: time.Second, HeaderTimeout: 5 * time.Second, HedgeAfter: 2 * time.Second, ReadTimeout: 2500 * time.Millisecond, // the channel sends a comment every second
-			RenewAfter:      5 * time.Second,        // the channel counts an update as received 7 s after it sent it
-			RenewRetryDelay: 500 * time.Millisecond, // a change counts as known 6 s after a failed call
-			RetryDelay:      100 * time.Millisecond, MaxEventSize: 1 << 20, InitialBufferSize: 4 << 10,
+			RenewAfter: 5 * time.Second, // the channel counts an update as received 7 s after it sent it
+			Retry:      DiscoveryRetry,
+			RetryDelay: 100 * time.Millisecond, MaxEventSize: 1 << 20, InitialBufferSize: 4 << 10,
 		},
 		ConnectTimeout: deployment.ConnectTimeout,
 		ConfirmTimeout: 15 * time.Second, // lower limit of timer T1 in ITU-T Q.764
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"sync"
@@ -16,19 +17,20 @@
 	"github.com/rs/zerolog"
 
 	"elmseam"
+	"elmseam/internal/backoff"
 	"elmseam/internal/core"
 	"elmseam/internal/transport"
 )
 
-// Limits are the timeouts and size limits of the channel's connections.
+// Limits are the timeouts and size limits of the channel's connections. Retry bounds the waits after failed calls.
 type Limits struct {
 	ConnectTimeout    time.Duration // max time to connect
 	HeaderTimeout     time.Duration // max time from a request to the end of the response header; then the call is given up
 	HedgeAfter        time.Duration // time without a response header after which another call is made besides those under way
 	ReadTimeout       time.Duration // max time to the end of each line; then the connection is closed
-	RenewAfter        time.Duration // time without an event after which a connection is replaced by a new one
-	RenewRetryDelay   time.Duration // time after a failed renewal until the next one
-	RetryDelay        time.Duration // min time between two attempts to connect, except after Follow and for a renewal (RenewAfter)
+	RenewAfter        time.Duration // longest time without an event until a connection is replaced by a new one
+	Retry             backoff.Limits
+	RetryDelay        time.Duration // min time between the starts of two connections that carry events or comments, except after Follow
 	MaxEventSize      int           // max size of a line, and of an event's data, in bytes
 	InitialBufferSize int           // initial size of the read buffer, in bytes
 }
@@ -122,34 +124,43 @@
 	return connCtx, f.disconnect, f.channelAddress
 }
 
-// Run follows the channel until ctx is done. When a connection ends it connects again and continues after the last event. It
-// does so at most once in Limits.RetryDelay, or at once after Follow.
+// Run follows the channel until ctx is done. When a connection ends it connects again and continues after the last event: at once, but at
+// most once in Limits.RetryDelay, if the connection has carried anything, otherwise after a wait that grows with each failure, and at once
+// after Follow.
 func (f *Feed) Run(ctx context.Context) {
 	f.sampledLog = transport.SampledLogger(f.Log)
+	retry := backoff.New(f.Limits.Retry, rand.Float64)
 	for ctx.Err() == nil {
 		started := time.Now()
 		connCtx, disconnect, address := f.prepareConnection(ctx)
-		err := f.followChannel(connCtx, address)
+		carried, err := f.followChannel(connCtx, address)
 		if ctx.Err() == nil {
-			f.Log.Info().Err(err).Str("channel", address).Int64("cursor", f.lastCursor()).Msg("command channel connection ended")
+			f.sampledLog.Info().Err(err).Str("channel", address).Int64("cursor", f.lastCursor()).Msg("command channel connection ended")
 		}
-		if wait := f.Limits.RetryDelay - time.Since(started); wait > 0 { // the connection ended early: don't reconnect in a busy loop
-			select {
-			case <-connCtx.Done():
-			case <-time.After(wait):
-			}
+		wait := f.Limits.RetryDelay - time.Since(started)
+		if carried || connCtx.Err() != nil {
+			retry.Reset()
+		} else {
+			wait = retry.Next()
+		}
+		select {
+		case <-connCtx.Done():
+		case <-time.After(wait):
 		}
 		disconnect()
 	}
 }
 
-// followChannel reads events from the channel at an address until a connection ends that has no replacement.
-func (f *Feed) followChannel(ctx context.Context, address string) error {
+// followChannel reads events from the channel at an address until a connection ends that has no replacement. It returns whether a connection
+// has carried an event or a comment.
+func (f *Feed) followChannel(ctx context.Context, address string) (carried bool, err error) {
 	response, err := f.openStream(ctx, address)
 	for err == nil {
+		last := response
 		response, err = f.readUntilReplaced(ctx, address, response)
+		carried = carried || last.carried
 	}
-	return err
+	return carried, err
 }
 
 // readUntilReplaced handles the events of a connection until the connection ends. It returns the connection that replaces it, or
@@ -157,21 +168,22 @@
 //
 // A connection may stop delivering events although its comments (lines without an event) still arrive, while the channel
 // counts the events as delivered. So when no event has arrived for Limits.RenewAfter, the function opens a second connection,
-// which replaces the first one once its response header has arrived; if it fails, the next attempt follows after
-// RenewRetryDelay. Events that both deliver are handled once, by their id.
+// which replaces the first one once its response header has arrived; if it fails, the next attempt follows after a wait that
+// grows with each failure. Events that both deliver are handled once, by their id.
 func (f *Feed) readUntilReplaced(ctx context.Context, address string, response *responseReader) (*responseReader, error) {
 	var mu sync.Mutex // guards replacement and connEnded
 	var replacement *responseReader
 	connEnded := false
 	var renewTimer *time.Timer
+	retry := backoff.New(f.Limits.Retry, rand.Float64) // used by the timer's function only
 	mu.Lock()
-	renewTimer = time.AfterFunc(f.Limits.RenewAfter, func() {
+	renewTimer = time.AfterFunc(f.renewDelay(), func() {
 		candidate, err := f.openStream(ctx, address)
 		mu.Lock()
 		defer mu.Unlock()
 		switch {
 		case err != nil && !connEnded:
-			renewTimer.Reset(f.Limits.RenewRetryDelay)
+			renewTimer.Reset(retry.Next())
 		case err == nil && (connEnded || replacement != nil):
 			candidate.close()
 		case err == nil:
@@ -180,7 +192,7 @@
 		}
 	})
 	mu.Unlock()
-	err := f.readEvents(response, func() { renewTimer.Reset(f.Limits.RenewAfter) })
+	err := f.readEvents(response, func() { renewTimer.Reset(f.renewDelay()) })
 	response.close()
 	mu.Lock()
 	defer mu.Unlock()
@@ -192,6 +204,14 @@
 	return nil, err
 }
 
+// renewJitter is the share of RenewAfter by which a renewal may be earlier, so that softswitches that got the same event do not renew in step.
+const renewJitter = 0.2
+
+// renewDelay returns the time without an event after which a connection is replaced.
+func (f *Feed) renewDelay() time.Duration {
+	return time.Duration((1 - renewJitter*rand.Float64()) * float64(f.Limits.RenewAfter))
+}
+
 // readEvents reads and handles events until the connection ends, and calls onEvent after each. A malformed event is skipped,
 // and its id counts as handled: if the connection were closed instead, the channel would send the event again on each new
 // connection, and no later event would ever arrive.
@@ -209,6 +229,7 @@
 		case err != nil:
 			return err
 		}
+		response.carried = true
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch {
@@ -276,6 +297,7 @@
 	buf            *transport.Buffer
 	cancel         func()      // cancels the context whose end closes the connection
 	stopAfterFunc  func() bool // detaches the connection from the context whose end closes it
+	carried        bool        // a line of the body has come
 	chunked        bool
 	chunkRemaining int    // unread bytes of the current chunk; meaningless unless chunked
 	lineBuf        []byte // the part of the current line that was read
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"elmseam"
+	"elmseam/internal/backoff"
 	"elmseam/internal/core"
 	"elmseam/internal/leak"
 	"elmseam/internal/transport"
@@ -25,7 +26,7 @@
 const testTimeout = 10 * time.Second
 
 // testLimits are the limits of the tested feeds.
-var testLimits = Limits{ConnectTimeout: time.Second, ReadTimeout: time.Second, RenewAfter: time.Minute, RenewRetryDelay: time.Minute, HeaderTimeout: time.Second, HedgeAfter: time.Minute, RetryDelay: time.Millisecond, MaxEventSize: 4096, InitialBufferSize: 16}
+var testLimits = Limits{ConnectTimeout: time.Second, ReadTimeout: time.Second, RenewAfter: time.Minute, Retry: backoff.Limits{Base: time.Millisecond, Max: time.Millisecond}, HeaderTimeout: time.Second, HedgeAfter: time.Minute, RetryDelay: time.Millisecond, MaxEventSize: 4096, InitialBufferSize: 16}
 
 // protocolFor, the ProtocolFor of the tested feeds, always returns "f".
 func protocolFor(string) core.Protocol { return "f" }
@@ -344,12 +345,38 @@
 // streamHeader begins the answer to a request.
 const streamHeader = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 
+// TestFailingChannelFlooded guards against a feed that calls a channel at its full pace while the channel answers every call with an error.
+func TestFailingChannelFlooded(t *testing.T) {
+	listener := listen(t)
+	limits := testLimits
+	limits.Retry = backoff.Limits{Base: 20 * time.Millisecond, Max: 200 * time.Millisecond}
+	f := &Feed{Cursor: 4, ProtocolFor: protocolFor, Limits: limits, Post: func(core.Event) {}, Log: zerolog.Nop()}
+	f.Follow(listener.Addr().String(), nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		f.Run(ctx)
+		close(done)
+	}()
+	calls := 0
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); calls++ {
+		_, closeConn := serveAnswer(t, listener, "HTTP/1.1 503 Service Unavailable\r\n\r\n")
+		closeConn()
+	}
+	cancel()
+	<-done
+	if calls > 60 { // 20 are expected; without the backoff there are some thousands
+		t.Errorf("%d calls in 2 s", calls)
+	}
+}
+
 // TestChangeMissedAfterFailedRenewal guards against a change that is noticed later than 6 s (here 1.2 s) after the channel had it, as one
 // renewal of a silent watch got no answer.
 func TestChangeMissedAfterFailedRenewal(t *testing.T) {
 	listener := listen(t)
 	limits := testLimits
-	limits.RenewAfter, limits.RenewRetryDelay, limits.HeaderTimeout, limits.HedgeAfter = time.Second, 100*time.Millisecond, 500*time.Millisecond, time.Minute
+	limits.RenewAfter, limits.HeaderTimeout, limits.HedgeAfter = time.Second, 500*time.Millisecond, time.Minute
+	limits.Retry = backoff.Limits{Base: 100 * time.Millisecond, Max: 100 * time.Millisecond}
 	lists := startFeed(t, &Feed{Limits: limits}, listener.Addr().String())
 	_, silent := acceptRequest(t, listener)
 	io.WriteString(silent, streamHeader)
@@ -373,15 +400,25 @@
 	listener := listen(t)
 	limits := testLimits
 	limits.ReadTimeout, limits.HeaderTimeout, limits.HedgeAfter = 500*time.Millisecond, 2*time.Second, 400*time.Millisecond
+	var conns []net.Conn
+	acceptorDone := make(chan struct{})
+	t.Cleanup(func() {
+		listener.Close()
+		<-acceptorDone
+		for _, conn := range conns {
+			conn.Close()
+		}
+	})
 	lists := startFeed(t, &Feed{Limits: limits}, listener.Addr().String())
 	go func() {
+		defer close(acceptorDone)
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
+			conns = append(conns, conn)
 			time.AfterFunc(800*time.Millisecond, func() { io.WriteString(conn, streamHeader+eventText(5, "s", "terminating")) })
-			t.Cleanup(func() { conn.Close() })
 		}
 	}()
 	expectServer(t, lists, "s")
