Tier, BGP, settings and operators: seven listed faults mended

Each was on FAULTS.md, found by reading; its test fails without the change unless said otherwise: - A member whose name was cut within a character was heard by nobody (TestLongNameMakesDatagramsInvalid). - A member that refused a slot's request and its repetition counted twice, so that a round ended early (TestRefusalCountedTwice; it calls the new form of the function, so it was not run on the former one). - After invalid settings or a panic, a simulated instance went on in its tier; after an invalid tier, its controller did (TestPanicReportsFailure). - An own AS number from 23457 to 65535 was announced as 23456 to peers without four-byte numbers (TestOwnASReplacedInPath). - A drain and a resume at the same time could leave the readiness tests failing while the core was not drained (TestDrainAndResumeDisagree). - A hard limit or max-attempts of another type was called 'not positive' (TestValidateNamesInvalidField). - Two settings were decoded and never used, and 'of 8' stood for budget.Units.

--- a/cmd/elmseamctl/servers.go
+++ b/cmd/elmseamctl/servers.go
@@ -11,6 +11,7 @@
 
 	"github.com/spf13/cobra"
 
+	"elmseam/internal/budget"
 	"elmseam/internal/mgmt"
 )
 
@@ -102,7 +103,7 @@
 				holders = append(holders, fmt.Sprint(holder))
 			}
 		}
-		fmt.Fprintf(table, "%d\t%d of 8\t%d\t%s\n", quota.Index, quota.Usable, quota.Lent, strings.Join(holders, " "))
+		fmt.Fprintf(table, "%d\t%d of %d\t%d\t%s\n", quota.Index, quota.Usable, budget.Units, quota.Lent, strings.Join(holders, " "))
 	}
 	table.Flush()
 	if !status.AnyCold {
--- a/internal/bgp/bgp_test.go
+++ b/internal/bgp/bgp_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"encoding/hex"
 	"net"
 	"net/netip"
@@ -230,5 +231,16 @@
 	})
 }
 
+// TestOwnASReplacedInPath guards against announcements with AS_TRANS where the own AS number fits into two bytes.
+func TestOwnASReplacedInPath(t *testing.T) {
+	for as, want := range map[uint32]uint16{64512: 64512, 23457: 23457, 65535: 65535, 65536: asTrans, 4200000000: asTrans} {
+		update := buildAnnouncement(netip.MustParsePrefix("10.0.0.0/8"), netip.MustParseAddr("10.0.0.1"), as, true, false)
+		path := binary.BigEndian.AppendUint16([]byte{0x40, attrASPath, 4, 2, 1}, want)
+		if !bytes.Contains(update, path) {
+			t.Errorf("AS %d: %x, want the path %x", as, update, path)
+		}
+	}
+}
+
 // TestMain fails if a test leaks a goroutine or a file descriptor.
 func TestMain(m *testing.M) { leak.Main(m) }
--- a/internal/bgp/message.go
+++ b/internal/bgp/message.go
@@ -44,6 +44,14 @@
 	asTrans         = 23456 // AS_TRANS: replaces a four-byte AS number in a two-byte field (RFC 6793)
 )
 
+// twoByteAS returns an AS number as it appears in a two-byte field.
+func twoByteAS(as uint32) uint16 {
+	if as < 1<<16 {
+		return uint16(as)
+	}
+	return asTrans
+}
+
 // Types of the path attributes of an announcement.
 const (
 	attrOrigin    = 1
@@ -118,11 +126,7 @@
 
 // encode returns the OPEN message with its header.
 func (o openMessage) encode() []byte {
-	twoByteAS := uint16(asTrans)
-	if o.as < 1<<16 {
-		twoByteAS = uint16(o.as)
-	}
-	b := binary.BigEndian.AppendUint16([]byte{protocolVersion}, twoByteAS)
+	b := binary.BigEndian.AppendUint16([]byte{protocolVersion}, twoByteAS(o.as))
 	b = binary.BigEndian.AppendUint16(b, o.holdTime)
 	b = append(b, o.routerID.AsSlice()...)
 	// One optional parameter holds the capabilities: multiprotocol with IPv4 unicast, and four-byte AS numbers.
@@ -254,7 +258,7 @@
 		attrs = binary.BigEndian.AppendUint32(attrs, as)
 	default:
 		attrs = append(attrs, 0x40, attrASPath, 4, 2, 1)
-		attrs = binary.BigEndian.AppendUint16(attrs, uint16(min(as, asTrans)))
+		attrs = binary.BigEndian.AppendUint16(attrs, twoByteAS(as))
 	}
 	attrs = append(append(attrs, 0x40, attrNextHop, 4), nextHop.AsSlice()...)
 	if !externalPeer {
--- a/internal/maintenance/codec.go
+++ b/internal/maintenance/codec.go
@@ -1,6 +1,8 @@
 package maintenance
 
 import (
+	"unicode/utf8"
+
 	"elmseam/internal/datagram"
 )
 
@@ -38,6 +40,18 @@
 // maxNameLength is the maximum length in bytes of a name in a datagram; longer names are cut.
 const maxNameLength = 24
 
+// cutName cuts a name to maxNameLength bytes, between two characters.
+func cutName(name string) string {
+	if len(name) <= maxNameLength {
+		return name
+	}
+	end := maxNameLength
+	for end > 0 && !utf8.RuneStart(name[end]) {
+		end--
+	}
+	return name[:end]
+}
+
 // Number of items for one entry of a kindState or kindRecords message.
 const (
 	itemsPerGrant  = 4
--- a/internal/maintenance/lease.go
+++ b/internal/maintenance/lease.go
@@ -14,7 +14,7 @@
 	LeaseDuration time.Duration // duration of the requested lease
 	Voters        []int         // other members that the request is sent to
 	Granters      []int         // members that granted the request; this member too, if it did
-	Refusals      int           // number of refusals; a member that refuses the request and its repetition counts twice
+	Refusers      []int         // members that refused the request and did not grant its repetition; this member too, if it did
 }
 
 // slotLease is the lease of a slot that this member holds.
@@ -133,7 +133,7 @@
 	if granted, _ := r.voteOnRequest(r.cfg.Self, slot, epoch, leaseDuration); granted {
 		r.countGrantedVote(r.cfg.Self, r.currentRound.Seq)
 	} else {
-		r.countRefusedVote(r.currentRound.Seq)
+		r.countRefusedVote(r.cfg.Self, r.currentRound.Seq)
 	}
 }
 
@@ -202,6 +202,7 @@
 		return
 	}
 	round.Granters = append(round.Granters, from)
+	round.Refusers = slices.DeleteFunc(round.Refusers, func(member int) bool { return member == from })
 	expiry := round.StartedAt + r.cfg.Limits.holderLeaseDuration(round.LeaseDuration)
 	if len(round.Granters) < r.majoritySize() || r.now >= expiry {
 		return
@@ -225,13 +226,16 @@
 	r.setRecord(r.cfg.Self, record)
 }
 
-// countRefusedVote counts a refused vote, and ends the round once the refusals outnumber the members that a majority can do
+// countRefusedVote counts a member's refused vote once, and ends the round when the refusing members outnumber those that a majority can do
 // without.
-func (r *Reducer) countRefusedVote(seq uint32) {
-	if round := r.currentRound; round != nil && round.Seq == seq {
-		if round.Refusals++; round.Refusals > r.cfg.TierSize-r.majoritySize() {
-			r.failRound()
-		}
+func (r *Reducer) countRefusedVote(member int, seq uint32) {
+	round := r.currentRound
+	if round == nil || round.Seq != seq || slices.Contains(round.Refusers, member) {
+		return
+	}
+	round.Refusers = append(round.Refusers, member)
+	if len(round.Refusers) > r.cfg.TierSize-r.majoritySize() {
+		r.failRound()
 	}
 }
 
--- a/internal/maintenance/maintenance_test.go
+++ b/internal/maintenance/maintenance_test.go
@@ -470,6 +470,47 @@
 	}
 }
 
+// TestRefusalCountedTwice guards against a round that ends early, as one member refuses the request and its repetition.
+func TestRefusalCountedTwice(t *testing.T) {
+	tier := startTier(t, 5, shortLeaseLimits())
+	tier.advance(2 * second)
+	reducer := tier.reducers[0]
+	reducer.currentRound = &slotRound{Seq: 7, Voters: []int{1, 2, 3, 4}}
+	for range 3 {
+		reducer.countRefusedVote(1, 7)
+	}
+	if reducer.currentRound == nil {
+		t.Fatal("the refusals of one member of five end the round")
+	}
+	reducer.countRefusedVote(2, 7)
+	reducer.countGrantedVote(2, 7)
+	reducer.countRefusedVote(3, 7)
+	if reducer.currentRound == nil {
+		t.Fatal("a member that granted the repetition counts as refusing")
+	}
+	reducer.countRefusedVote(4, 7)
+	if reducer.currentRound != nil {
+		t.Error("the refusals of three members of five do not end the round")
+	}
+}
+
+// TestLongNameMakesDatagramsInvalid guards against a member that nobody hears, as its name is cut within a character.
+func TestLongNameMakesDatagramsInvalid(t *testing.T) {
+	const name = "centrala-zagreb-istok-0\u0161-2"
+	sender, _, err := New(Config{TierSize: 2, Self: 1, Name: name, Limits: Defaults()}, second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	receiver, _, err := New(Config{TierSize: 2, Limits: Defaults()}, second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	receiver.Step(second, Datagram{From: 1, Data: sender.encode(message{Kind: kindRecords, Items: []int64{}})})
+	if counters := receiver.Status().Counters; counters.Malformed != 0 || receiver.names[1] != name[:23] {
+		t.Errorf("name %q, counters %+v", receiver.names[1], counters)
+	}
+}
+
 // FuzzDatagram checks that no datagram makes the reducer panic or send a datagram over the maximum size.
 func FuzzDatagram(f *testing.F) {
 	f.Add([]byte{Version, 0x8a, 0, 5, 0, 1, 0, 1, 0x19, 3, 0xe8, 0xf5, 0, 0x60, 0x80})
--- a/internal/maintenance/reducer.go
+++ b/internal/maintenance/reducer.go
@@ -82,7 +82,7 @@
 		records: make([]Record, cfg.TierSize), remainingTransmissions: make([]int, cfg.TierSize), zones: make([]int8, cfg.TierSize), names: make([]string, cfg.TierSize),
 		available: make([]bool, cfg.TierSize), queryAnswers: make([]queryAnswer, cfg.TierSize), recovered: cfg.TierSize == 1,
 	}
-	r.cfg.Name = cfg.Name[:min(len(cfg.Name), maxNameLength)]
+	r.cfg.Name = cutName(cfg.Name)
 	r.names[cfg.Self] = r.cfg.Name
 	for m := range r.zones {
 		r.zones[m] = -1
@@ -251,7 +251,7 @@
 		if remaining := time.Duration(msg.Items[1]) * time.Millisecond; msg.Items[0] >= 0 && int(msg.Items[0]) != r.cfg.Self && remaining > 0 {
 			r.refusedUntil[msg.Slot] = r.now + min(remaining, 4*r.cfg.Limits.RoundTimeout) // capped: the release may be lost
 		}
-		r.countRefusedVote(msg.Seq)
+		r.countRefusedVote(received.From, msg.Seq)
 	case kindRelease:
 		r.handleRelease(received.From, int(msg.Slot), msg.Epoch)
 		r.advanceOwnRequest()
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -40,9 +40,11 @@
 	TierSocket  *peers.Socket        // socket of the tier's datagrams; nil: membership is off
 	Log         zerolog.Logger
 
-	orders chan core.Event // orders of operators that wait for the event loop
-	mu     sync.Mutex      // guards conns
-	conns  []net.Conn      // open connections, oldest first
+	orders  chan core.Event // orders of operators that wait for the event loop
+	drainMu sync.Mutex      // held while a drain is ordered
+
+	mu    sync.Mutex // guards conns
+	conns []net.Conn // open connections, oldest first
 }
 
 // Serve accepts connections and answers their requests until the listener is closed, and then waits for the requests in
@@ -179,14 +181,25 @@
 	if snapshot.Stopping {
 		return http.StatusServiceUnavailable, "stopping\n", nil
 	}
-	if !s.enqueueOrder(core.Drain{On: drainOn}) {
+	if !s.orderDrain(drainOn) {
 		return http.StatusServiceUnavailable, "too many orders wait\n", nil
 	}
-	s.SetDraining(drainOn)
 	s.Log.Info().Bool("drain", drainOn).Msg("operator order: drain")
 	return http.StatusOK, "", nil
 }
 
+// orderDrain begins or ends a drain, at the readiness tests and in the queue to the event loop in the same order. It returns false where
+// the queue is full.
+func (s *AdminServer) orderDrain(on bool) bool {
+	s.drainMu.Lock()
+	defer s.drainMu.Unlock()
+	if !s.enqueueOrder(core.Drain{On: on}) {
+		return false
+	}
+	s.SetDraining(on)
+	return true
+}
+
 // enqueueOrder puts an order of an operator into the queue to the event loop. It returns false where the queue is full.
 func (s *AdminServer) enqueueOrder(order core.Event) bool {
 	select {
--- a/internal/mgmt/servers_test.go
+++ b/internal/mgmt/servers_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,3 +37,25 @@
 		}
 	}
 }
+
+// TestDrainAndResumeDisagree guards against readiness tests that keep failing while the core is not drained, after a drain and a resume at the
+// same time.
+func TestDrainAndResumeDisagree(t *testing.T) {
+	var draining atomic.Bool
+	drainBegun := make(chan struct{})
+	s := &AdminServer{orders: make(chan core.Event, 2), SetDraining: func(on bool) {
+		if on {
+			close(drainBegun)
+			time.Sleep(50 * time.Millisecond) // the resume comes meanwhile
+		}
+		draining.Store(on)
+	}}
+	var wg sync.WaitGroup
+	wg.Go(func() { s.orderDrain(true) })
+	<-drainBegun
+	s.orderDrain(false)
+	wg.Wait()
+	if draining.Load() || len(s.orders) != 2 {
+		t.Errorf("the readiness tests fail after the resume, %d orders", len(s.orders))
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -133,10 +133,8 @@
 	Classes             []Class       // classes of call, by index
 	ReportMetrics       []string      // names of the values of a load report, in order, also if reports are off
 	ConnectTimeout      time.Duration // a server that takes longer to connect to counts as unreachable
-	KeepAlive           time.Duration // the peer closes a connection that has been idle for this time
 	MaxDeadline         time.Duration // longest Deadline of all classes
 	MinAim              time.Duration // shortest aim of the classes that have one: the time within which a call should be established
-	MaxMeanHold         time.Duration // longest mean holding time of all classes
 	MaxOpenCalls        int           // max. calls open at the same time
 	Self                int           // index of this softswitch in the tier; -1: not given
 	Zone                int           // zone of this softswitch, at most 127; -1: not given
@@ -230,14 +228,20 @@
 		var classLimits struct {
 			HardLimit microseconds `json:"hard-limit-us"`
 		}
-		if err := json.Unmarshal(class, &classLimits); err != nil || classLimits.HardLimit.duration() <= 0 {
+		if err := json.Unmarshal(class, &classLimits); err != nil {
+			return fmt.Errorf("%shard-limit-us: %w", field, err)
+		}
+		if classLimits.HardLimit.duration() <= 0 {
 			return fmt.Errorf("%shard-limit-us: %v is not positive", field, float64(classLimits.HardLimit))
 		}
 	}
 	var limits struct {
 		MaxAttempts int `json:"max-attempts"`
 	}
-	if err := json.Unmarshal(topLevelKeys["limits"], &limits); err != nil || limits.MaxAttempts <= 0 {
+	if err := json.Unmarshal(topLevelKeys["limits"], &limits); err != nil {
+		return fmt.Errorf("settings.limits.max-attempts: %w", err)
+	}
+	if limits.MaxAttempts <= 0 {
 		return fmt.Errorf("settings.limits.max-attempts: %d is not positive", limits.MaxAttempts)
 	}
 	return checkConsistency(text)
@@ -315,16 +319,14 @@
 func DecodeDeployment(text []byte) (Deployment, error) {
 	var parsed struct {
 		FamilyInfo struct {
-			ClassCells [][]int        `json:"class-cells"`
-			ClassHold  []microseconds `json:"class-hold-us"`
-			Widths     []float64      `json:"widths"`
+			ClassCells [][]int   `json:"class-cells"`
+			Widths     []float64 `json:"widths"`
 		} `json:"family-info"`
 		Limits struct {
-			Connect   microseconds `json:"connect-timeout-us"`
-			KeepAlive microseconds `json:"keepalive-us"`
-			MaxOpen   int          `json:"max-open"`
-			Peers     bool         `json:"peer-messages"`
-			Probes    bool         `json:"probes"`
+			Connect microseconds `json:"connect-timeout-us"`
+			MaxOpen int          `json:"max-open"`
+			Peers   bool         `json:"peer-messages"`
+			Probes  bool         `json:"probes"`
 		} `json:"limits"`
 		Me         *float64 `json:"me"`
 		Zone       *float64 `json:"zone"`
@@ -344,7 +346,6 @@
 	deployment := Deployment{
 		ReportMetrics:       parsed.LoadReport.Columns,
 		ConnectTimeout:      parsed.Limits.Connect.duration(),
-		KeepAlive:           parsed.Limits.KeepAlive.duration(),
 		MaxOpenCalls:        parsed.Limits.MaxOpen,
 		Self:                -1,
 		Zone:                -1,
@@ -369,9 +370,6 @@
 		if i < len(parsed.FamilyInfo.Widths) {
 			class.Lines = parsed.FamilyInfo.Widths[i]
 		}
-		if i < len(parsed.FamilyInfo.ClassHold) {
-			deployment.MaxMeanHold = max(deployment.MaxMeanHold, parsed.FamilyInfo.ClassHold[i].duration())
-		}
 		deployment.Classes = append(deployment.Classes, class)
 		deployment.MaxDeadline = max(deployment.MaxDeadline, class.Deadline)
 		if aim := entry.Objective.duration(); aim > 0 && (deployment.MinAim == 0 || aim < deployment.MinAim) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -25,19 +25,21 @@
 		t.Fatal(err)
 	}
 	for field, change := range map[string][2]string{
-		"request-classes:":            {validSettings[strings.Index(validSettings, "[{"):strings.Index(validSettings, ",\n \"family-info")], "[]"},
-		"request-classes[1].name:":    {`"sign"`, `"view"`},
-		"load-report.columns[2]:":     {`"recent_ms"`, `"spare"`},
-		"tenants[1].share:":           {"0.46", "0.6"},
-		"tenants[0].share:":           {"0.54", "-0.1"},
-		"tenants[1].name:":            {`"b"`, `"a"`},
-		"tenants[0].name:":            {`"a"`, `""`},
-		"tenants[0].allowance-per-s:": {":40", ":-40"},
-		"over-share-worth:":           {"0.1,", "10,"},
-		"limits.max-attempts:":        {`"max-attempts":5`, `"max-attempts":0`},
-		"request-classes[1].hard-":    {`3,"objective-us":1500000,"hard-limit-us":9000000`, `3,"objective-us":1500000,"hard-limit-us":0`},
-		"obligations.tip-after-us:":   {`,"tip-after-us":1000000`, ""},
-		"family-info.retransmit-us:":  {`800000`, "null"},
+		"request-classes:":                       {validSettings[strings.Index(validSettings, "[{"):strings.Index(validSettings, ",\n \"family-info")], "[]"},
+		"request-classes[1].name:":               {`"sign"`, `"view"`},
+		"load-report.columns[2]:":                {`"recent_ms"`, `"spare"`},
+		"tenants[1].share:":                      {"0.46", "0.6"},
+		"tenants[0].share:":                      {"0.54", "-0.1"},
+		"tenants[1].name:":                       {`"b"`, `"a"`},
+		"tenants[0].name:":                       {`"a"`, `""`},
+		"tenants[0].allowance-per-s:":            {":40", ":-40"},
+		"over-share-worth:":                      {"0.1,", "10,"},
+		"limits.max-attempts:":                   {`"max-attempts":5`, `"max-attempts":0`},
+		"request-classes[1].hard-":               {`3,"objective-us":1500000,"hard-limit-us":9000000`, `3,"objective-us":1500000,"hard-limit-us":0`},
+		"obligations.tip-after-us:":              {`,"tip-after-us":1000000`, ""},
+		"family-info.retransmit-us:":             {`800000`, "null"},
+		"request-classes[1].hard-limit-us: json": {`3,"objective-us":1500000,"hard-limit-us":9000000`, `3,"objective-us":1500000,"hard-limit-us":"x"`},
+		"limits.max-attempts: json":              {`"max-attempts":5`, `"max-attempts":"5"`},
 	} {
 		invalid := strings.Replace(validSettings, change[0], change[1], 1)
 		err := Validate([]byte(invalid))
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -96,8 +96,10 @@
 		if err != nil {
 			return fmt.Errorf("settings: %w", err)
 		}
-		h.startInstance(settingsText, byteOrder.Uint64(rec[1:]))
-		h.startMembership(settingsText, byteOrder.Uint64(rec[1:]), now)
+		delete(h.members, h.currentInstance)
+		if h.startInstance(settingsText, byteOrder.Uint64(rec[1:])) {
+			h.startMembership(settingsText, byteOrder.Uint64(rec[1:]), now)
+		}
 		return nil
 	case eventPeerData:
 		datagram, err := batch.decodePeerData(rec)
@@ -120,27 +122,33 @@
 }
 
 // startInstance replaces the current instance by a new one with the given settings and seed. Invalid settings are
-// reported as the instance's failure.
-func (h *Host) startInstance(settingsText []byte, seed uint64) {
+// reported as the instance's failure; the result is false then.
+func (h *Host) startInstance(settingsText []byte, seed uint64) bool {
 	delete(h.controllers, h.currentInstance)
 	controllerSettings, err := settings.Decode(settingsText)
 	if err == nil {
 		var controller *elmseam.Controller
 		if controller, err = elmseam.New(controllerSettings, seed); err == nil {
 			h.controllers[h.currentInstance] = controller
-			return
+			return true
 		}
 	}
 	h.reportInstanceFailure(err.Error())
+	return false
+}
+
+// endInstance removes the current instance, which has failed, and reports the failure.
+func (h *Host) endInstance(failure string) {
+	delete(h.controllers, h.currentInstance)
+	delete(h.members, h.currentInstance)
+	h.reportInstanceFailure(failure)
 }
 
-// runController passes an event to a controller and appends the resulting actions to the reply. After a panic the controller
-// is removed, and the instance's failure is reported.
+// runController passes an event to a controller and appends the resulting actions to the reply. A panic ends the instance.
 func (h *Host) runController(controller *elmseam.Controller, now elmseam.Time, event elmseam.Event) {
 	defer func() {
 		if recovered := recover(); recovered != nil {
-			delete(h.controllers, h.currentInstance)
-			h.reportInstanceFailure(fmt.Sprintf("panic: %v", recovered))
+			h.endInstance(fmt.Sprintf("panic: %v", recovered))
 		}
 	}()
 	h.actions = controller.Handle(now, event, h.actions[:0])
--- a/internal/wire/membership.go
+++ b/internal/wire/membership.go
@@ -21,7 +21,6 @@
 // startMembership makes the current instance a member of its tier, if membership is enabled and permitted by the settings.
 // Invalid tier settings are reported as the instance's failure.
 func (h *Host) startMembership(settingsText []byte, seed uint64, now elmseam.Time) {
-	delete(h.members, h.currentInstance)
 	if h.membershipLimits == nil {
 		return
 	}
@@ -31,7 +30,7 @@
 	}
 	reducer, effects, err := membership.New(membership.Config{Self: deployment.Self, TierSize: deployment.TierSize, Limits: *h.membershipLimits, Seed: seed}, now)
 	if err != nil {
-		h.reportInstanceFailure(err.Error())
+		h.endInstance(err.Error())
 		return
 	}
 	instance := &member{reducer: reducer, pendingTimers: make(map[uint32]membership.Token)}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -233,13 +233,14 @@
 	host := NewHost()
 	host.currentInstance = 3
 	host.controllers[3] = new(elmseam.Controller) // not made by New, so that it panics for lack of settings
+	host.members[3] = &member{}
 	frame := decodeHex(t, "01000000 60000000 02000000 +8 19 0300 +45 12 +47")
 	var out bytes.Buffer
 	if err := host.Serve(bytes.NewReader(frame), &out, func() error { return nil }); err != nil {
 		t.Fatal(err)
 	}
-	if !bytes.Contains(out.Bytes(), []byte("panic: ")) || host.controllers[3] != nil {
-		t.Errorf("reply %q, want the text of the panic", out.Bytes())
+	if !bytes.Contains(out.Bytes(), []byte("panic: ")) || host.controllers[3] != nil || host.members[3] != nil {
+		t.Errorf("reply %q, want the text of the panic and the end of the instance", out.Bytes())
 	}
 }
 
