--- a/internal/explore/budget.go
+++ b/internal/explore/budget.go
@@ -85,13 +85,10 @@
 // tierConverged does nothing: startMember has already declared a server cold.
 func (p *budgetProtocol) tierConverged(*tierModel) {}
 
-// memberKilled informs the running, unpaused members at once that a member is dead.
-func (p *budgetProtocol) memberKilled(tier *tierModel, index int) {
-	for other, member := range tier.Members {
-		if member.Process != nil && !member.Paused {
-			tier.applyEffects(other, member.Process.(*budgetProcess).stepReducer(tier.Now, budget.MemberAvailability{Member: index}))
-		}
-	}
+// informOfDeath informs a member that another one is dead.
+func (p *budgetProtocol) informOfDeath(tier *tierModel, observer, dead int) {
+	process := tier.Members[observer].Process.(*budgetProcess)
+	tier.applyEffects(observer, process.stepReducer(tier.Now, budget.MemberAvailability{Member: dead}))
 }
 
 // checkStep checks the invariant ExclusiveUnits.
--- a/internal/explore/maintenance.go
+++ b/internal/explore/maintenance.go
@@ -143,13 +143,10 @@
 	tier.applyEffects(last, tier.Members[last].Process.(*maintenanceProcess).stepReducer(tier.Now, maintenance.Request{Members: []int{1}}))
 }
 
-// memberKilled informs the running, unpaused members at once that a member is dead.
-func (p *maintenanceProtocol) memberKilled(tier *tierModel, index int) {
-	for other, member := range tier.Members {
-		if member.Process != nil && !member.Paused {
-			tier.applyEffects(other, member.Process.(*maintenanceProcess).stepReducer(tier.Now, maintenance.MemberAvailability{Member: index}))
-		}
-	}
+// informOfDeath informs a member that another one is dead.
+func (p *maintenanceProtocol) informOfDeath(tier *tierModel, observer, dead int) {
+	process := tier.Members[observer].Process.(*maintenanceProcess)
+	tier.applyEffects(observer, process.stepReducer(tier.Now, maintenance.MemberAvailability{Member: dead}))
 }
 
 // checkStep checks the invariants OnlyRequested and WithinMaintenanceBudget for the running, unpaused members.
--- a/internal/explore/membership.go
+++ b/internal/explore/membership.go
@@ -67,9 +67,9 @@
 	return &membershipProcess{reducer}, membershipEffects(effects)
 }
 
-// tierConverged and memberKilled do nothing: membership needs no request, and detects a killed member by itself.
-func (p *membershipProtocol) tierConverged(*tierModel)     {}
-func (p *membershipProtocol) memberKilled(*tierModel, int) {}
+// tierConverged and informOfDeath do nothing: membership needs no request, and detects a killed member by itself.
+func (p *membershipProtocol) tierConverged(*tierModel)           {}
+func (p *membershipProtocol) informOfDeath(*tierModel, int, int) {}
 
 // checkStep checks the invariant MinorityColdLimit.
 func (p *membershipProtocol) checkStep(tier *tierModel, index int) {
--- a/internal/explore/search.go
+++ b/internal/explore/search.go
@@ -82,7 +82,11 @@
 	}
 	s := &search{cfg: cfg, nodes: []searchNode{{parent: -1}}, visitedDigests: map[xxh3.Uint128]struct{}{initial.Digest(): {}}}
 	s.report.States = 1
-	s.breadthFirst(ctx, bounds)
+	if violation := initial.violation(); violation != nil {
+		s.report.Counterexample = &Trace{Config: cfg, Violation: *violation}
+	} else {
+		s.breadthFirst(ctx, bounds)
+	}
 	if !s.report.Complete && s.report.Counterexample == nil && bounds.Walks > 0 {
 		s.randomWalks(bounds)
 	}
--- a/internal/explore/tier.go
+++ b/internal/explore/tier.go
@@ -43,8 +43,8 @@
 	startMember(tier *tierModel, index int, incarnation uint8) (memberProcess, stepEffects)
 	// tierConverged is called once, when all members have started and found each other, before the first fault.
 	tierConverged(tier *tierModel)
-	// memberKilled informs the other members, where the protocol needs it, that a member has been killed.
-	memberKilled(tier *tierModel, index int)
+	// informOfDeath informs a running, unpaused member, where the protocol needs it, that another one has been killed.
+	informOfDeath(tier *tierModel, observer, dead int)
 	// checkStep checks the invariants after a step of a member.
 	checkStep(tier *tierModel, index int)
 	// checkTimePassed checks the invariants after time has passed.
@@ -282,7 +282,7 @@
 		m.handleNextDue()
 	case actKillMember:
 		m.Members[index] = tierMember{DiedAt: m.Now, Incarnations: m.Members[index].Incarnations}
-		m.Protocol.memberKilled(m, index)
+		m.informOthersOfDeath(index)
 	case actStartMember:
 		m.startMember(index)
 	case actPauseMember:
@@ -298,8 +298,17 @@
 	}
 }
 
-// resumeMember ends the pause of a member: its overdue timers fire first, in their order, then the held datagrams
-// join those in flight.
+// informOthersOfDeath informs the running, unpaused members at once that a member is dead. A paused one is informed when it resumes.
+func (m *tierModel) informOthersOfDeath(dead int) {
+	for observer, member := range m.Members {
+		if member.Process != nil && !member.Paused {
+			m.Protocol.informOfDeath(m, observer, dead)
+		}
+	}
+}
+
+// resumeMember ends the pause of a member: its overdue timers fire first, in their order, then it is informed of the dead members, and the
+// held datagrams join those in flight.
 func (m *tierModel) resumeMember(index int) {
 	member := &m.Members[index]
 	held := member.HeldDatagrams
@@ -310,6 +319,11 @@
 		}
 		m.handleNextDue()
 	}
+	for other := range m.Members {
+		if m.Members[other].Process == nil {
+			m.Protocol.informOfDeath(m, index, other)
+		}
+	}
 	m.InFlight = append(m.InFlight, held...)
 }
 
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"elmseam/internal/core"
 	"elmseam/internal/leak"
 )
 
@@ -133,3 +134,21 @@
 		t.Error("a message with two files is accepted")
 	} // leak.Main counts the descriptors
 }
+
+// TestOversizedTransferEndsHandOver guards against a connection with too many open set-ups that ends the hand-over of all others.
+func TestOversizedTransferEndsHandOver(t *testing.T) {
+	older, newer := connectedPair(t)
+	sender, receiver := newPeer(older, testLimits), newPeer(newer, testLimits)
+	defer sender.Close()
+	if err := sender.SendFile(Message{Kind: KindCallerConn, Pending: make([]core.ID, 20000)}, older); err == nil {
+		t.Error("a message over the size limit is sent")
+	}
+	if err := sender.SendFile(Message{Kind: KindCallerConn}, older); err != nil {
+		t.Fatal(err)
+	}
+	if _, file, err := receiver.Receive(); err != nil || file == nil {
+		t.Errorf("next connection: %v", err)
+	} else {
+		file.Close()
+	}
+}
--- a/internal/lab/caller.go
+++ b/internal/lab/caller.go
@@ -84,10 +84,14 @@
 	return message
 }
 
-// writeMessage sends a message, and fails if the message is not written whole within 200 ms.
+// writeMessage sends a message, and fails if the message is not written whole within 200 ms. A connection on which a part was written is
+// closed, as nothing that follows could be read.
 func (c *callerConn) writeMessage(message []byte) error {
 	c.conn.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
-	_, err := c.conn.Write(message)
+	written, err := c.conn.Write(message)
+	if err != nil && written > 0 {
+		c.conn.Close()
+	}
 	return err
 }
 
--- a/internal/lab/checker.go
+++ b/internal/lab/checker.go
@@ -43,11 +43,20 @@
 	setUps     map[uint64]*setUpState // by the call's id
 	calls      map[uint64]*callState  // by the id that servers see, which is the set-up's id
 	servers    map[string]*serverState
-	violations map[string]*Violation // by rule
-	seconds    []SecondStats         // one row for each second of the run
-	lagSpans   [][2]time.Duration    // start and end of each span in which the lab itself lagged
+	violations []observedViolation
+	seconds    []SecondStats      // one row for each second of the run
+	lagSpans   [][2]time.Duration // start and end of each span in which the lab itself lagged
 }
 
+// observedViolation is one observation of a broken rule.
+type observedViolation struct {
+	rule, detail string
+	at           time.Duration
+}
+
+// maxDetails is the number of violations of which the details are kept.
+const maxDetails = 1000
+
 // setUpState is what the checker knows of a caller's set-up.
 type setUpState struct {
 	sentAt, giveUpAt time.Duration // times; giveUpAt is when the caller stops waiting
@@ -75,7 +84,7 @@
 // NewChecker makes a checker for these rules.
 func NewChecker(rules Rules) *Checker {
 	return &Checker{rules: rules, setUps: make(map[uint64]*setUpState), calls: make(map[uint64]*callState),
-		servers: make(map[string]*serverState), violations: make(map[string]*Violation)}
+		servers: make(map[string]*serverState)}
 }
 
 // secondStatsAt returns the row of the second that contains a time, and makes the rows up to it.
@@ -87,22 +96,16 @@
 	return &c.seconds[i]
 }
 
-// recordViolation counts a violation of a rule and keeps the detail of the first one. A violation inside a span of
-// the lab's own lag that was recorded before is ignored.
+// recordViolation records a violation of a rule.
 func (c *Checker) recordViolation(rule string, at time.Duration, format string, args ...any) {
-	if c.inLagSpan(at) {
-		return
-	}
-	violation := c.violations[rule]
-	if violation == nil {
-		violation = &Violation{Rule: rule, First: at, Detail: fmt.Sprintf(format, args...)}
-		c.violations[rule] = violation
+	detail := ""
+	if len(c.violations) < maxDetails {
+		detail = fmt.Sprintf(format, args...)
 	}
-	violation.Count++
+	c.violations = append(c.violations, observedViolation{rule, detail, at})
 }
 
-// RecordLag marks a span in which the lab lagged: violations that are recorded from now on with a time inside the span,
-// widened by the slack, are ignored. Violations recorded before stay.
+// RecordLag marks a span in which the lab lagged: violations with a time inside the span, widened by the slack, are ignored.
 func (c *Checker) RecordLag(from, to time.Duration) {
 	c.lagSpans = append(c.lagSpans, [2]time.Duration{from, to})
 	for second := from / time.Second; second <= to/time.Second; second++ {
@@ -150,8 +153,7 @@
 }
 
 // RecordFinalAnswer records a final answer to a set-up: served says that the call is established, otherwise the
-// set-up was refused. After RecordUnanswered a refusal is not counted. An established call is counted as served even then,
-// in addition to the set-up that was lost or excused.
+// set-up was refused. An answer after RecordUnanswered is not counted: each set-up counts once.
 func (c *Checker) RecordFinalAnswer(at time.Duration, id uint64, served bool) {
 	setUp := c.setUps[id]
 	if setUp == nil {
@@ -159,12 +161,12 @@
 		return
 	}
 	setUp.finalAnswers++
-	if setUp.finalAnswers == 2 {
-		c.recordViolation("two final answers", at, "call %016x", id)
+	if setUp.finalAnswers >= 2 {
+		c.recordViolation("two final answers", at, "call %016x: answer %d", id, setUp.finalAnswers)
 		return
 	}
-	if setUp.resolved && !served {
-		return // a refusal that crossed the caller's give-up
+	if setUp.resolved {
+		return // the answer crossed the caller's give-up
 	}
 	setUp.resolved = true
 	if setUp.served = served; served {
@@ -324,10 +326,22 @@
 	}
 }
 
-// Violations returns the violated rules, ordered by the time of the first violation.
+// Violations returns the violated rules, ordered by the time of the first violation. Violations during the lab's own lag are left out.
 func (c *Checker) Violations() []Violation {
+	byRule := make(map[string]*Violation)
+	for _, observed := range c.violations {
+		if c.inLagSpan(observed.at) {
+			continue
+		}
+		violation := byRule[observed.rule]
+		if violation == nil {
+			violation = &Violation{Rule: observed.rule, First: observed.at, Detail: observed.detail}
+			byRule[observed.rule] = violation
+		}
+		violation.Count++
+	}
 	var violations []Violation
-	for _, violation := range c.violations {
+	for _, violation := range byRule {
 		violations = append(violations, *violation)
 	}
 	slices.SortFunc(violations, func(a, b Violation) int { return int(a.First - b.First) })
--- a/internal/lab/checker_test.go
+++ b/internal/lab/checker_test.go
@@ -144,3 +144,30 @@
 		t.Error("recovery of a softswitch that got no call")
 	}
 }
+
+// TestSetUpCountedTwice guards against a set-up that counts as served besides lost, and a third final answer that is not reported.
+func TestSetUpCountedTwice(t *testing.T) {
+	checker := NewChecker(testRules)
+	checker.RecordSetUp(0, 1, 0, 500*ms)
+	checker.RecordUnanswered(500*ms, 1, true)
+	checker.RecordFinalAnswer(510*ms, 1, true)
+	checker.RecordFinalAnswer(520*ms, 1, true)
+	checker.RecordFinalAnswer(530*ms, 1, false)
+	if second := checker.PerSecond()[0]; second.Served != 0 || second.Refused != 0 || second.Excused != 1 {
+		t.Errorf("second 0: %+v", second)
+	}
+	if violations := checker.Violations(); len(violations) != 1 || violations[0].Rule != "two final answers" || violations[0].Count != 2 {
+		t.Errorf("violations %+v, want both repeated answers", violations)
+	}
+}
+
+// TestLagRecordedTooLate guards against violations that the lab's own lag has caused and that were seen before the lag was noticed.
+func TestLagRecordedTooLate(t *testing.T) {
+	checker := NewChecker(testRules)
+	checker.RecordSetUp(0, 1, 0, 1500*ms)
+	checker.RecordUnanswered(1500*ms, 1, false)
+	checker.RecordLag(1400*ms, 1600*ms)
+	if got := violatedRules(checker); len(got) > 0 {
+		t.Errorf("violated %v", got)
+	}
+}
--- a/internal/lab/environment.go
+++ b/internal/lab/environment.go
@@ -131,7 +131,7 @@
 	if r.scenario.PeersEnabled {
 		peers, allPeersAddr = r.relay.PeerAddresses(), r.relay.AllPeersAddress()
 	}
-	seed := r.rng.Uint64()
+	seed := softswitch.nextSeed(r.scenario.Seed)
 	settings, err := r.memberSettings(softswitch.index)
 	if err != nil {
 		return err
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -127,7 +127,9 @@
 // disturb it; then kind is not used.
 func (r *runner) recordFault(softswitch *member, kind string, begins bool) {
 	now := r.now()
-	softswitch.markFaultSpan(now, begins)
+	if disturbed := softswitch.markFaultSpan(now, begins); disturbed && !begins {
+		return // by another fault
+	}
 	r.mu.Lock()
 	r.tierChecker.RecordFault(now, softswitch.index, kind, begins)
 	r.mu.Unlock()
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -73,7 +73,7 @@
 		if conn == nil {
 			continue
 		}
-		if conn.sendSetUp(r.rng.Uint64()|1, class, r.scenario.GiveUp.Duration) == nil {
+		if conn.sendSetUp(r.callIDs.Uint64()|1, class, r.scenario.GiveUp.Duration) == nil {
 			return true
 		}
 	}
--- a/internal/lab/member.go
+++ b/internal/lab/member.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
@@ -32,9 +33,10 @@
 	mu               sync.Mutex    // guards the fields below
 	cmd              *exec.Cmd     // the present or last process
 	exited           chan struct{} // closed when that process has exited
-	// faultSpans are the spans in which a fault that the lab injected disturbs the member: start and end; -1 as the
+	// faultSpans are the spans in which faults that the lab injected disturb the member: start and end; -1 as the
 	// end of a span that is still open.
 	faultSpans      [][2]time.Duration
+	activeFaults    int              // faults that disturb the member now
 	ready           bool             // whether the member was ready at the last sample
 	starts          int              // processes started so far
 	counters        map[string]int64 // counters of the admin endpoint at the last sample, plus those of earlier processes
@@ -124,18 +126,34 @@
 	}
 }
 
-// markFaultSpan opens or closes a span in which the lab disturbs the member. A member has at most one open span: the
-// first end closes it, also when several faults overlap.
-func (m *member) markFaultSpan(at time.Duration, begins bool) {
+// markFaultSpan records that a fault begins or ceases to disturb the member. Faults that overlap share a span, which the last end closes. It
+// returns whether the member is disturbed from now on.
+func (m *member) markFaultSpan(at time.Duration, begins bool) (disturbed bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	n := len(m.faultSpans)
 	switch {
-	case begins && (n == 0 || m.faultSpans[n-1][1] >= 0):
+	case begins && m.activeFaults == 0:
 		m.faultSpans = append(m.faultSpans, [2]time.Duration{at, -1})
-	case !begins && n > 0 && m.faultSpans[n-1][1] < 0:
-		m.faultSpans[n-1][1] = at
+		m.activeFaults = 1
+	case begins:
+		m.activeFaults++
+	case m.activeFaults > 0:
+		if m.activeFaults--; m.activeFaults == 0 {
+			m.faultSpans[len(m.faultSpans)-1][1] = at
+		}
+	}
+	return m.activeFaults > 0
+}
+
+// nextSeed returns the seed of the member's next process, which depends on the seed of the run, the member and the number of its processes.
+func (m *member) nextSeed(runSeed uint64) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	rng := rand.New(rand.NewPCG(runSeed, memberSeedStream+uint64(m.index)))
+	for range m.starts {
+		rng.Uint64()
 	}
+	return rng.Uint64()
 }
 
 // disturbedDuring reports whether a span of faults overlaps [from, to].
--- a/internal/lab/operator.go
+++ b/internal/lab/operator.go
@@ -53,7 +53,7 @@
 	if !beginsWork {
 		return
 	}
-	go func() {
+	r.background.Go(func() {
 		select {
 		case <-time.After(r.scenario.WorkDuration.Duration):
 		case <-r.finished:
@@ -70,5 +70,5 @@
 			return
 		}
 		softswitch.sendAdminRequest(http.MethodDelete, "/ops/maintenance?member="+softswitch.name)
-	}()
+	})
 }
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -100,7 +100,7 @@
 			}
 		}
 		res.Starts[m.name] = m.starts
-		anyRestarted = anyRestarted || m.starts > 1
+		anyRestarted = anyRestarted || m.starts > 1 || !m.running()
 	}
 	counters := &r.relay.Counters
 	res.Datagrams = map[string]int{"passed": int(counters.Forwarded.Load()), "dropped": int(counters.Dropped.Load()),
@@ -110,7 +110,7 @@
 		res.Violations = append(res.Violations,
 			Violation{Rule: "datagram over 256 bytes", Count: int(counters.Oversized.Load())})
 	}
-	// If no softswitch was restarted, the lab's count must agree with the admin endpoints' count within the
+	// If no softswitch was restarted or killed, the lab's count must agree with the admin endpoints' count within the
 	// tolerance and two set-ups more.
 	if diff := float64(res.AdminServed - int64(res.Served)); !anyRestarted &&
 		abs(diff) > r.scenario.Tolerance*float64(max(res.Served, 1))+2 {
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -57,13 +57,20 @@
 	viewsBySecond  [][]string                                 // by second, by softswitch: its view at the second's last sample, as initials
 	maxLag         time.Duration                              // greatest lag of the load generator
 	lagSpans       int                                        // ticks of the load generator whose lag was above the scenario's MaxLag
-	rng            *rand.Rand                                 // draws the calls' ids and the softswitches' seeds
+	callIDs        *rand.Rand                                 // draws the calls' ids; used by the load generator only
+	background     sync.WaitGroup                             // the operator's work under way
 	pickPort       func(network, host string) (string, error) // returns an address with a free port; tests replace it
 	// callerConns has up to Scenario.CallerConns connections for each softswitch; an entry may be nil.
 	callerConns [][]*callerConn
 	connMu      sync.Mutex // guards callerConns
 }
 
+// Streams of random numbers of a run, beside its seed. That of the softswitches' seeds is the first of one for each softswitch.
+const (
+	callIDStream     = 0x63616c6c
+	memberSeedStream = 0x73656564
+)
+
 // now returns the time since the start of the run.
 func (r *runner) now() time.Duration { return time.Since(r.startedAt) }
 
@@ -86,7 +93,7 @@
 	return &runner{scenario: scenario, options: options, checker: NewChecker(rules),
 		servers: make(map[string]*standInServer), baseSettings: json.RawMessage(settings),
 		tierChecker: NewTierChecker(scenario.Softswitches), finished: make(chan struct{}),
-		pickPort: freePort, rng: rand.New(rand.NewPCG(scenario.Seed, 0x63616c6c))}
+		pickPort: freePort, callIDs: rand.New(rand.NewPCG(scenario.Seed, callIDStream))}
 }
 
 // run starts the environment, executes the scenario and tears the environment down.
@@ -125,6 +132,7 @@
 	close(stop)
 	close(r.finished)
 	wg.Wait()
+	r.background.Wait()
 	select {
 	case <-r.options.Stop:
 		return errors.New("stopped before the end of the run")
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -54,8 +54,7 @@
 	// Membership is the softswitches' members file without "enabled"; nil: membership is off.
 	Membership map[string]any `toml:"membership"`
 
-	TotalCapacity float64        `toml:"-"` // sum of the servers' capacities; filled by Check
-	indexByName   map[string]int // index of each softswitch; filled by Check
+	indexByName map[string]int // index of each softswitch; filled by Check
 }
 
 // Server is a stand-in server.
@@ -154,7 +153,6 @@
 		s.indexByName[MemberName(i)] = i
 	}
 	serverNames := map[string]bool{}
-	s.TotalCapacity = 0
 	for i := range s.Servers {
 		server := &s.Servers[i]
 		setDefault(&server.HoldTime, time.Second)
@@ -174,7 +172,6 @@
 			return fmt.Errorf("%s.start: %v, negative", field, server.StartAt)
 		}
 		serverNames[server.Name] = true
-		s.TotalCapacity += server.Capacity
 	}
 	if s.Membership != nil {
 		text, err := s.membersFileText()
@@ -245,6 +242,9 @@
 			shares = step.Shares
 		}
 	}
+	if len(shares) == 0 {
+		return nil
+	}
 	return shares
 }
 
--- a/internal/lab/standin_server.go
+++ b/internal/lab/standin_server.go
@@ -30,6 +30,7 @@
 	conns            map[*serverConn]bool
 	busyUntil        time.Duration // when the processor will have finished the set-ups accepted so far
 	establishedCalls int
+	queuedSetUps     int          // set-ups that the processor has accepted and not answered
 	slowdown         float64      // factor on the service time; 1: normal speed
 	stalledMembers   map[int]bool // softswitches whose set-ups get no answer
 	removed          bool         // the server is gone: it closes new connections at once
@@ -129,6 +130,9 @@
 		}
 		switch message.Op {
 		case "test":
+			if s.stalled(conn) {
+				continue
+			}
 			conn.sendLine(`{"op":"tested","call":%q,"with":{},"why":1}`, message.Call)
 		case "offer":
 			s.handleOffer(conn, id)
@@ -167,10 +171,11 @@
 	}
 	serviceTime := time.Duration(float64(time.Second) * s.slowdown / max(s.observer.capacity(s.Name, now), 1e-3))
 	startAt := max(now, s.busyUntil)
-	full := s.establishedCalls >= s.Lines
+	full := s.establishedCalls+s.queuedSetUps >= s.Lines
 	swamped := startAt-now > s.MaxQueueDelay.Duration
 	if !full && !swamped {
 		s.busyUntil = startAt + serviceTime
+		s.queuedSetUps++
 	}
 	s.mu.Unlock()
 	if full || swamped {
@@ -181,6 +186,7 @@
 	}
 	time.AfterFunc(startAt+serviceTime-now, func() {
 		s.mu.Lock()
+		s.queuedSetUps--
 		if !conn.pending[id] || s.stalledMembers[conn.memberIndex] {
 			s.mu.Unlock()
 			return
@@ -255,8 +261,15 @@
 	}
 }
 
-// setStalled leaves the set-ups of the given softswitches without an answer, or has them answered again. Test messages
-// and ends are answered during a stall too.
+// stalled reports whether the softswitch of a connection gets no answers.
+func (s *standInServer) stalled(conn *serverConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stalledMembers[conn.memberIndex]
+}
+
+// setStalled leaves the set-ups and tests of the given softswitches without an answer, or has them answered again. Ends are acknowledged
+// during a stall too.
 func (s *standInServer) setStalled(members []int, stalled bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -272,10 +285,11 @@
 	s.mu.Unlock()
 }
 
-// close closes the listeners and resets all connections. It does not wait for their goroutines.
+// close closes the listeners, resets all connections and waits for their goroutines.
 func (s *standInServer) close() {
 	for _, listener := range s.listeners {
 		listener.Close()
 	}
 	s.resetConns(nil, true)
+	s.wg.Wait()
 }
--- a/internal/lab/tier_checker.go
+++ b/internal/lab/tier_checker.go
@@ -53,7 +53,6 @@
 	detections       []*Detection
 	falseDeaths      []FalseDeath
 	maintenanceRuns  []*MaintenanceRun
-	endedRequests    map[int]bool          // unused
 	maxOutOfService  int                   // greatest number of softswitches out for maintenance in one sample
 	violations       map[string]*Violation // by rule
 }
@@ -61,7 +60,7 @@
 // NewTierChecker makes a checker for a tier of the given size.
 func NewTierChecker(tierSize int) *TierChecker {
 	c := &TierChecker{lastViews: make([]View, tierSize), faulted: make([]bool, tierSize),
-		violations: make(map[string]*Violation), endedRequests: make(map[int]bool), partitionEndedAt: -1}
+		violations: make(map[string]*Violation), partitionEndedAt: -1}
 	for range tierSize {
 		c.faultEndedAt = append(c.faultEndedAt, -1)
 	}
--- a/internal/swarm/experiment.go
+++ b/internal/swarm/experiment.go
@@ -107,7 +107,9 @@
 	}
 	killedAt = sim.Now()
 	sim.Kill(victim)
-	consideredDead[victim] = true
+	for observer := range consideredDead { // it may have been considered dead by mistake
+		consideredDead[observer] = observer == victim || sim.StateOf(observer, victim).State == membership.StateDead
+	}
 	for step, deadline := e.Limits.Period/5, killedAt+200*e.Limits.Period; sim.Now() < deadline; {
 		sim.Run(sim.Now() + step)
 		if !slices.Contains(consideredDead, false) {
