--- a/cmd/elmseam/main_test.go
+++ b/cmd/elmseam/main_test.go
@@ -397,6 +397,15 @@
 	}
 }
 
+// TestExampleConfigStarts guards against an example configuration that the program rejects.
+func TestExampleConfigStarts(t *testing.T) {
+	p := &program{T: t, config: filepath.Join("..", "..", "deploy", "example.json"), logLines: make(chan string, 100)}
+	p.launch("", "ROUTER_LISTEN=127.0.0.1:0", "ROUTER_MGMT=127.0.0.1:0")
+	if p.listen == "" {
+		t.Error("the program does not listen")
+	}
+}
+
 // TestReloadWithM3UA guards against a crash: a class that a reload adds has no M3UA category, so its calls to an M3UA
 // server must be refused. Such a call crashed the program while M3UA kept the classes of the start.
 func TestReloadWithM3UA(t *testing.T) {
--- a/cmd/elmseamctl/lab.go
+++ b/cmd/elmseamctl/lab.go
@@ -7,7 +7,9 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"syscall"
+	"text/tabwriter"
 
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
@@ -27,6 +29,7 @@
 func labCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "lab", Short: "Runs several softswitches with stand-ins for their callers and servers, and injects faults"}
 	var binaryPath, outDir string
+	var table bool
 	runCommand := &cobra.Command{
 		Use:   "run SCENARIO",
 		Short: "Runs a scenario file against processes of the softswitch, and checks invariants on what is visible from outside",
@@ -66,6 +69,9 @@
 				fmt.Fprintln(os.Stderr, "elmseamctl:", err)
 				return exitCode(labExitFailed)
 			}
+			if table {
+				printSeconds(command, result)
+			}
 			printVerdict(command, result, outDir)
 			if !result.Passed {
 				return exitCode(labExitViolation)
@@ -75,11 +81,26 @@
 	}
 	runCommand.Flags().StringVar(&binaryPath, "binary", "bin/elmseam", "path of the softswitch program")
 	runCommand.Flags().StringVar(&outDir, "out", "",
-		"directory for the table, the verdict and the softswitches' logs (default: in the temporary directory)")
+		"directory for the table, the pictures, the verdict and the softswitches' logs (default: in the temporary directory)")
+	runCommand.Flags().BoolVar(&table, "table", false, "also print the outcomes of set-ups and each server's load, second by second")
 	cmd.AddCommand(runCommand, tierCommand(), soakCommand())
 	return cmd
 }
 
+// printSeconds prints the outcomes of set-ups and the attempts that reached each server, second by second.
+func printSeconds(cmd *cobra.Command, result *lab.Result) {
+	table := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(table, "second\toffered\tserved\trefused\tlost\texcused\t%s\t\n", strings.Join(result.ServerNames(), "\t"))
+	for second, stats := range result.Seconds() {
+		fmt.Fprintf(table, "%d\t%d\t%d\t%d\t%d\t%d\t", second, stats.Offered, stats.Served, stats.Refused, stats.Lost, stats.Excused)
+		for _, server := range result.ServerNames() {
+			fmt.Fprintf(table, "%d\t", stats.Arrivals[server])
+		}
+		fmt.Fprintln(table)
+	}
+	table.Flush()
+}
+
 // printVerdict prints the counts, the violated invariants and the verdict of a lab run.
 func printVerdict(cmd *cobra.Command, result *lab.Result, outDir string) {
 	output := cmd.OutOrStdout()
@@ -94,5 +115,5 @@
 	if !result.Passed {
 		verdict = "broken"
 	}
-	fmt.Fprintf(output, "%s; table and logs in %s\n", verdict, outDir)
+	fmt.Fprintf(output, "%s; table, pictures and logs in %s\n", verdict, outDir)
 }
--- a/cmd/elmseamctl/soak.go
+++ b/cmd/elmseamctl/soak.go
@@ -25,7 +25,7 @@
 func soakCommand() *cobra.Command {
 	var seeds, binaryPath, outDir string
 	var parallel int
-	var limit time.Duration
+	var minutes float64
 	cmd := &cobra.Command{
 		Use:   "soak",
 		Short: "Plays short trials with many faults, one for each seed, and checks the rules from outside",
@@ -35,8 +35,11 @@
 			if err == nil && (parallel < 1 || parallel > maxSoakParallel) {
 				err = fmt.Errorf("parallel: %d, not in [1, %d]", parallel, maxSoakParallel)
 			}
-			if err == nil && limit <= 0 {
-				err = fmt.Errorf("limit: %v is not positive", limit)
+			if err == nil && parallel > 1 {
+				err = checkDistinct(list)
+			}
+			if err == nil && !(minutes > 0) {
+				err = fmt.Errorf("minutes: %v is not positive", minutes)
 			}
 			if err != nil {
 				fmt.Fprintln(os.Stderr, "elmseamctl:", err)
@@ -45,7 +48,7 @@
 			if outDir == "" {
 				outDir = filepath.Join(os.TempDir(), "elmseam-soak")
 			}
-			soak := &soak{command: command, binary: binaryPath, outDir: outDir, seeds: list, deadline: time.Now().Add(limit)}
+			soak := &soak{command: command, binary: binaryPath, outDir: outDir, seeds: list, deadline: time.Now().Add(time.Duration(minutes * float64(time.Minute)))}
 			return soak.run(parallel)
 		},
 	}
@@ -53,7 +56,7 @@
 	cmd.Flags().StringVar(&binaryPath, "binary", "bin/elmseam", "path of the softswitch program")
 	cmd.Flags().StringVar(&outDir, "out", "", "folder for the records of violated trials (default: in the folder for temporary files)")
 	cmd.Flags().IntVar(&parallel, "parallel", 3, "trials at a time")
-	cmd.Flags().DurationVar(&limit, "limit", time.Hour, "no trial begins after this time")
+	cmd.Flags().Float64Var(&minutes, "minutes", 60, "no trial begins after so many minutes")
 	return cmd
 }
 
@@ -80,6 +83,18 @@
 	return seeds, nil
 }
 
+// checkDistinct returns an error if a seed is named twice: both trials would use the same folder at the same time.
+func checkDistinct(seeds []uint64) error {
+	seen := make(map[uint64]bool)
+	for _, seed := range seeds {
+		if seen[seed] {
+			return fmt.Errorf("seeds: %d is named twice; play it again with --parallel 1", seed)
+		}
+		seen[seed] = true
+	}
+	return nil
+}
+
 // soak is a series of trials.
 type soak struct {
 	command  *cobra.Command
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -53,6 +53,12 @@
 	capacityBySecond [][]float64 // by second, by server: set-ups a second at the second's start, without slowdowns
 }
 
+// ServerNames returns the names of the servers, in the order of the scenario.
+func (res *Result) ServerNames() []string { return res.serverNames }
+
+// Seconds returns the counts of each second of the run.
+func (res *Result) Seconds() []SecondStats { return res.seconds }
+
 // collectResult collects the run's counts and adds the violations that show only at the end: oversized datagrams,
 // and counts that differ from those of the admin endpoints.
 func (r *runner) collectResult() *Result {
--- a/internal/swarm/discovery_test.go
+++ b/internal/swarm/discovery_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	"elmseam/internal/backoff"
 	"elmseam/internal/config"
 )
 
@@ -12,7 +11,7 @@
 // late after its return.
 func TestHerdAtDiscovery(t *testing.T) {
 	const followers = 300
-	var retry backoff.Limits = config.DiscoveryRetry
+	retry := config.DiscoveryRetry
 	for _, seconds := range []int{1, 2, 4, 8, 60} {
 		knownInTime, known, peak := 0, 0, 0
 		var calls float64
