Soak: a violated trial leaves a plan that can be narrowed down and played again

Cause: a trial's faults were closures; its record printed addresses of functions, and nothing but the whole seed could be played again. The pause of a replacement was drawn while it was played, by several goroutines.

--- a/cmd/elmseamctl/main_test.go
+++ b/cmd/elmseamctl/main_test.go
@@ -101,6 +101,8 @@
 		"help":         {[]string{"check", "--help"}, exitPassed},
 		"bad scenario": {[]string{"lab", "run", file("s.toml", "name = \"x\"\nduration = \"5s\"\nsoftswitches = 0\n")}, labExitInvalid},
 		"bad seeds":    {[]string{"lab", "soak", "--seeds", "7-3"}, labExitInvalid},
+		"no plan":      {[]string{"lab", "soak", "--plan", "none.toml"}, labExitInvalid},
+		"same seeds":   {[]string{"lab", "soak", "--seeds", "7,7"}, labExitInvalid},
 		"no program": {[]string{"lab", "run", "--binary", filepath.Join(dir, "none"), "--out", dir, file("t.toml",
 			"name = \"x\"\nduration = \"1s\"\nsoftswitches = 1\n[[server]]\nname = \"s\"\ncapacity = 10\n[[load]]\nrate = 1\n")}, labExitFailed},
 	} {
--- a/cmd/elmseamctl/soak.go
+++ b/cmd/elmseamctl/soak.go
@@ -23,7 +23,7 @@
 
 // soakCommand returns the command "lab soak", which plays short, dense trials drawn from seeds.
 func soakCommand() *cobra.Command {
-	var seeds, binaryPath, outDir string
+	var seeds, planPath, binaryPath, outDir string
 	var parallel int
 	var minutes float64
 	cmd := &cobra.Command{
@@ -31,12 +31,12 @@
 		Short: "Plays short trials with many faults, one for each seed, and checks the rules from outside",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			list, err := parseSeeds(seeds)
+			plans, err := soakPlans(seeds, planPath)
 			if err == nil && (parallel < 1 || parallel > maxSoakParallel) {
 				err = fmt.Errorf("parallel: %d, not in [1, %d]", parallel, maxSoakParallel)
 			}
 			if err == nil && parallel > 1 {
-				err = checkDistinct(list)
+				err = checkDistinct(plans)
 			}
 			if err == nil && !(minutes > 0) {
 				err = fmt.Errorf("minutes: %v is not positive", minutes)
@@ -48,11 +48,12 @@
 			if outDir == "" {
 				outDir = filepath.Join(os.TempDir(), "elmseam-soak")
 			}
-			soak := &soak{command: command, binary: binaryPath, outDir: outDir, seeds: list, deadline: time.Now().Add(time.Duration(minutes * float64(time.Minute)))}
+			soak := &soak{command: command, binary: binaryPath, outDir: outDir, plans: plans, deadline: time.Now().Add(time.Duration(minutes * float64(time.Minute)))}
 			return soak.run(parallel)
 		},
 	}
 	cmd.Flags().StringVar(&seeds, "seeds", "1-10", "the seeds, such as 3,7,20-25")
+	cmd.Flags().StringVar(&planPath, "plan", "", "plays the plan in this file, such as one that a violated trial left, instead of seeds")
 	cmd.Flags().StringVar(&binaryPath, "binary", "bin/elmseam", "path of the softswitch program")
 	cmd.Flags().StringVar(&outDir, "out", "", "folder for the records of violated trials (default: in the folder for temporary files)")
 	cmd.Flags().IntVar(&parallel, "parallel", 3, "trials at a time")
@@ -83,14 +84,28 @@
 	return seeds, nil
 }
 
+// soakPlans returns the plans of the seeds, or the one in a file.
+func soakPlans(seeds, planPath string) ([]lab.TrialPlan, error) {
+	if planPath != "" {
+		plan, err := lab.ReadTrialPlan(planPath)
+		return []lab.TrialPlan{plan}, err
+	}
+	list, err := parseSeeds(seeds)
+	var plans []lab.TrialPlan
+	for _, seed := range list {
+		plans = append(plans, lab.DrawTrial(seed))
+	}
+	return plans, err
+}
+
 // checkDistinct returns an error if a seed is named twice: both trials would use the same folder at the same time.
-func checkDistinct(seeds []uint64) error {
+func checkDistinct(plans []lab.TrialPlan) error {
 	seen := make(map[uint64]bool)
-	for _, seed := range seeds {
-		if seen[seed] {
-			return fmt.Errorf("seeds: %d is named twice; play it again with --parallel 1", seed)
+	for _, plan := range plans {
+		if seen[plan.Seed] {
+			return fmt.Errorf("seeds: %d is named twice; play it again with --parallel 1", plan.Seed)
 		}
-		seen[seed] = true
+		seen[plan.Seed] = true
 	}
 	return nil
 }
@@ -102,8 +117,8 @@
 	outDir   string
 	deadline time.Time
 
-	mu       sync.Mutex // guards the fields below
-	seeds    []uint64   // not played yet
+	mu       sync.Mutex      // guards the fields below
+	plans    []lab.TrialPlan // not played yet
 	played   int
 	violated []uint64
 	failed   error
@@ -114,8 +129,8 @@
 	var workers sync.WaitGroup
 	for range parallel {
 		workers.Go(func() {
-			for seed, more := s.take(); more; seed, more = s.take() {
-				s.play(seed)
+			for plan, more := s.take(); more; plan, more = s.take() {
+				s.play(plan)
 			}
 		})
 	}
@@ -132,22 +147,23 @@
 	return nil
 }
 
-// take returns the next seed, if there is one.
-func (s *soak) take() (seed uint64, more bool) {
+// take returns the next plan, if there is one.
+func (s *soak) take() (plan lab.TrialPlan, more bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.seeds) == 0 || s.failed != nil || time.Now().After(s.deadline) {
-		return 0, false
+	if len(s.plans) == 0 || s.failed != nil || time.Now().After(s.deadline) {
+		return plan, false
 	}
-	seed, s.seeds = s.seeds[0], s.seeds[1:]
-	return seed, true
+	plan, s.plans = s.plans[0], s.plans[1:]
+	return plan, true
 }
 
 // play plays one trial and prints its line.
-func (s *soak) play(seed uint64) {
+func (s *soak) play(plan lab.TrialPlan) {
+	seed := plan.Seed
 	dir := filepath.Join(s.outDir, fmt.Sprintf("seed-%d", seed))
 	os.RemoveAll(dir)
-	result, err := lab.RunTrial(seed, lab.TrialOptions{Binary: s.binary, OutDir: dir})
+	result, err := lab.RunTrial(plan, lab.TrialOptions{Binary: s.binary, OutDir: dir})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.played++
--- a/internal/lab/trial.go
+++ b/internal/lab/trial.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -31,7 +32,7 @@
 
 // trial is one trial while it runs.
 type trial struct {
-	plan      trialPlan
+	plan      TrialPlan
 	options   TrialOptions
 	startedAt time.Time
 	checker   *trialChecker
@@ -50,9 +51,9 @@
 	renamed int             // servers that were replaced
 }
 
-// RunTrial plays the trial of a seed. An error means that the trial could not be played.
-func RunTrial(seed uint64, options TrialOptions) (*TrialResult, error) {
-	t := &trial{plan: drawTrial(seed), options: options, startedAt: time.Now(), stop: make(chan struct{}), rng: rand.New(rand.NewPCG(seed, 1)),
+// RunTrial plays a trial. An error means that the trial could not be played.
+func RunTrial(plan TrialPlan, options TrialOptions) (*TrialResult, error) {
+	t := &trial{plan: plan, options: options, startedAt: time.Now(), stop: make(chan struct{}), rng: rand.New(rand.NewPCG(plan.Seed, 1)),
 		busy: make(map[string]bool)}
 	t.nextID = t.rng.Uint64() | 1
 	if err := os.MkdirAll(options.OutDir, 0o755); err != nil {
@@ -62,14 +63,14 @@
 	if err != nil {
 		return nil, err
 	}
-	t.checker = newTrialChecker(t.plan.softswitches, rules, t.now)
+	t.checker = newTrialChecker(t.plan.Softswitches, rules, t.now)
 	defer t.close()
 	if err := t.startWorld(); err != nil {
 		return nil, err
 	}
 	t.play()
 	t.checker.finish()
-	result := &TrialResult{Seed: seed, Counts: t.checker.counts, Faults: t.faults}
+	result := &TrialResult{Seed: plan.Seed, Counts: t.checker.counts, Faults: t.faults}
 	result.Violations, result.Unjudged = t.checker.judge()
 	return result, t.writeRecord(result)
 }
@@ -80,16 +81,16 @@
 // startWorld starts the servers, the command channel and the softswitches.
 func (t *trial) startWorld() error {
 	var memberHosts, serverHosts, channelHosts []string
-	for i := range t.plan.softswitches {
+	for i := range t.plan.Softswitches {
 		memberHosts, serverHosts, channelHosts = append(memberHosts, loopbackAddress(1, i)), append(serverHosts, loopbackAddress(2, i)), append(channelHosts, loopbackAddress(3, i))
 	}
 	var entries []serverChange
-	for i := range t.plan.servers {
+	for i := range t.plan.Servers {
 		server, err := newTrialServer(fmt.Sprintf("s%d", i+1), serverHosts, t.checker, rand.New(rand.NewPCG(t.rng.Uint64(), 2)))
 		if err != nil {
 			return err
 		}
-		server.capacity, server.faults, server.holdTime, server.serviceTime, server.reportInterval = t.plan.capacity, t.plan.faults, t.plan.holdTime, t.plan.serviceTime, t.plan.reportInterval
+		server.capacity, server.faults, server.holdTime, server.serviceTime, server.reportInterval = t.plan.Capacity, t.plan.ServerFaults, t.plan.HoldTime, t.plan.ServiceTime, t.plan.ReportInterval
 		t.servers = append(t.servers, server)
 		server.start()
 		entries = append(entries, serverChange{name: server.name, status: "in_service"})
@@ -131,16 +132,16 @@
 		t.tasks.Go(func() { t.members[member].watchLimits(t.stop) })
 	}
 	go t.watchLag()
-	if t.plan.rude > 0 {
+	if t.plan.Rude > 0 {
 		t.tasks.Go(t.sendGarbage)
 	}
 	start := t.now()
-	for _, step := range t.plan.steps {
-		time.Sleep(start + step.at - t.now())
-		t.record("%s", step.name)
-		t.tasks.Go(func() { step.play(t) })
+	for _, step := range t.plan.Steps {
+		time.Sleep(start + step.At - t.now())
+		t.record("step: %s", step.Kind)
+		t.tasks.Go(func() { t.playStep(step) })
 	}
-	time.Sleep(start + t.plan.length - t.now())
+	time.Sleep(start + t.plan.Length - t.now())
 	close(t.stop)
 	t.tasks.Wait()
 	t.channel.setMode(channelServing)
@@ -200,9 +201,9 @@
 func (t *trial) call(member int) {
 	for {
 		t.mu.Lock()
-		gap := time.Duration(t.rng.ExpFloat64() * float64(t.plan.interval))
-		rude := t.rng.Float64() < t.plan.rude
-		left := t.plan.deadline/4 + time.Duration(t.rng.Int64N(int64(t.plan.deadline*3/4)))
+		gap := time.Duration(t.rng.ExpFloat64() * float64(t.plan.Interval))
+		rude := t.rng.Float64() < t.plan.Rude
+		left := t.plan.Deadline/4 + time.Duration(t.rng.Int64N(int64(t.plan.Deadline*3/4)))
 		t.nextID += 2
 		id := t.nextID
 		t.mu.Unlock()
@@ -211,7 +212,7 @@
 			return
 		case <-time.After(gap):
 		}
-		caller := t.caller(member, t.plan.connections)
+		caller := t.caller(member, t.plan.Connections)
 		if caller == nil {
 			continue
 		}
@@ -270,7 +271,7 @@
 func (t *trial) answered(c *trialCaller, id uint64, description string, pending bool) {
 	t.checker.finalAnswer(id, true, description)
 	t.mu.Lock()
-	endsCall, hold := pending && t.rng.IntN(4) == 0, time.Duration(t.rng.ExpFloat64()*float64(t.plan.holdTime))
+	endsCall, hold := pending && t.rng.IntN(4) == 0, time.Duration(t.rng.ExpFloat64()*float64(t.plan.HoldTime))
 	t.mu.Unlock()
 	if !endsCall {
 		return
@@ -287,7 +288,7 @@
 	if len(result.Violations) == 0 {
 		return os.RemoveAll(t.options.OutDir)
 	}
-	text := fmt.Sprintf("seed %d\ncounts %v\nplan %+v\n", result.Seed, result.Counts, t.plan)
+	text := fmt.Sprintf("seed %d\ncounts %v\n", result.Seed, result.Counts)
 	var rules []string
 	for rule := range result.Violations {
 		rules = append(rules, rule)
@@ -297,7 +298,12 @@
 		text += rule + "\n\t" + strings.Join(result.Violations[rule], "\n\t") + "\n"
 	}
 	text += "faults\n\t" + strings.Join(result.Faults, "\n\t") + "\n"
-	return os.WriteFile(filepath.Join(t.options.OutDir, "record.txt"), []byte(text), 0o644)
+	plan, err := t.plan.encode()
+	if err != nil {
+		return err
+	}
+	return errors.Join(os.WriteFile(filepath.Join(t.options.OutDir, "record.txt"), []byte(text), 0o644),
+		os.WriteFile(filepath.Join(t.options.OutDir, "plan.toml"), plan, 0o644))
 }
 
 // close ends the processes and closes all sockets.
--- a/internal/lab/trial_channel.go
+++ b/internal/lab/trial_channel.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -30,6 +31,20 @@
 	channelModeCount
 )
 
+// channelModeNames are the modes' names in plans and records.
+var channelModeNames = [channelModeCount]string{"serving", "refusing", "unreachable", "mute", "half a header", "failing", "resetting", "crowded", "slow"}
+
+// String returns the mode's name.
+func (m channelMode) String() string { return channelModeNames[m] }
+
+// parseChannelMode returns the mode with a name, other than that of a channel that serves. The error names the field of a step.
+func parseChannelMode(name string) (channelMode, error) {
+	if i := slices.Index(channelModeNames[1:], name); i >= 0 {
+		return channelMode(i + 1), nil
+	}
+	return channelServing, fmt.Errorf("mode: %q is not one of %q", name, channelModeNames[1:])
+}
+
 // Times after which a change counts as told to a softswitch that did not hear of it.
 const (
 	toldAfter        = 7 * time.Second // after its publication
--- a/internal/lab/trial_faults.go
+++ b/internal/lab/trial_faults.go
@@ -8,6 +8,36 @@
 // minReboot is the shortest time in which a machine returns with a new process.
 const minReboot = 1200 * time.Millisecond
 
+// playStep plays one fault.
+func (t *trial) playStep(step TrialStep) {
+	server, member := step.Server-1, step.Softswitch-1
+	switch step.Kind {
+	case StepCutOff, StepVanish:
+		t.cutOff(server, step.Duration, step.NewProcess)
+	case StepHang:
+		t.hang(server, step.Duration)
+	case StepDie:
+		t.die(server, step.Duration)
+	case StepReplace:
+		t.replace(server, step.Duration, step.Pause)
+	case StepReset:
+		t.servers[server].resetConns()
+	case StepLate:
+		t.late(server, step.Duration)
+	case StepDiscovery:
+		mode, _ := parseChannelMode(step.Mode) // checked before
+		t.failChannel(mode, step.Duration, step.Drain, server)
+	case StepSilence:
+		t.channel.silenceStreams()
+	case StepReconfigure:
+		t.reconfigure(member, step.Count)
+	case StepKill:
+		t.kill(member, step.Duration)
+	case StepRestart:
+		t.rollingRestart(member, step.Count, step.Duration)
+	}
+}
+
 // cutOff makes a server's machine unreachable. Afterwards it goes on, or has a new process that knows no call.
 func (t *trial) cutOff(index int, duration time.Duration, newProcess bool) {
 	server := t.servers[index]
@@ -99,7 +129,7 @@
 // failChannel makes the command channel fail. With drain, a server drains close to its return.
 func (t *trial) failChannel(mode channelMode, duration time.Duration, drain bool, server int) {
 	t.exclusively("channel", func() {
-		t.record("discovery in mode %d for %v", mode, duration)
+		t.record("discovery %s for %v", mode, duration)
 		t.channel.setMode(mode)
 		t.wait(duration * 9 / 10)
 		if drain {
--- a/internal/lab/trial_member.go
+++ b/internal/lab/trial_member.go
@@ -43,7 +43,7 @@
 func (m *trialMember) config() ([]byte, error) {
 	return json.Marshal(map[string]any{
 		"name": MemberName(m.index), "listen": m.listenAddr, "seed": fmt.Sprintf("%016x", m.trial.rngUint64()),
-		"limits":   map[string]any{"cores": 1.0, "memory_mb": memoryLimitMB, "sockets": m.trial.plan.sockets},
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": memoryLimitMB, "sockets": m.trial.plan.Sockets},
 		"channel":  m.trial.channel.listeners[m.index][m.moves%2].Addr().String(),
 		"known":    m.trial.channel.initialState(m.index),
 		"settings": m.trial.plan.settings(),
@@ -200,7 +200,7 @@
 		time.Sleep(callersNotice)
 		m.trial.checker.softswitchDown(m.index, stoppedAt, false)
 		m.trial.record("n%d ended after %v", m.index+1, m.trial.now()-stoppedAt)
-	case <-time.After(min(m.trial.plan.deadline, longestCountedDeadline) + killAfterDeadline):
+	case <-time.After(min(m.trial.plan.Deadline, longestCountedDeadline) + killAfterDeadline):
 		m.trial.record("n%d SIGKILL after SIGTERM", m.index+1)
 		m.kill(stoppedAt)
 	}
@@ -238,8 +238,8 @@
 		m.mu.Lock()
 		pid := m.cmd.Process.Pid
 		m.mu.Unlock()
-		if files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid)); err == nil && len(files) > m.trial.plan.sockets {
-			m.trial.checker.report("limit of descriptors", "n%d has %d, limit %d", m.index+1, len(files), m.trial.plan.sockets)
+		if files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid)); err == nil && len(files) > m.trial.plan.Sockets {
+			m.trial.checker.report("limit of descriptors", "n%d has %d, limit %d", m.index+1, len(files), m.trial.plan.Sockets)
 		}
 		if size := residentMB(pid); size > memoryLimitMB {
 			m.trial.checker.report("limit of memory", "n%d has %d MB", m.index+1, size)
--- a/internal/lab/trial_server.go
+++ b/internal/lab/trial_server.go
@@ -26,13 +26,6 @@
 	serverServing: faultnet.Accepting, serverHung: faultnet.Accepting, serverVanished: faultnet.Unreachable, serverDead: faultnet.Refusing,
 }
 
-// serverFaults are the probabilities and times of what goes wrong at a server in ordinary operation.
-type serverFaults struct {
-	refuse, fail, reset, spoil, double, mute, closeEarly float64       // probabilities for each set-up, closeEarly for each connection
-	pieces                                               bool          // lines are written in pieces
-	idleClose                                            time.Duration // idle connections are closed after this time; 0: never
-}
-
 // trialServer is a stand-in server of a trial, as PROTOCOL describes it. It has a listener for each softswitch.
 type trialServer struct {
 	checker        *trialChecker
@@ -45,7 +38,7 @@
 	mu      sync.Mutex // guards the fields below
 	name    string     // of the present process
 	rng     *rand.Rand
-	faults  serverFaults
+	faults  ServerFaults
 	state   trialServerState
 	process int // number of the process; calls and connections belong to one
 	conns   map[*trialServerConn]bool
@@ -115,7 +108,7 @@
 			return
 		}
 		s.mu.Lock()
-		if s.state == serverDead || s.rng.Float64() < s.faults.closeEarly {
+		if s.state == serverDead || s.rng.Float64() < s.faults.CloseEarly {
 			s.mu.Unlock()
 			faultnet.Reset(conn)
 			continue
@@ -143,7 +136,7 @@
 	delay, swamped := s.processorWait()
 	delay += time.Duration(s.rng.Int64N(int64(s.serviceTime) + 1))
 	startedAt := s.startedAt
-	reset := s.rng.Float64() < s.faults.reset
+	reset := s.rng.Float64() < s.faults.Reset
 	s.mu.Unlock()
 	s.checker.coldOffer(c.server, s.capacity, startedAt)
 	if reset {
@@ -186,20 +179,20 @@
 	}
 	refusal := ""
 	switch {
-	case within(faults.mute):
+	case within(faults.Mute):
 		s.mu.Unlock()
 		return
-	case within(faults.spoil): // the set-up stays pending: the softswitch has to end it
+	case within(faults.Spoil): // the set-up stays pending: the softswitch has to end it
 		s.mu.Unlock()
 		s.send(c, fmt.Sprintf(`{"op":"accept","call":"%016x","with":{},"desc":"`, id))
 		return
-	case swamped, within(faults.refuse):
+	case swamped, within(faults.Refuse):
 		refusal = fmt.Sprintf(`{"op":"end","call":"%016x","with":{"note":"swamped"},"why":34}`, id)
-	case within(faults.fail):
+	case within(faults.Fail):
 		refusal = fmt.Sprintf(`{"op":"end","call":"%016x","with":{},"why":47}`, id)
 	}
 	delete(c.pending, id)
-	double := s.rng.Float64() < faults.double
+	double := s.rng.Float64() < faults.Double
 	hold := time.Duration(s.rng.ExpFloat64() * float64(s.holdTime))
 	if refusal == "" {
 		s.calls[id] = &serverCall{c, c.member}
--- a/internal/lab/trial_server_conn.go
+++ b/internal/lab/trial_server_conn.go
@@ -48,7 +48,7 @@
 				return
 			}
 			s.mu.Lock()
-			pieces, cut := s.faults.pieces && s.rng.IntN(4) == 0, 1+s.rng.IntN(len(line.text))
+			pieces, cut := s.faults.Pieces && s.rng.IntN(4) == 0, 1+s.rng.IntN(len(line.text))
 			s.mu.Unlock()
 			text := line.text + "\n"
 			if pieces {
@@ -106,7 +106,7 @@
 	lines := bufio.NewScanner(c)
 	lines.Buffer(make([]byte, 4<<10), 64<<10)
 	s.mu.Lock()
-	idleClose := s.faults.idleClose
+	idleClose := s.faults.IdleClose
 	s.mu.Unlock()
 	for {
 		if idleClose > 0 {
--- a/internal/lab/trial_test.go
+++ b/internal/lab/trial_test.go
@@ -1,6 +1,10 @@
 package lab
 
 import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
 	"testing"
 	"time"
 )
@@ -110,16 +114,59 @@
 	}
 }
 
-// TestTrialIsDrawnFromItsSeed checks that a seed always draws the same trial, and that seeds differ.
+// TestTrialIsDrawnFromItsSeed checks that a seed always draws the same valid plan, that seeds differ, and that a plan that was written is read
+// as it was.
 func TestTrialIsDrawnFromItsSeed(t *testing.T) {
-	steps := func(seed uint64) (text string) {
-		plan := drawTrial(seed)
-		for _, step := range plan.steps {
-			text += step.at.String() + step.name
+	for seed := range uint64(300) {
+		plan := DrawTrial(seed)
+		if err := plan.check(); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
 		}
-		return text + plan.length.String() + plan.deadline.String()
+		if !reflect.DeepEqual(plan, DrawTrial(seed)) || reflect.DeepEqual(plan, DrawTrial(seed+1)) {
+			t.Fatalf("the plan of seed %d does not follow its seed alone", seed)
+		}
+		text, err := plan.encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		path := filepath.Join(t.TempDir(), "plan.toml")
+		os.WriteFile(path, text, 0o600)
+		if again, err := ReadTrialPlan(path); err != nil || !reflect.DeepEqual(plan, again) {
+			t.Fatalf("seed %d: %v, read %+v, written %+v", seed, err, again, plan)
+		}
+	}
+}
+
+// TestCheckedInPlansAreValid checks the plans that are played again in CI or by hand.
+func TestCheckedInPlansAreValid(t *testing.T) {
+	paths, err := filepath.Glob("../../lab/trials/*.toml")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no plans: %v", err)
 	}
-	if first, again := steps(3), steps(3); first != again || first == steps(4) {
-		t.Error("the trial does not follow its seed alone")
+	for _, path := range paths {
+		if _, err := ReadTrialPlan(path); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// TestInvalidPlanPlayed guards against a plan with an unknown kind, a negative time or a target that does not exist.
+func TestInvalidPlanPlayed(t *testing.T) {
+	for field, change := range map[string]func(p *TrialPlan){
+		"step[0].kind:":         func(p *TrialPlan) { p.Steps[0].Kind = "earthquake" },
+		"step[0].for:":          func(p *TrialPlan) { p.Steps[0].Duration = -time.Second },
+		"step[0].at:":           func(p *TrialPlan) { p.Steps[0].At = -1 },
+		"step[0].server:":       func(p *TrialPlan) { p.Steps[0].Server = 9 },
+		"step[0].mode:":         func(p *TrialPlan) { p.Steps[0] = TrialStep{Kind: StepDiscovery, Mode: "x"} },
+		"step[0].softswitch:":   func(p *TrialPlan) { p.Steps[0] = TrialStep{Kind: StepKill} },
+		"server_faults.refuse:": func(p *TrialPlan) { p.ServerFaults.Refuse = 2 },
+		"length:":               func(p *TrialPlan) { p.Length = 0 },
+	} {
+		plan := DrawTrial(1)
+		plan.Steps = []TrialStep{{Kind: StepHang, Server: 1, Duration: time.Second}}
+		change(&plan)
+		if err := plan.check(); err == nil || !strings.HasPrefix(err.Error(), field) {
+			t.Errorf("error %v, want one that names %s", err, field)
+		}
 	}
 }
