Core: the connections on which calls were set up stay open while a silent server is verified

The server's process had hung for 7.6 s and wrote the releases of its calls, when it went on, on the connections of their set-ups; the softswitch had closed these.

Cause: a server that sends nothing for 3.5 s is dialled, and the connection that came up replaced an unused one, whatever calls had been set up there. The process that hung had not read its end yet, and the next connection that was opened, on which it repeats its releases, came 1.8 s later.

TestReachableSilentServerKeepsCalls now wants the connection of the call open to the end, and the others closed one by one; before it wanted the oldest closed each time.

Change: the new connection is kept beside the others, up to MaxConnsPerServer (4: a server reports on at most four). Beyond, one is closed that has neither an outstanding attempt nor an established call, and else the new one: it has shown what it was made for.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -67,6 +67,7 @@
 			InitialRedialDelay:  100 * time.Millisecond,
 			MaxRedialDelay:      500 * time.Millisecond,
 			ConnsPerServer:      map[core.Protocol]int{platform.Protocol: 2},
+			MaxConnsPerServer:   4, // a server reports its load on at most four
 			MaxServerConns:      shares.servers,
 			UnresponsiveAfter:   100 * time.Millisecond, // a server that isn't overloaded answers sooner
 			MaxRemovedServers:   16,
--- a/internal/core/liveness.go
+++ b/internal/core/liveness.go
@@ -258,10 +258,18 @@
 	c.watchLiveness(s)
 }
 
-// replaceByVerified replaces a connection to a server by the one that was made to verify that the server can be reached. It returns false
-// if all connections have outstanding attempts.
-func (c *Core) replaceByVerified(s *server) bool {
+// keepVerified makes room for a connection that was made to verify that the server can be reached. The connections on which established calls
+// were set up stay open: a process that hung sends their releases there when it goes on. It returns false if there is no room.
+func (c *Core) keepVerified(s *server) bool {
+	if len(s.conns) < c.limits.MaxConnsPerServer {
+		return true
+	}
 	used := s.usedConns()
+	for _, call := range s.established {
+		if conn := s.connByID(call.serverConn); conn != nil {
+			used[conn] = true
+		}
+	}
 	for i, conn := range s.conns {
 		if !used[conn] {
 			c.prober.ConnClosed(uint64(conn.id))
--- a/internal/core/liveness_test.go
+++ b/internal/core/liveness_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -13,7 +14,7 @@
 	limits.Transient = map[Protocol]bool{"": true}
 	limits.ServerLostAfter, limits.MinServerOutage = 7500*ms, 2*time.Second
 	limits.LivenessCheckAfter, limits.LivenessRecheck = 3500*ms, time.Second
-	limits.MaxPendingReleases = 10
+	limits.MaxPendingReleases, limits.MaxConnsPerServer = 10, 2
 	h.core.limits = limits
 	h.setUp(1, 9*time.Second)
 	h.wantEffects(h.step(ServerAnswer{Server: "a", Conn: 10, ID: 1}), "answered1@1 ")
@@ -86,18 +87,21 @@
 	}
 }
 
-// A server that sends nothing while calls are established on it is dialled, and a connection that comes up shows that it is there.
+// A server that sends nothing while calls are established on it is dialled, and a connection that comes up shows that it is there. The one on
+// which the call was set up stays open, as the process may hang and release the call there; of the others MaxConnsPerServer - 1 stay.
 func TestReachableSilentServerKeepsCalls(t *testing.T) {
 	h := newLivenessHarness(t)
 	for conn := ConnID(20); conn < 25; conn++ {
 		if effects := h.advance(3600 * ms); countEffects(effects, "dial-a") != 1 || countEffects(effects, "released") != 0 {
 			t.Fatalf("effects %q, want one dial and no release", effects)
 		}
-		if effects := h.step(ServerUp{Server: "a", Address: "a:1", Conn: conn}); countEffects(effects, "close@") != 1 {
-			t.Fatalf("effects %q, want one connection closed for the new one", effects)
+		closed := ""
+		if conn > 20 {
+			closed = fmt.Sprintf("close@%d ", conn-1)
 		}
+		h.wantEffects(h.step(ServerUp{Server: "a", Address: "a:1", Conn: conn}), closed)
 	}
-	h.wantEffects(h.step(ServerEnd{Server: "a", Conn: 24, ID: 1, Reason: ReasonNormal}), "released1@1 ")
+	h.wantEffects(h.step(ServerEnd{Server: "a", Conn: 10, ID: 1, Reason: ReasonNormal}), "released1@1 ")
 	if effects := h.advance(20 * time.Second); countEffects(effects, "dial") != 0 {
 		t.Errorf("effects %q, want no dial without established calls", effects)
 	}
--- a/internal/core/servermsgs.go
+++ b/internal/core/servermsgs.go
@@ -69,7 +69,8 @@
 	setUpTime := c.now - call.attempt.startedAt
 	call.attempt = nil
 	delete(s.outstanding, call.ID)
-	call.server, call.answerDesc, call.answered, call.connGeneration = s, ev.Desc, true, s.generationOf(ev.Conn)
+	call.server, call.answerDesc, call.answered = s, ev.Desc, true
+	call.serverConn, call.connGeneration = ev.Conn, s.generationOf(ev.Conn)
 	c.callBytes += len(ev.Desc) - len(call.SetUp.Desc)
 	call.keptBytes += len(ev.Desc) - len(call.SetUp.Desc)
 	call.SetUp.Desc = nil
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -320,7 +320,7 @@
 		return
 	}
 	c.reconnect(s)
-	if s.usableConnCount() >= c.wantedConnCount(s) && !(verified && c.replaceByVerified(s)) { // the connection is not needed any more
+	if s.usableConnCount() >= c.wantedConnCount(s) && !(verified && c.keepVerified(s)) { // the connection is not needed any more
 		c.emit(CloseConn{To: ev.Conn})
 		return
 	}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -422,6 +422,7 @@
 	InitialRedialDelay  time.Duration     // wait after a first failed attempt to reach a server; doubled by each further one
 	MaxRedialDelay      time.Duration     // longest wait after a failed attempt to reach a server
 	ConnsPerServer      map[Protocol]int  // max connections to one server, by its protocol; 1 where the protocol is missing
+	MaxConnsPerServer   int               // max connections to one server, with those that verify that it can be reached
 	MaxServerConns      int               // max connections to all servers together; 0: no limit
 	UnresponsiveAfter   time.Duration     // a connection without input for this long after a set-up or a probe is avoided for new set-ups
 	MaxPendingReleases  int               // max releases per server that wait for a connection; the oldest are dropped
