Core: a list that names a restart late cuts only the calls from before the restart

Cause: the news of another start of a server counted as the end of all its calls and connections, whenever they were made.

TestLateNewsOfRestartCutsNewCalls fails without the change.

Change: the entry's start, on the clock that the cold server's budget already relies on, divides the calls and connections: those made since belong to the new process and go on. Another address, or a start that is not later, still ends all.

The check is new in the soak, and has its self-test: a release by the caller that the softswitch has acknowledged has to reach the server within 1 s unless something went wrong there since.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -26,7 +26,8 @@
 	earlierConns   []ConnID       // connections of the attempts that have ended
 	resendAfter    Time           // no offer goes out before this time, by the release guard
 	server         *server        // server on which the call is established; nil: not established
-	serverConn     ConnID         // connection on which that server's answer came
+	establishedAt  Time           // when that server's answer came
+	serverConn     ConnID         // connection on which that answer came
 	connGeneration int            // generation of that connection
 	doubt          callDoubt      // whether that server's process may be gone
 	answerDesc     []byte         // description in the answer of that server
--- a/internal/core/liveness_test.go
+++ b/internal/core/liveness_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"elmseam"
 )
 
 // newLivenessHarness returns a harness in which call 1 is established on server "a" and the liveness of servers is checked.
@@ -181,3 +183,24 @@
 		t.Errorf("effects %q, want the release of call 1 alone", effects)
 	}
 }
+
+// TestLateNewsOfRestartCutsNewCalls guards against calls of a restarted server that are cut when the list names the restart late, although they
+// were established on the new process.
+func TestLateNewsOfRestartCutsNewCalls(t *testing.T) {
+	h := newLivenessHarness(t)
+	h.advance(time.Second)
+	h.step(ServerDown{Server: "a", Conn: 10, End: ConnEndReset})
+	startedAt := h.now
+	h.advance(100 * ms)
+	h.step(ServerUp{Server: "a", Address: "a:1", Conn: 12})
+	h.setUp(2, 9*time.Second)
+	h.wantEffects(h.step(ServerAnswer{Server: "a", Conn: 12, ID: 2}), "answered2@1 ")
+	h.advance(time.Second)
+	list := ServerList{Servers: []Server{{Name: "a", Address: "a:1", Phase: elmseam.PhaseReady, Started: startedAt}}}
+	h.wantEffects(h.step(list), "released1@1 ")
+	h.wantEffects(h.step(ServerEnd{Server: "a", Conn: 12, ID: 2, Reason: ReasonNormal}), "released2@1 ")
+	list.Servers[0].Address, list.Servers[0].Started = "a:2", h.now-time.Second
+	if effects := h.step(list); countEffects(effects, "closeconn@12") != 1 {
+		t.Errorf("effects %q, want the connection to the former address closed", effects)
+	}
+}
--- a/internal/core/servermsgs.go
+++ b/internal/core/servermsgs.go
@@ -37,6 +37,7 @@
 // serverConn is a connection to a server.
 type serverConn struct {
 	id              ConnID
+	madeAt          Time
 	generation      int  // connGeneration of the server when the connection was made
 	lastOfferAt     Time // when the last offer went out on the connection
 	unusable        bool // a message on the connection could not be decoded, or the connection counts as dead: no new offer goes there
@@ -69,7 +70,7 @@
 	setUpTime := c.now - call.attempt.startedAt
 	call.attempt = nil
 	delete(s.outstanding, call.ID)
-	call.server, call.answerDesc, call.answered = s, ev.Desc, true
+	call.server, call.answerDesc, call.answered, call.establishedAt = s, ev.Desc, true, c.now
 	call.serverConn, call.connGeneration = ev.Conn, s.generationOf(ev.Conn)
 	c.callBytes += len(ev.Desc) - len(call.SetUp.Desc)
 	call.keptBytes += len(ev.Desc) - len(call.SetUp.Desc)
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -21,11 +21,7 @@
 			c.servers[entry.Name], c.serversByID[s.id] = s, s
 			c.serverOrder = append(c.serverOrder, s)
 		case s.Started != entry.Started || s.Address != entry.Address:
-			// Another process: the calls established on the former one are lost, and its connections are useless.
-			c.resetEstablishedCalls(s)
-			c.closeServerConns(s)
-			s.pendingReleases = nil // they were for the former process
-			c.forgetOutages(s)
+			c.replaceProcess(s, entry)
 		}
 		s.Server, s.listSource, s.drainReport = entry, ev.Source, drainReport{listedAt: c.now}
 		changedServers = append(changedServers, s)
@@ -43,6 +39,25 @@
 	c.updatePhases(changedServers, ev.Full, ev.Cached)
 }
 
+// replaceProcess handles the news that a server has another process: the calls established on the former one are lost, and its connections are
+// useless. The news may be late, so that calls and connections made since the new process started belong to it.
+func (c *Core) replaceProcess(s *server, entry Server) {
+	newSince := entry.Started
+	if s.Address != entry.Address || entry.Started <= s.Started {
+		newSince = c.now + 1
+	}
+	for _, call := range inArrivalOrder(s.established) {
+		if call.establishedAt < newSince {
+			c.cutEstablished(call)
+		}
+	}
+	c.closeServerConnsBefore(s, newSince)
+	s.pendingReleases = nil // they were for the former process
+	if len(s.established) == 0 {
+		c.forgetOutages(s)
+	}
+}
+
 // updatePhases recomputes the effective phases of servers and reports them to the controller. Servers that are ready are dialled.
 // Servers that are not lose their waiting attempts and unwritten offers. A server that is gone from the list also loses its
 // established calls and its connections.
@@ -290,12 +305,18 @@
 	}
 }
 
-// closeServerConns closes all connections to a server at once. The attempts outstanding on them end as reset, and attempts that wait for
-// a connection as not sent.
-func (c *Core) closeServerConns(s *server) {
+// closeServerConns closes all connections to a server at once.
+func (c *Core) closeServerConns(s *server) { c.closeServerConnsBefore(s, c.now+1) }
+
+// closeServerConnsBefore closes the connections to a server at once that were made before the time. The attempts outstanding on them end as
+// reset and, if no connection is left, attempts that wait for one as not sent.
+func (c *Core) closeServerConnsBefore(s *server, before Time) {
 	conns := s.conns
-	s.conns = nil
+	s.conns = slices.DeleteFunc(slices.Clone(conns), func(conn *serverConn) bool { return conn.madeAt < before })
 	for _, conn := range conns {
+		if conn.madeAt >= before {
+			continue
+		}
 		c.emit(CloseConn{To: conn.id})
 		c.endAttemptsOnConn(s, conn, elmseam.CauseReset)
 	}
@@ -324,7 +345,7 @@
 		c.emit(CloseConn{To: ev.Conn})
 		return
 	}
-	s.conns = append(s.conns, &serverConn{id: ev.Conn, generation: s.connGeneration})
+	s.conns = append(s.conns, &serverConn{id: ev.Conn, madeAt: c.now, generation: s.connGeneration})
 	s.redialDelay = 0
 	for _, id := range s.pendingReleases {
 		c.sendEnd(s, id)
--- a/internal/lab/trial_caller.go
+++ b/internal/lab/trial_caller.go
@@ -121,6 +121,8 @@
 			c.trial.checker.finalAnswer(id, false, "")
 		case body[0] == msgRelease:
 			c.trial.checker.releaseRead(id)
+		case body[0] == msgReleaseAck:
+			c.trial.checker.releaseAcknowledged(id)
 		}
 	}
 }
--- a/internal/lab/trial_checker.go
+++ b/internal/lab/trial_checker.go
@@ -42,6 +42,7 @@
 	endDetail         string
 	releaseDue        time.Duration // when the caller must have read the release; unknownTime: none is owed
 	releasedAt        time.Duration // when the caller read it; unknownTime: not yet
+	callerReleasedAt  time.Duration // when the caller's own release was acknowledged; unknownTime: never, or its softswitch ended since
 }
 
 // trialAttempt is an attempt that is out.
@@ -126,7 +127,7 @@
 	defer c.mu.Unlock()
 	c.counts["offered"]++
 	c.calls[id] = &trialCall{id: id, member: member, sentAt: c.clock(), dueAt: c.clock() + left, leftAt: unknownTime,
-		answeredAt: unknownTime, guardFrom: unknownTime, endedAt: unknownTime, releaseDue: unknownTime, releasedAt: unknownTime}
+		answeredAt: unknownTime, guardFrom: unknownTime, endedAt: unknownTime, releaseDue: unknownTime, releasedAt: unknownTime, callerReleasedAt: unknownTime}
 }
 
 // excuse records that no answer is owed for a set-up.
@@ -360,6 +361,31 @@
 		if call.served && call.releasedAt == unknownTime {
 			call.excuseRelease()
 		}
+		call.callerReleasedAt = unknownTime
+	}
+}
+
+// releaseAcknowledged records that a softswitch has taken a caller's release of an established call.
+func (c *trialChecker) releaseAcknowledged(id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if call := c.calls[id]; call != nil && call.served && call.callerReleasedAt == unknownTime {
+		call.callerReleasedAt = c.clock()
+	}
+}
+
+// standsAtServer records that a call still stands at the server on which it was established. disturbedAt is when something last went wrong there:
+// a release may be lost then.
+func (c *trialChecker) standsAtServer(server string, id uint64, disturbedAt time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	call := c.calls[id]
+	if call == nil || server != call.establishedServer || call.callerReleasedAt == unknownTime || disturbedAt >= call.callerReleasedAt-trialSlack {
+		return
+	}
+	if late := c.clock() - call.callerReleasedAt; late > releaseLimit+trialSlack {
+		c.violate("release not passed on to the server", "call %016x through n%d at %s, acknowledged at %.3f, %v before", id, call.member+1, server,
+			call.callerReleasedAt.Seconds(), late)
 	}
 }
 
--- a/internal/lab/trial_server.go
+++ b/internal/lab/trial_server.go
@@ -45,6 +45,8 @@
 	calls   map[uint64]*serverCall
 	resumed chan struct{} // closed when the state becomes serving again
 	stopped bool
+	// disturbedAt is when the server last changed its state or lost a connection.
+	disturbedAt time.Duration
 	// startedAt is when the present process started cold; unknownTime: it is warm.
 	startedAt time.Duration
 	busyUntil time.Duration // when the processor will have finished the set-ups accepted so far
@@ -255,6 +257,7 @@
 	defer s.mu.Unlock()
 	call := s.calls[id]
 	conn := call.conn
+	s.checker.standsAtServer(conn.server, id, s.disturbedAt)
 	if !s.conns[conn] {
 		conn = s.anyConn(call.member)
 	}
@@ -293,7 +296,7 @@
 // setState changes what the server does.
 func (s *trialServer) setState(state trialServerState) {
 	s.mu.Lock()
-	s.state = state
+	s.state, s.disturbedAt = state, s.checker.clock()
 	if state == serverServing {
 		close(s.resumed)
 		s.resumed = make(chan struct{})
@@ -343,6 +346,7 @@
 func (s *trialServer) resetConns() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.disturbedAt = s.checker.clock()
 	for conn := range s.conns {
 		faultnet.Reset(conn.Conn)
 	}
--- a/internal/lab/trial_server_conn.go
+++ b/internal/lab/trial_server_conn.go
@@ -145,6 +145,7 @@
 // endConn ends a connection with its set-ups. The calls that were answered on it stand on.
 func (s *trialServer) endConn(c *trialServerConn) {
 	s.mu.Lock()
+	s.disturbedAt = s.checker.clock()
 	delete(s.conns, c)
 	pending := c.pending
 	c.pending = map[uint64]bool{}
--- a/internal/lab/trial_test.go
+++ b/internal/lab/trial_test.go
@@ -96,6 +96,18 @@
 				c.coldOffer("s1", 7, 0)
 			}
 		},
+		"release not passed on to the server": func(c *trialChecker) {
+			now += time.Second
+			serve(c, 1)
+			c.releaseAcknowledged(1)
+			now += 1100 * ms
+			c.standsAtServer("s1", 1, 0)
+			c.standsAtServer("s2", 1, 0)
+			serve(c, 2)
+			c.releaseAcknowledged(2)
+			now += 1100 * ms
+			c.standsAtServer("s1", 2, now) // something went wrong at the server meanwhile
+		},
 		"release too late": func(c *trialChecker) {
 			serve(c, 1)
 			c.callEnded("s1", 1, "", silentReleaseLimit)
