Core: an entry of the list without a start is no other process

Cause: the news of the drain had since_ms 0. Another start than the known one counted as another process, and 0 as another start.

TestDrainWithoutStartCutsCalls fails without the change.

Change: an entry for a known server at the same address that names no start keeps the known one: a process that started late can't have started long ago, so 0 says nothing about it. The cold budget of a server that drains and comes back keeps its start too.

--- a/internal/core/liveness_test.go
+++ b/internal/core/liveness_test.go
@@ -204,3 +204,22 @@
 		t.Errorf("effects %q, want the connection to the former address closed", effects)
 	}
 }
+
+// TestDrainWithoutStartCutsCalls guards against calls that are cut, and a start that is forgotten, when a server that started late drains and the
+// news names no start.
+func TestDrainWithoutStartCutsCalls(t *testing.T) {
+	h := newHarness(t)
+	startedAt := h.now - time.Minute
+	entry := Server{Name: "a", Address: "a:1", Phase: elmseam.PhaseReady, Started: startedAt}
+	h.step(ServerList{Servers: []Server{entry}})
+	h.setUp(1, 9*time.Second)
+	h.wantEffects(h.step(ServerAnswer{Server: "a", Conn: 10, ID: 1}), "answered1@1 ")
+	h.advance(time.Second)
+	entry.Phase, entry.Started = elmseam.PhaseDraining, 0
+	if effects := h.step(ServerList{Servers: []Server{entry}}); countEffects(effects, "released") != 0 || countEffects(effects, "closeconn") != 0 {
+		t.Errorf("effects %q of a drain, want the call and its connection to stay", effects)
+	}
+	if h.core.servers["a"].Started != startedAt {
+		t.Error("the start of the process is forgotten")
+	}
+}
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -14,6 +14,9 @@
 	for _, entry := range ev.Servers {
 		listedNames[entry.Name] = true
 		s := c.servers[entry.Name]
+		if s != nil && entry.Started == 0 && entry.Address == s.Address { // the entry names no start: it says nothing about the process
+			entry.Started = s.Started
+		}
 		switch {
 		case s == nil:
 			s = &server{id: c.controllerServerID(entry.Name), established: make(map[ID]*call), outstanding: make(map[ID]*call)}
