--- a/internal/core/liveness_test.go
+++ b/internal/core/liveness_test.go
@@ -223,3 +223,18 @@
 		t.Error("the start of the process is forgotten")
 	}
 }
+
+// TestReleaseLostOnClosedConnection guards against releases that are read seconds late: a process that hung writes them to connections that were
+// closed here as dead, and repeats them only on the next one that is made.
+func TestReleaseLostOnClosedConnection(t *testing.T) {
+	h := newLivenessHarness(t)
+	h.setUp(2, 9*time.Second)
+	h.advance(3 * time.Second)
+	h.step(ServerSilent{Server: "a", Conn: 10, SilentFor: 3 * time.Second})
+	h.step(ServerUp{Server: "a", Address: "a:1", Conn: 12})
+	h.advance(time.Second)
+	effects := h.step(ServerReport{Server: "a", Conn: 12}) + h.advance(500*ms)
+	if countEffects(effects, "dial-a") != 1 {
+		t.Errorf("effects %q after the process goes on, want a new connection for its releases", effects)
+	}
+}
