Lab: one log of violations and lag for both checkers; faults of a trial in one frame

Found on reading the change again: the checker of scenarios had got the same list of observations, lag spans and filter as the checker of trials, and each fault of a trial began with the same two lines. violationLog serves both checkers; atServer and atMember are the frame of the faults. No check, bound or expectation changes, and no part of the softswitch.

--- a/internal/lab/checker.go
+++ b/internal/lab/checker.go
@@ -43,15 +43,8 @@
 	setUps     map[uint64]*setUpState // by the call's id
 	calls      map[uint64]*callState  // by the id that servers see, which is the set-up's id
 	servers    map[string]*serverState
-	violations []observedViolation
-	seconds    []SecondStats      // one row for each second of the run
-	lagSpans   [][2]time.Duration // start and end of each span in which the lab itself lagged
-}
-
-// observedViolation is one observation of a broken rule.
-type observedViolation struct {
-	rule, detail string
-	at           time.Duration
+	violations violationLog
+	seconds    []SecondStats // one row for each second of the run
 }
 
 // maxDetails is the number of violations of which the details are kept.
@@ -84,7 +77,7 @@
 // NewChecker makes a checker for these rules.
 func NewChecker(rules Rules) *Checker {
 	return &Checker{rules: rules, setUps: make(map[uint64]*setUpState), calls: make(map[uint64]*callState),
-		servers: make(map[string]*serverState)}
+		servers: make(map[string]*serverState), violations: violationLog{slack: rules.Slack}}
 }
 
 // secondStatsAt returns the row of the second that contains a time, and makes the rows up to it.
@@ -99,30 +92,20 @@
 // recordViolation records a violation of a rule.
 func (c *Checker) recordViolation(rule string, at time.Duration, format string, args ...any) {
 	detail := ""
-	if len(c.violations) < maxDetails {
+	if len(c.violations.observed) < maxDetails {
 		detail = fmt.Sprintf(format, args...)
 	}
-	c.violations = append(c.violations, observedViolation{rule, detail, at})
+	c.violations.record(rule, at, detail)
 }
 
 // RecordLag marks a span in which the lab lagged: violations with a time inside the span, widened by the slack, are ignored.
 func (c *Checker) RecordLag(from, to time.Duration) {
-	c.lagSpans = append(c.lagSpans, [2]time.Duration{from, to})
+	c.violations.recordLag(from, to)
 	for second := from / time.Second; second <= to/time.Second; second++ {
 		c.secondStatsAt(second * time.Second).Lagged = true
 	}
 }
 
-// inLagSpan reports whether a time lies in a span of the lab's lag, widened by the slack on both sides.
-func (c *Checker) inLagSpan(at time.Duration) bool {
-	for _, span := range c.lagSpans {
-		if at >= span[0]-c.rules.Slack && at <= span[1]+c.rules.Slack {
-			return true
-		}
-	}
-	return false
-}
-
 // AddServer registers a server. startedAt is the time of a cold start, or negative for a server that is warm from the
 // beginning; capacity is in set-ups a second when warm.
 func (c *Checker) AddServer(name string, capacity float64, startedAt time.Duration) {
@@ -329,10 +312,8 @@
 // Violations returns the violated rules, ordered by the time of the first violation. Violations during the lab's own lag are left out.
 func (c *Checker) Violations() []Violation {
 	byRule := make(map[string]*Violation)
-	for _, observed := range c.violations {
-		if c.inLagSpan(observed.at) {
-			continue
-		}
+	judged, _ := c.violations.judged()
+	for _, observed := range judged {
 		violation := byRule[observed.rule]
 		if violation == nil {
 			violation = &Violation{Rule: observed.rule, First: observed.at, Detail: observed.detail}
--- a/internal/lab/trial_checker.go
+++ b/internal/lab/trial_checker.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"slices"
 	"sync"
 	"time"
 )
@@ -51,13 +50,6 @@
 	at     time.Duration
 }
 
-// trialViolation is a rule that was broken, as seen at a time.
-type trialViolation struct {
-	rule   string
-	at     time.Duration
-	detail string
-}
-
 // trialChecker checks the rules of a trial from outside. Its methods may be called concurrently.
 type trialChecker struct {
 	mu         sync.Mutex
@@ -66,8 +58,7 @@
 	calls      map[uint64]*trialCall
 	toldAt     []map[string]time.Duration // by softswitch: when it counts as told that a server drains or is gone
 	killed     map[int]bool               // softswitches that were killed without SIGTERM and are not started again
-	violations []trialViolation
-	lagSpans   [][2]time.Duration // spans in which the lab itself lagged; what is seen in them is not judged
+	violations violationLog
 	counts     map[string]int
 	clock      func() time.Duration
 }
@@ -75,7 +66,7 @@
 // newTrialChecker returns a checker for the softswitches of a trial.
 func newTrialChecker(members int, rules Rules, clock func() time.Duration) *trialChecker {
 	c := &trialChecker{rules: rules, coldOffers: make(map[string][]time.Duration),
-		calls: make(map[uint64]*trialCall), counts: make(map[string]int), killed: make(map[int]bool), clock: clock}
+		calls: make(map[uint64]*trialCall), counts: make(map[string]int), killed: make(map[int]bool), violations: violationLog{slack: trialSlack}, clock: clock}
 	for range members {
 		c.toldAt = append(c.toldAt, make(map[string]time.Duration))
 	}
@@ -84,14 +75,14 @@
 
 // violate records a violation of a rule. The caller holds mu.
 func (c *trialChecker) violate(rule, format string, args ...any) {
-	c.violations = append(c.violations, trialViolation{rule, c.clock(), fmt.Sprintf(format, args...)})
+	c.violations.record(rule, c.clock(), fmt.Sprintf(format, args...))
 }
 
 // recordLag records a span in which the lab itself lagged.
 func (c *trialChecker) recordLag(from, to time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lagSpans = append(c.lagSpans, [2]time.Duration{from, to})
+	c.violations.recordLag(from, to)
 }
 
 // judge returns the details of the violations by rule, the first few each, without those that were seen while the lab lagged. It also
@@ -100,14 +91,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	byRule = make(map[string][]string)
-	for _, violation := range c.violations {
-		lagged := slices.ContainsFunc(c.lagSpans, func(span [2]time.Duration) bool {
-			return violation.at >= span[0]-trialSlack && violation.at <= span[1]+trialSlack
-		})
-		switch {
-		case lagged:
-			unjudged++
-		case len(byRule[violation.rule]) < maxReportedPerRule:
+	judged, unjudged := c.violations.judged()
+	for _, violation := range judged {
+		if len(byRule[violation.rule]) < maxReportedPerRule {
 			byRule[violation.rule] = append(byRule[violation.rule], fmt.Sprintf("%.3f %s", violation.at.Seconds(), violation.detail))
 		}
 	}
--- a/internal/lab/trial_faults.go
+++ b/internal/lab/trial_faults.go
@@ -38,10 +38,19 @@
 	}
 }
 
+// atServer plays a fault at a server, unless another one is under way there.
+func (t *trial) atServer(index int, fault func(server *trialServer)) {
+	t.exclusively(fmt.Sprint("server", index), func() { fault(t.servers[index]) })
+}
+
+// atMember plays a fault at a softswitch, unless another one is under way there.
+func (t *trial) atMember(index int, fault func(m *trialMember)) {
+	t.exclusively(fmt.Sprint("member", index), func() { fault(t.members[index]) })
+}
+
 // cutOff makes a server's machine unreachable. Afterwards it goes on, or has a new process that knows no call.
 func (t *trial) cutOff(index int, duration time.Duration, newProcess bool) {
-	server := t.servers[index]
-	t.exclusively(fmt.Sprint("server", index), func() {
+	t.atServer(index, func(server *trialServer) {
 		t.record("%s cut off for %v, new process: %v", server.currentName(), duration, newProcess)
 		server.setState(serverVanished)
 		if newProcess {
@@ -63,8 +72,7 @@
 
 // hang makes a server's process hang.
 func (t *trial) hang(index int, duration time.Duration) {
-	server := t.servers[index]
-	t.exclusively(fmt.Sprint("server", index), func() {
+	t.atServer(index, func(server *trialServer) {
 		t.record("%s hangs for %v", server.currentName(), duration)
 		server.setState(serverHung)
 		t.wait(duration)
@@ -75,8 +83,7 @@
 
 // die ends a server's process and starts another one under the same name and address, which the list names with its start.
 func (t *trial) die(index int, duration time.Duration) {
-	server := t.servers[index]
-	t.exclusively(fmt.Sprint("server", index), func() {
+	t.atServer(index, func(server *trialServer) {
 		t.record("%s dies for %v", server.currentName(), duration)
 		server.setState(serverDead)
 		server.loseCalls("process died")
@@ -91,8 +98,7 @@
 
 // replace drains a server, ends its process, and starts another server under the same address.
 func (t *trial) replace(index int, drain, pause time.Duration) {
-	server := t.servers[index]
-	t.exclusively(fmt.Sprint("server", index), func() {
+	t.atServer(index, func(server *trialServer) {
 		former := server.currentName()
 		t.record("%s drains", former)
 		t.channel.publish(false, serverChange{former, "terminating", 0})
@@ -116,8 +122,7 @@
 
 // late makes new connections to a server come up only after a time.
 func (t *trial) late(index int, duration time.Duration) {
-	server := t.servers[index]
-	t.exclusively(fmt.Sprint("server", index), func() {
+	t.atServer(index, func(server *trialServer) {
 		for _, listener := range server.listeners {
 			listener.SetMode(listenerModes[serverVanished])
 		}
@@ -143,8 +148,7 @@
 
 // reconfigure gives a softswitch new configurations in quick succession, each of which moves the command channel.
 func (t *trial) reconfigure(index, count int) {
-	m := t.members[index]
-	t.exclusively(fmt.Sprint("member", index), func() {
+	t.atMember(index, func(m *trialMember) {
 		for range count {
 			m.reload()
 			t.wait(50 * time.Millisecond)
@@ -154,8 +158,7 @@
 
 // kill kills a softswitch and starts it again.
 func (t *trial) kill(index int, duration time.Duration) {
-	m := t.members[index]
-	t.exclusively(fmt.Sprint("member", index), func() {
+	t.atMember(index, func(m *trialMember) {
 		t.record("n%d killed", index+1)
 		m.kill(unknownTime)
 		t.wait(duration)
@@ -167,10 +170,10 @@
 func (t *trial) rollingRestart(first, count int, pause time.Duration) {
 	for i := range count {
 		index := (first + i) % len(t.members)
-		t.exclusively(fmt.Sprint("member", index), func() {
-			t.members[index].terminate()
+		t.atMember(index, func(m *trialMember) {
+			m.terminate()
 			t.wait(pause / 3)
-			t.members[index].restart()
+			m.restart()
 		})
 	}
 }
