--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/standin"
 mkdir -p ../bin
-CGO_ENABLED=0 GOFLAGS=-mod=mod GOPROXY=off go build -trimpath -o ../bin/standin .
+CGO_ENABLED=0 GOWORK=off GOTOOLCHAIN=local GOFLAGS= GOPROXY=off go build -trimpath -o ../bin/standin .
--- a/review/standin/circuits.go
+++ b/review/standin/circuits.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"os"
-	"path/filepath"
 	"syscall"
 	"time"
 )
@@ -19,37 +17,9 @@
 		return couldnt, err
 	}
 	defer s.listener.Close()
-	file := filepath.Join(p.tempDir, "m3ua.toml")
-	text := fmt.Sprintf(`enabled = true
-[m3ua]
-listen = "%s"
-point_code = %d
-network_indicator = 2
-routing_context = 1
-heartbeat_ms = 5000
-circuits = 4096
-[m3ua.categories]
-status-check = 10
-activate = 11
-profile-read = 12
-[m3ua.cells]
-100 = 0
-[[m3ua.server]]
-name = "hlr-1"
-address = "%s"
-point_code = %d
-cell = 0
-[bgp]
-as = 64512
-router_id = "127.0.0.1"
-service = "127.0.0.1/32"
-next_hop = "127.0.0.1"
-hold_s = 9
-`, freeAddress(), softswitchPointCode, s.address, serverPointCode)
-	if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
+	if err := p.enableM3UA(s); err != nil {
 		return couldnt, err
 	}
-	p.env = append(p.env, "ELMSEAM_SIGNALLING="+file)
 	first, f, link, err := p.startServing()
 	if err != nil {
 		return couldnt, err
--- a/review/standin/m3ua.go
+++ b/review/standin/m3ua.go
@@ -18,6 +18,7 @@
 	delay    time.Duration // from an IAM to its ANM
 
 	mu       sync.Mutex
+	gone     bool // the machine has vanished: it reads and writes nothing
 	circuits map[uint16]*circuitCall
 	nextConn int
 }
@@ -108,6 +109,12 @@
 		if _, err := io.ReadFull(conn, body); err != nil {
 			return
 		}
+		s.mu.Lock()
+		gone := s.gone
+		s.mu.Unlock()
+		if gone {
+			continue
+		}
 		var data []byte
 		for rest := body; len(rest) >= 4; {
 			n := int(binary.BigEndian.Uint16(rest[2:]))
@@ -191,6 +198,13 @@
 	return call.digits
 }
 
+// vanish makes the machine silent for good; what connects afterwards gets no answer.
+func (s *m3uaServer) vanish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gone = true
+}
+
 // callTo returns a copy of the first call for a number.
 func (s *m3uaServer) callTo(digits string) (circuitCall, bool) {
 	s.mu.Lock()
--- a/review/standin/m3uacaller.go
+++ b/review/standin/m3uacaller.go
@@ -12,8 +12,8 @@
 	"time"
 )
 
-// ispCaller is a stand-in of an older client: an ASP that makes calls on its circuits.
-type ispCaller struct {
+// isupCaller is a stand-in of an older client: an ASP that makes calls on its circuits.
+type isupCaller struct {
 	*record
 	address  string
 	mu       sync.Mutex
@@ -50,7 +50,7 @@
 	return append(b, called...)
 }
 
-func (c *ispCaller) send(b []byte) {
+func (c *isupCaller) send(b []byte) {
 	if c.conn != nil {
 		c.conn.SetWriteDeadline(time.Now().Add(time.Second))
 		c.conn.Write(b)
@@ -58,7 +58,7 @@
 }
 
 // run keeps an association up.
-func (c *ispCaller) run(stop chan struct{}) {
+func (c *isupCaller) run(stop chan struct{}) {
 	for {
 		select {
 		case <-stop:
@@ -81,7 +81,7 @@
 	}
 }
 
-func (c *ispCaller) read(conn net.Conn) {
+func (c *isupCaller) read(conn net.Conn) {
 	for {
 		header := make([]byte, 8)
 		if _, err := io.ReadFull(conn, header); err != nil {
@@ -130,7 +130,7 @@
 	}
 }
 
-func (c *ispCaller) handle(data []byte) {
+func (c *isupCaller) handle(data []byte) {
 	cic, kind := binary.LittleEndian.Uint16(data[12:]), data[14]
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -189,7 +189,7 @@
 	if err != nil {
 		return couldnt, err
 	}
-	c := &ispCaller{record: p.record, address: listen, circuits: make(map[uint16]*clientCircuit)}
+	c := &isupCaller{record: p.record, address: listen, circuits: make(map[uint16]*clientCircuit)}
 	for i := range 60 {
 		c.circuits[uint16(i)] = &clientCircuit{cic: uint16(i), state: "idle"}
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,13 +18,17 @@
 )
 
 var cases = map[string]func(*play) (int, error){
-	"rollback":     rollback,
-	"two-upgrades": twoUpgrades,
-	"restart":      restart,
-	"retune":       retune,
-	"load":         load,
-	"load-isup":    loadISUP,
-	"circuits":     circuits,
+	"rollback":                rollback,
+	"two-upgrades":            twoUpgrades,
+	"restart":                 restart,
+	"retune":                  retune,
+	"hung-server":             hungServer,
+	"taken-address":           takenAddress,
+	"silent-m3ua":             silentM3UA,
+	"vanished-before-restart": vanishedBeforeRestart,
+	"load":                    load,
+	"load-isup":               loadISUP,
+	"circuits":                circuits,
 }
 
 func main() {
--- a/review/standin/process.go
+++ b/review/standin/process.go
@@ -13,6 +13,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -201,6 +202,11 @@
 	address  string
 	listener net.Listener
 	list     []*server
+
+	mu     sync.Mutex
+	down   bool          // new calls are cut off at once, open streams are closed
+	later  []any         // events after the first one
+	change chan struct{} // closed at each change
 }
 
 func newChannel(servers []*server) (*channel, error) {
@@ -208,20 +214,29 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &channel{address: listener.Addr().String(), listener: listener, list: servers}
+	c := &channel{address: listener.Addr().String(), listener: listener, list: servers, change: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /cmd/next", func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Type", "text/event-stream")
-		if last, _ := strconv.Atoi(r.Header.Get("Last-Event-ID")); last < 1 {
-			text, _ := json.Marshal(c.snapshot())
-			fmt.Fprintf(w, "id: 1\ndata: %s\n\n", text)
-		}
+		last, _ := strconv.Atoi(r.Header.Get("Last-Event-ID"))
 		for {
+			c.mu.Lock()
+			down, change := c.down, c.change
+			events := append([]any{c.snapshot()}, c.later...)
+			c.mu.Unlock()
+			if down {
+				panic(http.ErrAbortHandler)
+			}
+			for ; last < len(events); last++ {
+				text, _ := json.Marshal(events[last])
+				fmt.Fprintf(w, "id: %d\ndata: %s\n\n", last+1, text)
+			}
 			fmt.Fprint(w, ": \n\n")
 			w.(http.Flusher).Flush()
 			select {
 			case <-r.Context().Done():
 				return
+			case <-change:
 			case <-time.After(time.Second):
 			}
 		}
@@ -232,6 +247,25 @@
 
 func (c *channel) close() { c.listener.Close() }
 
+// setDown makes the channel fail, or work again.
+func (c *channel) setDown(down bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.down = down
+	close(c.change)
+	c.change = make(chan struct{})
+}
+
+// publish tells a change of endpoints.
+func (c *channel) publish(endpoints ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cursor := len(c.later) + 2
+	c.later = append(c.later, map[string]any{"cursor": cursor, "nodes": map[string]any{"index": cursor, "snapshot": false, "endpoints": endpoints}})
+	close(c.change)
+	c.change = make(chan struct{})
+}
+
 // snapshot returns the first event.
 func (c *channel) snapshot() any {
 	var endpoints []any
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -25,6 +25,9 @@
 	onNext    []string // ids of calls that have ended, whose release goes out on the next connection as well
 	offers    []string // ids of all set-ups that arrived
 	nextConn  int
+	successor *server                       // has the address now
+	lateReads bool                          // after a hang, timers come before the ends of connections
+	hung      chan struct{}                 // not nil: the process hangs until this is closed
 	serveCall func(call *serverCall)        // called for each call that stands; may be nil
 	fault     func(call *serverCall) string // what goes wrong with a set-up: "", "full", "moot", "error", "cut", "reset", "mute", "spoilt"
 }
@@ -70,7 +73,13 @@
 			if err != nil {
 				return
 			}
-			go s.serve(conn)
+			s.mu.Lock()
+			serving := s
+			for next := s.successor; next != nil; next = next.successor {
+				serving = next
+			}
+			s.mu.Unlock()
+			go serving.serve(conn)
 		}
 	}()
 	return s, nil
@@ -105,6 +114,7 @@
 func cause(n int) *int { return &n }
 
 func (s *server) serve(conn net.Conn) {
+	s.awaitResume()
 	s.mu.Lock()
 	s.nextConn++
 	c := &serverConn{number: s.nextConn, conn: conn}
@@ -125,6 +135,7 @@
 			case <-closed:
 				return
 			case <-time.After(time.Second):
+				s.awaitResume()
 				c.send(jsonMessage{Op: "group", With: map[string]any{"load": groupReport}})
 			}
 		}
@@ -132,6 +143,7 @@
 	lines := bufio.NewScanner(conn)
 	lines.Buffer(nil, 16<<10)
 	for lines.Scan() {
+		s.awaitResume()
 		var msg jsonMessage
 		if err := json.Unmarshal(lines.Bytes(), &msg); err != nil {
 			s.printf("server   %s connection %d: unreadable: %.80q", s.name, c.number, lines.Text())
@@ -140,6 +152,10 @@
 		s.handle(c, msg)
 	}
 	close(closed)
+	s.awaitResume()
+	if s.lateReads {
+		time.Sleep(20 * time.Millisecond) // the process reads the end of the connection only after its timers
+	}
 	conn.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -190,6 +206,7 @@
 }
 
 func (s *server) answer(call *serverCall) {
+	s.awaitResume()
 	s.mu.Lock()
 	if call.over {
 		s.mu.Unlock()
@@ -271,3 +288,41 @@
 	}
 	return serverCall{}, false
 }
+
+// succeed ends the process: its connections are reset and its calls are cut. Another server has its address from then on.
+func (s *server) succeed(next *server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.successor = next
+	for _, call := range s.calls {
+		if !call.over {
+			call.over, call.endedBy, call.endedAt = true, "server", time.Now()
+		}
+	}
+	for _, c := range s.conns {
+		c.conn.(*net.TCPConn).SetLinger(0)
+		c.conn.Close()
+	}
+}
+
+// awaitResume waits while the process hangs.
+func (s *server) awaitResume() {
+	s.mu.Lock()
+	hung := s.hung
+	s.mu.Unlock()
+	if hung != nil {
+		<-hung
+	}
+}
+
+// hang makes the process hang for a while. Its kernel goes on taking connections.
+func (s *server) hang(duration time.Duration) {
+	s.mu.Lock()
+	s.hung = make(chan struct{})
+	s.mu.Unlock()
+	time.Sleep(duration)
+	s.mu.Lock()
+	close(s.hung)
+	s.hung = nil
+	s.mu.Unlock()
+}
