--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -36,8 +36,10 @@
 	conn   net.Conn
 	tested chan byte
 	done   chan struct{}
-	writer sync.Mutex
-	pieces func(size int) int // where a message is cut in two; nil: never
+
+	endedAt time.Time // when the connection ended; valid once done is closed
+	writer  sync.Mutex
+	pieces  func(size int) int // where a message is cut in two; nil: never
 }
 
 func newFront(r *record, address string) *front {
@@ -59,7 +61,10 @@
 }
 
 func (l *callerLink) read() {
-	defer close(l.done)
+	defer func() {
+		l.endedAt = time.Now()
+		close(l.done)
+	}()
 	header := make([]byte, 2)
 	for {
 		if _, err := io.ReadFull(l.conn, header); err != nil {
