--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -159,7 +159,7 @@
 	params = parameter(params, 19, strconv.FormatInt(left.Milliseconds(), 10))
 	params = parameter(params, 28, key)
 	params = parameter(params, 31, "dest:0;width:1;via:-1")
-	params = parameter(params, 61, fmt.Sprintf("%016x\r\nc=IN IP4 10.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\n", id))
+	params = parameter(params, 61, fmt.Sprintf("%016x\r\nc=IN IP4 127.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\n", id))
 	err := l.send(1, id, params)
 	if err == nil {
 		l.front.printf("caller   connection %d: set-up %016x, class %s, left %v", l.number, id, class, left)
--- a/review/standin/rollback.go
+++ b/review/standin/rollback.go
@@ -37,8 +37,19 @@
 		}
 		time.Sleep(time.Second)
 		p.signal(second, syscall.SIGTERM)
-		if !second.awaitEnd(10 * time.Second) {
-			return couldnt, fmt.Errorf("process 2 did not end")
+		refused := 0
+		for signalledAt := time.Now(); !second.hasEnded(); time.Sleep(20 * time.Millisecond) {
+			if time.Since(signalledAt) > 10*time.Second {
+				return couldnt, fmt.Errorf("process 2 did not end")
+			}
+			l, err := f.connect()
+			if err != nil {
+				if refused++; refused == 1 {
+					p.printf("caller   new connection %v after SIGTERM to process 2, the first that fails: %v", time.Since(signalledAt).Round(time.Millisecond), err)
+				}
+				continue
+			}
+			l.conn.Close()
 		}
 	}
 	// Process 2 has ended; process 1 was sent no signal. Clients have 5 s to notice; then new connections have to be served again.
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -250,7 +250,7 @@
 
 // descriptionOf returns the description that the server makes for a call.
 func (s *server) descriptionOf(id string) string {
-	return fmt.Sprintf("%s of %s\r\nc=IN IP4 10.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\n", s.name, id)
+	return fmt.Sprintf("%s of %s\r\nc=IN IP4 127.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\n", s.name, id)
 }
 
 // finish brings a standing call to its end.
