Core: releases of unknown calls and dropped releases are counted and logged

Log and statistics could not distinguish where it was lost: never received, forwarded to a predecessor, waiting for a connection, or dropped.

Change: statistics failures.unknown_releases.servers and .callers, releases_dropped, server_releases_waiting; a log line "release of unknown call".

Behaviour is unchanged.

--- a/cmd/elmseam/trace.go
+++ b/cmd/elmseam/trace.go
@@ -35,6 +35,8 @@
 		line.Msg("established call cut")
 	case core.TraceSetUpRefused:
 		line.Stringer("reason", trace.Refusal).Msg("set-up refused")
+	case core.TraceUnknownRelease:
+		line.Msg("release of unknown call")
 	}
 }
 
--- a/internal/core/callers.go
+++ b/internal/core/callers.go
@@ -20,14 +20,6 @@
 	lastActive          Time // when the connection was made, last brought a set-up or an end, or one of its calls was established
 }
 
-// pendingRelease is a release that waits for a connection to callers.
-type pendingRelease struct {
-	protocol Protocol
-	id       ID
-	reason   Reason
-	queuedAt Time // when the call ended
-}
-
 // handleCallerUp handles a new connection of a caller.
 func (c *Core) handleCallerUp(ev CallerUp) {
 	conn := &callerConn{id: ev.Conn, protocol: ev.Protocol, lastActive: c.now}
@@ -73,6 +65,8 @@
 			c.rememberEnded(ev.ID) // the predecessor may send a release of the call at the same time
 			c.emit(ToPredecessor{Event: ev})
 		default: // the call may be from before a restart, on any server
+			c.stats.Failures.UnknownCallerReleases++
+			c.emit(Trace{Kind: TraceUnknownRelease, ID: ev.ID})
 			for _, s := range c.serverOrder {
 				c.sendEnd(s, ev.ID)
 			}
@@ -95,79 +89,6 @@
 	}
 }
 
-// acceptsReleases says whether releases of any call can go out on a connection. A transient connection that is not used yet may
-// be a health check of the callers' front end, where releases would be lost.
-func (c *Core) acceptsReleases(conn *callerConn) bool {
-	return conn.used || !c.limits.Transient[conn.protocol]
-}
-
-// sendRelease tells a caller that an established call has ended. Without a connection that can take the release, it goes to the successor
-// during a hand-over of transient connections, and otherwise waits for the next connection.
-func (c *Core) sendRelease(protocol Protocol, to ConnID, id ID, reason Reason) {
-	release := &pendingRelease{protocol, id, reason, c.now}
-	if c.trySendRelease(release, to) {
-		return
-	}
-	c.pendingReleases = append(c.pendingReleases, release)
-	for len(c.pendingReleases) > c.limits.MaxCallerReleases {
-		c.dropRelease(c.pendingReleases[0])
-		c.pendingReleases = c.pendingReleases[1:]
-	}
-}
-
-// trySendRelease sends a release on a connection, on another of the same protocol if that one is gone, or to the successor. It returns
-// false if there is none of them.
-func (c *Core) trySendRelease(release *pendingRelease, to ConnID) bool {
-	if c.callerConns[to] == nil {
-		conn := c.connForRelease(release.protocol)
-		if conn == nil && c.handingOver && c.limits.Transient[release.protocol] {
-			c.emit(ToSuccessor{Protocol: release.protocol, Effect: Released{ID: release.id, Reason: release.reason}})
-			return true
-		}
-		if conn == nil {
-			return false
-		}
-		to = conn.id
-	}
-	c.emit(Released{To: to, ID: release.id, Reason: release.reason})
-	return true
-}
-
-// connForRelease returns the connection of a protocol that a release of any call goes out on: preferably one that has had established
-// calls, then the one active last. It returns nil if there is none.
-func (c *Core) connForRelease(protocol Protocol) (best *callerConn) {
-	for _, conn := range c.callerConnOrder {
-		if conn.protocol == protocol && c.acceptsReleases(conn) && (best == nil || conn.betterForRelease(best)) {
-			best = conn
-		}
-	}
-	return best
-}
-
-// betterForRelease says whether a release goes out on this connection rather than on an older one.
-func (conn *callerConn) betterForRelease(older *callerConn) bool {
-	if conn.hadEstablished != older.hadEstablished {
-		return conn.hadEstablished
-	}
-	return conn.lastActive >= older.lastActive
-}
-
-// flushReleases sends the releases that have waited for a connection. A release whose wait has reached EndedCallTTL is dropped.
-func (c *Core) flushReleases() {
-	c.pendingReleases = slices.DeleteFunc(c.pendingReleases, func(release *pendingRelease) bool {
-		if release.queuedAt <= c.now-c.limits.EndedCallTTL {
-			c.dropRelease(release)
-			return true
-		}
-		return c.trySendRelease(release, 0)
-	})
-}
-
-// dropRelease gives a release up.
-func (c *Core) dropRelease(release *pendingRelease) {
-	c.emit(ForgetCall{Protocol: release.protocol, ID: release.id})
-}
-
 // busyConns returns the connections of callers with an open set-up, here or on the predecessor.
 func (c *Core) busyConns() map[ConnID]bool {
 	busy := make(map[ConnID]bool)
--- a/internal/core/servermsgs.go
+++ b/internal/core/servermsgs.go
@@ -149,31 +149,6 @@
 	}
 }
 
-// releaseUnknown passes on the release of a call that was established before this process started, or that this process never
-// saw. The release can't be a second answer, as the ids of calls that ended here are remembered.
-func (c *Core) releaseUnknown(ev ServerEnd) {
-	if _, known := c.endedCalls[ev.ID]; known && c.guardEnabled(GuardSingleRelease) || c.calls[ev.ID] != nil || ev.Reason == ReasonFull || ev.Reason == ReasonBusy || ev.Reason == ReasonUnsent {
-		return
-	}
-	if c.hasPredecessor { // the predecessor knows whether the call has ended
-		c.emit(ToPredecessor{Event: ev})
-		return
-	}
-	c.rememberEnded(ev.ID)
-	if conn := c.callerConns[c.predecessorCalls[ev.ID]]; conn != nil {
-		delete(c.predecessorCalls, ev.ID)
-		c.sendRelease(conn.protocol, conn.id, ev.ID, ev.Reason)
-		return
-	}
-	notified := make(map[Protocol]bool)
-	for _, conn := range c.callerConnOrder { // the protocol of the call is unknown: each one gets the release once
-		if !notified[conn.protocol] {
-			notified[conn.protocol] = true
-			c.sendRelease(conn.protocol, 0, ev.ID, ev.Reason)
-		}
-	}
-}
-
 // reportForController puts the values of a server's load report into the order in which the controller reads them. A value that the server
 // did not report is -1. The result is nil if the report has none of the values.
 func (c *Core) reportForController(report Report) elmseam.Report {
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -284,30 +284,6 @@
 	return best
 }
 
-// sendEnd sends a server the End of a call on any usable connection; without one it sends nothing.
-func (c *Core) sendEnd(s *server, id ID) {
-	if conn := c.connForSetUp(s); conn != nil {
-		c.emit(End{To: conn.id, ID: id})
-	}
-}
-
-// releaseAtServer releases a call that is established on a server. Without a usable connection the release waits for the next one:
-// the server would otherwise keep a line occupied for a caller who has left. A server that is gone and has none gets no release.
-func (c *Core) releaseAtServer(s *server, id ID) {
-	if s.usableConnCount() > 0 {
-		c.sendEnd(s, id)
-		return
-	}
-	if s.Phase == elmseam.PhaseGone {
-		return
-	}
-	s.pendingReleases = append(s.pendingReleases, id)
-	s.pendingReleases = s.pendingReleases[max(len(s.pendingReleases)-c.limits.MaxPendingReleases, 0):]
-	if !s.redialPending {
-		c.dialServer(s)
-	}
-}
-
 // closeServerConns closes all connections to a server at once.
 func (c *Core) closeServerConns(s *server) { c.closeServerConnsBefore(s, c.now+1) }
 
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -48,6 +48,7 @@
 		if s.unreachable {
 			stats.Failures.ServersUnreachable++
 		}
+		stats.Failures.ServerReleasesWaiting += len(s.pendingReleases)
 		if s.Phase == 0 { // phase 0 is Gone: the server is kept only for its remaining calls
 			continue
 		}
--- a/internal/core/trace.go
+++ b/internal/core/trace.go
@@ -19,6 +19,7 @@
 	TraceAttemptFailed                    // an attempt ended without an answer: ID, Attempt, Cause
 	TraceCallCut                          // an established call ended without a release by either party: ID
 	TraceSetUpRefused                     // the core refused a set-up without asking the controller: ID, Refusal
+	TraceUnknownRelease                   // a release of a call that this process does not know: ID; without Server it came from a caller
 )
 
 // RefusalReason says why the core refused a set-up without asking the controller.
@@ -64,6 +65,11 @@
 	ServersUnreachable int    // servers that are unreachable now
 	FailedAttempts     [elmseam.CauseNotSent + 1]uint64
 	Refusals           [refusalReasonCount]uint64
+
+	UnknownServerReleases uint64 // releases by servers of calls that this process does not know, as from before its start
+	UnknownCallerReleases uint64 // the same by callers
+	ReleasesDropped       uint64 // releases to callers that were given up before a connection came
+	ServerReleasesWaiting int    // releases that wait now for a connection to a server, each server counted
 }
 
 // traceFailedAttempt counts an attempt that ended without an answer, and reports it unless the server merely refused it.
