Core: a release from before the start waits for the callers' first connection

Cause: releaseUnknown recorded the call as ended and then sent the release once for each protocol with a connection open at that moment. Without any, it was neither sent nor kept, and the server's repetition was dropped as of an ended call.

Change: a release of an unknown call goes through sendRelease, which keeps it, for each protocol whose callers keep their calls when a process ends, connected or not. Why that suffices: what is kept goes out with the first call on any connection, within the bound and the time that hold for releases of known calls. Same cause, other paths: callers of another protocol alone were connected; the server left the list while its release was read; callers were connected but made no calls (such a connection counts as a caller's once it has brought no second test and been quiet for 0.4 s); releases that waited went out all at once, more than an outbox takes (now 1,000 every 20 ms). A waiting release whose caller releases the call as well is taken back.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -90,6 +90,7 @@
 			StopLinger:          60 * time.Millisecond,                                                  // data that crosses the close of a connection arrives within 50 ms
 			CallerConnsTarget:   shares.callers - shares.callers/8,                                      // the remaining eighth is for connections being opened or closed
 			NewConnGrace:        250 * time.Millisecond,
+			CallerQuietAfter:    400 * time.Millisecond, // the platform's front tests every 0.1 s
 			MaxOpen:             deployment.MaxOpenCalls,
 			MaxEndedCalls:       int(memoryBytes / 8 / endedCallBytes),
 			Probe:               probe.Limits{Permitted: deployment.ProbesEnabled, Rate: 1, Burst: 2, Timeout: 1500 * time.Millisecond},
--- a/internal/core/callers.go
+++ b/internal/core/callers.go
@@ -18,17 +18,21 @@
 	transferFailed      bool // the transfer failed; the connection is read here again
 	malformed           bool // nothing more is read from the connection; it is closed once no set-up is open on it
 	lastActive          Time // when the connection was made, last brought a set-up or an end, or one of its calls was established
+	tests               int  // tests of the front end that the connection has brought
+	quietSince          Time // when the connection was made or last brought a test
 }
 
 // handleCallerUp handles a new connection of a caller.
 func (c *Core) handleCallerUp(ev CallerUp) {
-	conn := &callerConn{id: ev.Conn, protocol: ev.Protocol, lastActive: c.now}
+	conn := &callerConn{id: ev.Conn, protocol: ev.Protocol, lastActive: c.now, quietSince: c.now}
 	c.callerConns[ev.Conn] = conn
 	c.callerConnOrder = append(c.callerConnOrder, conn)
 	c.adoptTransferred(conn, ev)
 	c.pruneCallerConns()
 	if c.acceptsReleases(conn) {
 		c.flushReleases()
+	} else if len(c.pendingReleases) > 0 {
+		c.scheduleFlush(conn.protocol)
 	}
 	if c.handingOver {
 		c.stopReadingConn(conn)
@@ -51,6 +55,7 @@
 // handleCallerEnd handles a caller that gives a set-up up or releases an established call, perhaps one from before a restart.
 func (c *Core) handleCallerEnd(ev CallerEnd) {
 	call := c.calls[ev.ID]
+	c.cancelRelease(ev.ID)
 	if conn := c.callerConns[ev.From]; conn != nil {
 		c.markCallerConnUsed(conn)
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -41,7 +41,8 @@
 	callerConns         map[ConnID]*callerConn
 	callerConnOrder     []*callerConn     // oldest first
 	pruneTimerSet       bool              // a timer is set for the next pruneCallerConns
-	pendingReleases     []*pendingRelease // releases to callers that wait for a connection
+	pendingReleases     []*pendingRelease // releases to callers that wait for a connection, oldest first
+	flushTimerSet       bool              // a timer is set for the next flushReleases
 	endedCalls          map[ID]Time       // ids of calls that ended recently, with the time when each id was last recorded
 	endedCallOrder      []endedCall       // the same ids, oldest first
 	stopping            bool              // a Stop or a HandOver has begun
@@ -111,6 +112,8 @@
 		c.handleCallerUp(ev)
 	case CallerDown:
 		c.handleCallerDown(ev.Conn)
+	case CallerTested:
+		c.handleCallerTested(ev)
 	case CallerIdle:
 		if conn := c.callerConns[ev.Conn]; conn != nil && !c.connsWithCalls()[ev.Conn] {
 			c.closeCallerConn(conn)
@@ -311,6 +314,9 @@
 	case tokenPruneCallerConns:
 		c.pruneTimerSet = false
 		c.pruneCallerConns()
+	case tokenFlushReleases:
+		c.flushTimerSet = false
+		c.flushReleases()
 	case tokenStopLinger:
 		c.finishStop()
 	case tokenProbeTimeout:
--- a/internal/core/releases.go
+++ b/internal/core/releases.go
@@ -1,12 +1,15 @@
 package core
 
 import (
+	"maps"
 	"slices"
+	"time"
 
 	"elmseam"
 )
 
-// An established call belongs to no connection. Its release goes out on any connection to the other party, and waits for the next one if none is open.
+// An established call belongs to no connection, and outlives the process that set it up. Its release goes out on any connection to the other
+// party, and waits for the next one if none is open.
 
 // pendingRelease is a release that waits for a connection to callers.
 type pendingRelease struct {
@@ -34,26 +37,51 @@
 		c.sendRelease(conn.protocol, conn.id, ev.ID, ev.Reason)
 		return
 	}
-	notified := make(map[Protocol]bool)
-	for _, conn := range c.callerConnOrder { // the protocol of the call is unknown: each one gets the release once
-		if !notified[conn.protocol] {
-			notified[conn.protocol] = true
-			c.sendRelease(conn.protocol, 0, ev.ID, ev.Reason)
+	for _, protocol := range c.protocolsOfUnknownCalls() {
+		c.sendRelease(protocol, 0, ev.ID, ev.Reason)
+	}
+}
+
+// protocolsOfUnknownCalls returns the protocols whose callers may have a call that this process does not know. Callers of transient
+// protocols keep their calls when a process ends, whether they have connected again or not; those of others can only have one if connected.
+func (c *Core) protocolsOfUnknownCalls() (protocols []Protocol) {
+	for _, protocol := range slices.Sorted(maps.Keys(c.limits.Transient)) {
+		if c.limits.Transient[protocol] {
+			protocols = append(protocols, protocol)
 		}
 	}
+	for _, conn := range c.callerConnOrder {
+		if !slices.Contains(protocols, conn.protocol) {
+			protocols = append(protocols, conn.protocol)
+		}
+	}
+	return protocols
 }
 
-// acceptsReleases says whether releases of any call can go out on a connection. A transient connection that is not used yet may
-// be a health check of the callers' front end, where releases would be lost.
+// acceptsReleases says whether releases of any call can go out on a connection. A transient connection that has brought no call may be a
+// health check of the callers' front end, where releases would be lost. It counts as a caller's once it has been quiet for
+// CallerQuietAfter: a health check closes its connection, or tests again.
 func (c *Core) acceptsReleases(conn *callerConn) bool {
-	return conn.used || !c.limits.Transient[conn.protocol]
+	if conn.used || !c.limits.Transient[conn.protocol] {
+		return true
+	}
+	return c.mayBecomeQuiet(conn) && c.now >= conn.quietSince+c.limits.CallerQuietAfter
 }
 
-// sendRelease tells a caller that an established call has ended. Without a connection that can take the release, it goes to the successor
-// during a hand-over of transient connections, and otherwise waits for the next connection.
+// mayBecomeQuiet says whether an unused connection may turn out to be a caller's, as it has not brought several tests.
+func (c *Core) mayBecomeQuiet(conn *callerConn) bool {
+	return c.limits.CallerQuietAfter > 0 && conn.tests <= 1
+}
+
+// sendRelease tells a caller that an established call has ended: on a connection, or on another of the same protocol if that one is gone.
+// If no connection can take the release, it goes to the successor during a hand-over of transient connections, and otherwise waits.
 func (c *Core) sendRelease(protocol Protocol, to ConnID, id ID, reason Reason) {
 	release := &pendingRelease{protocol, id, reason, c.now}
-	if c.trySendRelease(release, to) {
+	conn := c.callerConns[to]
+	if conn == nil {
+		conn = c.connForRelease(protocol)
+	}
+	if c.trySendRelease(release, conn) {
 		return
 	}
 	c.pendingReleases = append(c.pendingReleases, release)
@@ -61,23 +89,19 @@
 		c.dropRelease(c.pendingReleases[0])
 		c.pendingReleases = c.pendingReleases[1:]
 	}
+	c.scheduleFlush(protocol)
 }
 
-// trySendRelease sends a release on a connection, on another of the same protocol if that one is gone, or to the successor. It returns
-// false if there is none of them.
-func (c *Core) trySendRelease(release *pendingRelease, to ConnID) bool {
-	if c.callerConns[to] == nil {
-		conn := c.connForRelease(release.protocol)
-		if conn == nil && c.handingOver && c.limits.Transient[release.protocol] {
-			c.emit(ToSuccessor{Protocol: release.protocol, Effect: Released{ID: release.id, Reason: release.reason}})
-			return true
-		}
-		if conn == nil {
-			return false
-		}
-		to = conn.id
+// trySendRelease sends a release on a connection or, without one, to the successor. It returns false if there is neither.
+func (c *Core) trySendRelease(release *pendingRelease, conn *callerConn) bool {
+	switch {
+	case conn != nil:
+		c.emit(Released{To: conn.id, ID: release.id, Reason: release.reason})
+	case c.handingOver && c.limits.Transient[release.protocol]:
+		c.emit(ToSuccessor{Protocol: release.protocol, Effect: Released{ID: release.id, Reason: release.reason}})
+	default:
+		return false
 	}
-	c.emit(Released{To: to, ID: release.id, Reason: release.reason})
 	return true
 }
 
@@ -100,15 +124,62 @@
 	return conn.lastActive >= older.lastActive
 }
 
-// flushReleases sends the releases that have waited for a connection. A release whose wait has reached EndedCallTTL is dropped.
+// maxReleasesPerFlush is the number of waiting releases that go out at once: a connection on which too much is queued counts as stalled.
+const maxReleasesPerFlush = 1000
+
+// releaseFlushInterval is the time between two attempts to send releases that wait.
+const releaseFlushInterval = 20 * time.Millisecond
+
+// flushReleases sends releases that have waited for a connection, at most maxReleasesPerFlush; others follow later. A release whose wait
+// has reached EndedCallTTL is dropped.
 func (c *Core) flushReleases() {
+	conns := make(map[Protocol]*callerConn)
+	waiting := make(map[Protocol]bool)
+	sent := 0
 	c.pendingReleases = slices.DeleteFunc(c.pendingReleases, func(release *pendingRelease) bool {
 		if release.queuedAt <= c.now-c.limits.EndedCallTTL {
 			c.dropRelease(release)
 			return true
 		}
-		return c.trySendRelease(release, 0)
+		conn, found := conns[release.protocol]
+		if !found {
+			conn = c.connForRelease(release.protocol)
+			conns[release.protocol] = conn
+		}
+		if sent < maxReleasesPerFlush && c.trySendRelease(release, conn) {
+			sent++
+			return true
+		}
+		waiting[release.protocol] = true
+		return false
 	})
+	for protocol := range waiting {
+		c.scheduleFlush(protocol)
+	}
+}
+
+// scheduleFlush has flushReleases called again, if a connection of a protocol can take releases now, or soon as it may become quiet.
+func (c *Core) scheduleFlush(protocol Protocol) {
+	if c.flushTimerSet || !slices.ContainsFunc(c.callerConnOrder, func(conn *callerConn) bool {
+		return conn.protocol == protocol && (c.acceptsReleases(conn) || c.mayBecomeQuiet(conn))
+	}) {
+		return
+	}
+	c.flushTimerSet = true
+	c.setTimer(c.now+releaseFlushInterval, Token{kind: tokenFlushReleases})
+}
+
+// cancelRelease takes a waiting release back, as its caller has released the call too.
+func (c *Core) cancelRelease(id ID) {
+	c.pendingReleases = slices.DeleteFunc(c.pendingReleases, func(release *pendingRelease) bool { return release.id == id })
+}
+
+// handleCallerTested handles a test of the front end on the connection of a caller.
+func (c *Core) handleCallerTested(ev CallerTested) {
+	if conn := c.callerConns[ev.Conn]; conn != nil {
+		conn.tests++
+		conn.quietSince = c.now
+	}
 }
 
 // dropRelease gives a release up.
--- a/internal/core/servermsgs.go
+++ b/internal/core/servermsgs.go
@@ -92,7 +92,8 @@
 // handleServerEnd handles a server's refusal of a set-up or its release of an established call.
 func (c *Core) handleServerEnd(ev ServerEnd) {
 	s := c.servers[ev.Server]
-	if s == nil {
+	if s == nil { // the server has just left the list, or is in the list of a successor only
+		c.releaseUnknown(ev)
 		return
 	}
 	c.recordServerInput(s, ev.Conn)
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -84,6 +84,8 @@
 	}
 	// CallerDown reports that the connection of a caller has ended.
 	CallerDown struct{ Conn ConnID }
+	// CallerTested reports that a connection of a caller has brought a test, as the callers' front end sends them.
+	CallerTested struct{ Conn ConnID }
 	// CallerIdle reports that nothing has come on the connection of a caller for long. If no set-up is open on the connection and no
 	// call of it is established, a GracefulClose follows.
 	CallerIdle struct{ Conn ConnID }
@@ -230,6 +232,7 @@
 
 func (CallerUp) event()        {}
 func (CallerDown) event()      {}
+func (CallerTested) event()    {}
 func (CallerIdle) event()      {}
 func (CallerMalformed) event() {}
 func (SetUp) event()           {}
@@ -406,6 +409,7 @@
 	tokenDrainCheck                        // idle connections are closed during a drain
 	tokenMaxStopWait                       // a stop or a hand-over waits no longer for calls to end
 	tokenPruneCallerConns                  // pruneCallerConns runs again, as connections may have become older than NewConnGrace
+	tokenFlushReleases                     // releases to callers that wait may go out
 	tokenStopLinger                        // set-ups have been refused for StopLinger since the process began to close
 	tokenMembership                        // a timer of the membership reducer
 	tokenMaintenance                       // a timer of the maintenance reducer
@@ -443,6 +447,7 @@
 	MaxStopWait         time.Duration     // longest wait after a Stop or a HandOver for calls to end
 	StopLinger          time.Duration     // time between the last call and the closing of connections, in which late set-ups are refused
 	CallerConnsTarget   int               // connections of callers above which some are closed; exceeded while none of them may be closed
+	CallerQuietAfter    time.Duration     // an unused transient connection that brings no test for this long is a caller's, not a health check; 0: it never counts as one
 	NewConnGrace        time.Duration     // age at which an unused connection may be closed; before that its first set-up may be on its way
 	MaxOpen             int               // max set-ups without a final answer at a time
 	MaxCallBytes        int               // bytes of descriptions and numbers of all calls beyond which set-ups are refused
--- a/internal/platform/caller_reader.go
+++ b/internal/platform/caller_reader.go
@@ -206,6 +206,7 @@
 			passed = 0
 		}
 		outbox.Send(transport.Message{Data: appendFrame(nil, typeTested, msg.callID, appendParam(nil, paramCause, passed))})
+		p.loop.Post(core.CallerTested{Conn: conn})
 	case typeProgress, typeReleaseAck, typeGroup, typeTested:
 	default:
 		return fmt.Errorf("unknown message type %d", msg.msgType)
