Core: a caller's release from before the start waits for servers without a connection

A server that came into the list later got none either.

Change: such a release is kept for each server of the list, and within EndedCallTTL for servers that come into it (8,000 at most, which fit into the outbox of one connection; formerly 1,000). Its id counts as ended, so a crossing release is not passed on to the caller. Same cause, other paths: releases that waited were dropped when the list named the server's restart, though the news may be late and the call may be on the new process; a late answer on a connection that takes nothing more was not released; a stop ended the process while such a release waited for a dial (now it waits, unless the server can't be reached).

Result: TestCallerReleaseWithoutServerConnectionLost, TestCallerReleaseBeforeServerListed, TestWaitingServerReleaseDroppedByLateList, TestLateAnswerOnUnusableConnectionNotReleased, TestStopDropsWaitingServerRelease, TestCallerReleaseLostAtRestart (SIGTERM, SIGKILL; processes) fail before, pass after.

--- a/cmd/elmseam/restart_test.go
+++ b/cmd/elmseam/restart_test.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"elmseam/internal/faultnet"
 )
 
 // releaseLine is the line by which a server releases a call.
@@ -69,3 +71,31 @@
 		}
 	}
 }
+
+// TestCallerReleaseLostAtRestart guards against calls that stand at a server for ever: their caller released them when the next process had
+// no connection to that server.
+func TestCallerReleaseLostAtRestart(t *testing.T) {
+	for _, signal := range []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL} {
+		t.Run(signal.String(), func(t *testing.T) {
+			t.Parallel()
+			server, other := startMachine(t, 300*time.Millisecond), startMachine(t, 300*time.Millisecond)
+			process := startProgram(t, "", serverEntry("s", "in_service", server), serverEntry("other", "in_service", other))
+			establishCalls(dial(t, process.listen), 1)
+			server.SetMode(faultnet.Refusing)
+			process = process.restart(signal)
+			process.wantLog("outage of server begins")
+			caller := dial(t, process.listen)
+			caller.Write([]byte{0, 13, 12, 0, 0, 0, 0, 0, 0, 0, 1, 58, 0, 1, 16})
+			caller.wantCallerMessage(16, 1)
+			server.SetMode(faultnet.Accepting)
+			select {
+			case call := <-server.ended:
+				if call != "0000000000000001" {
+					t.Errorf("call %s is released at the server", call)
+				}
+			case <-time.After(testTimeout):
+				t.Error("the call is not released at its server")
+			}
+		})
+	}
+}
--- a/cmd/elmseam/vanish_test.go
+++ b/cmd/elmseam/vanish_test.go
@@ -23,6 +23,8 @@
 	reportInterval time.Duration   // 0: no reports
 	stop           <-chan struct{} // closed when the test ends
 
+	ended chan string // ids of the calls that the softswitch has ended, as far as there is room
+
 	mu       sync.Mutex // guards the fields below
 	conns    map[net.Conn]bool
 	vanished bool
@@ -35,7 +37,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m := &machine{Listener: listener, reportInterval: reportInterval, stop: t.Context().Done(), conns: make(map[net.Conn]bool)}
+	m := &machine{Listener: listener, reportInterval: reportInterval, stop: t.Context().Done(), conns: make(map[net.Conn]bool), ended: make(chan string, 16)}
 	t.Cleanup(func() {
 		listener.Close()
 		m.resetConns()
@@ -59,12 +61,21 @@
 // offerPattern matches the line of a set-up.
 var offerPattern = regexp.MustCompile(`"op":"offer","call":"([0-9a-f]{16})"`)
 
+// endPattern matches the line that ends a set-up or a call.
+var endPattern = regexp.MustCompile(`"op":"end","call":"([0-9a-f]{16})"`)
+
 // serve answers the set-ups of a connection.
 func (m *machine) serve(conn net.Conn) {
 	for lines := bufio.NewScanner(conn); lines.Scan(); {
 		if match := offerPattern.FindStringSubmatch(lines.Text()); match != nil {
 			m.send(conn, fmt.Sprintf(`{"op":"accept","call":%q,"with":{},"desc":"x"}`, match[1]))
 		}
+		if match := endPattern.FindStringSubmatch(lines.Text()); match != nil {
+			select {
+			case m.ended <- match[1]:
+			default:
+			}
+		}
 	}
 }
 
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -71,7 +71,7 @@
 			MaxServerConns:      shares.servers,
 			UnresponsiveAfter:   100 * time.Millisecond, // a server that isn't overloaded answers sooner
 			MaxRemovedServers:   16,
-			MaxPendingReleases:  1000,
+			MaxPendingReleases:  8000, // fit into the outbox of one connection
 			MaxCallerReleases:   int(memoryBytes / 16 / waitingReleaseBytes),
 			ServerLostAfter:     7500 * time.Millisecond, // a release is due 8 s after the end of its call at the latest
 			MinServerOutage:     time.Second,
--- a/internal/core/callers.go
+++ b/internal/core/callers.go
@@ -69,12 +69,8 @@
 			delete(c.predecessorSetUps, ev.ID)
 			c.rememberEnded(ev.ID) // the predecessor may send a release of the call at the same time
 			c.emit(ToPredecessor{Event: ev})
-		default: // the call may be from before a restart, on any server
-			c.stats.Failures.UnknownCallerReleases++
-			c.emit(Trace{Kind: TraceUnknownRelease, ID: ev.ID})
-			for _, s := range c.serverOrder {
-				c.sendEnd(s, ev.ID)
-			}
+		default:
+			c.releaseUnknownAtServers(ev.ID)
 		}
 	case call.server != nil:
 		call.callerGone = true
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,57 +18,58 @@
 
 // Core is the reducer of one softswitch.
 type Core struct {
-	limits              Limits
-	releaseGuard        time.Duration        // wait before a call whose attempt timed out, was reset or was cancelled is sent again
-	maxAttempts         int                  // attempts that the core permits a call; 0: any number
-	reportMetrics       []elmseam.LoadMetric // values of a load report, in the order that the controller reads
-	tenants             []elmseam.Tenant     // tenants of the settings; the controller knows them by their index
-	prober              *probe.Prober        // decides on probes of silent connections
-	controller          *elmseam.Controller  // decides on servers, retries and refusals
-	now                 Time                 // time of the current Step
-	effects             []Effect             // effects of the current Step
-	calls               map[ID]*call
-	callsByControllerID map[elmseam.CallID]*call
-	openSetUps          int            // set-ups without a final answer
-	callBytes           int            // size of the numbers and descriptions of all calls, in bytes
-	lastControllerID    elmseam.CallID // id last given to a call
-	servers             map[string]*server
-	serversByID         map[elmseam.ServerID]*server
-	serverOrder         []*server        // in the order in which they came into the list
-	lastServerID        elmseam.ServerID // id last given to a server
-	removedServers      []removedServer  // servers that have left the list, oldest first
-	withdrawnRoutes     map[string]Route // by the name of the route
-	callerConns         map[ConnID]*callerConn
-	callerConnOrder     []*callerConn     // oldest first
-	pruneTimerSet       bool              // a timer is set for the next pruneCallerConns
-	pendingReleases     []*pendingRelease // releases to callers that wait for a connection, oldest first
-	flushTimerSet       bool              // a timer is set for the next flushReleases
-	endedCalls          map[ID]Time       // ids of calls that ended recently, with the time when each id was last recorded
-	endedCallOrder      []endedCall       // the same ids, oldest first
-	stopping            bool              // a Stop or a HandOver has begun
-	stopGraceOver       bool              // the grace period of a Stop or HandOver, in which new callers may still connect, has ended
-	closing             bool              // the process is about to end: set-ups are refused until the connections are closed
-	stopped             bool              // the Stopped effect has been given
-	serving             bool              // new calls are welcome, as the last Serving effect said
-	draining            bool              // callers are sent away while the process goes on, on request of an operator or for maintenance
-	drainChangedAt      Time              // when the drain began or ended
-	drainChanges        uint32            // how often a drain began or ended
-	stats               Stats
-	hook                Hook                 // empty outside tests
-	handingOver         bool                 // the connections of callers are being transferred to a successor
-	hasPredecessor      bool                 // a predecessor owns calls whose callers are connected here
-	sharesCallerLimit   bool                 // the predecessor has not begun to transfer: both processes hold connections of callers
-	predecessorSetUps   map[ID]ConnID        // set-ups that the predecessor still has to answer, with the connection of the caller
-	predecessorCalls    map[ID]ConnID        // calls established on the predecessor, with the connection of the caller
-	ready               bool                 // the ReadyToServe effect has been given
-	membership          *membership.Reducer  // nil: no membership, the other members of the tier are unknown
-	selfIndex           int                  // index of this softswitch in the tier
-	maintenance         *maintenance.Reducer // nil: no ordered maintenance
-	drainReasons        drainReasons         // who has requested that this softswitch drains
-	startedAt           Time                 // time of the first event
-	takeoverFactors     map[int]float64      // by member that is not available: factor by which its absence raised the rates
-	knowledge           *knowledge.Reducer   // nil: observations of the servers are not shared with the tier
-	budget              *budget.Reducer      // nil: the quotas of cold servers' budgets are fixed
+	limits                Limits
+	releaseGuard          time.Duration        // wait before a call whose attempt timed out, was reset or was cancelled is sent again
+	maxAttempts           int                  // attempts that the core permits a call; 0: any number
+	reportMetrics         []elmseam.LoadMetric // values of a load report, in the order that the controller reads
+	tenants               []elmseam.Tenant     // tenants of the settings; the controller knows them by their index
+	prober                *probe.Prober        // decides on probes of silent connections
+	controller            *elmseam.Controller  // decides on servers, retries and refusals
+	now                   Time                 // time of the current Step
+	effects               []Effect             // effects of the current Step
+	calls                 map[ID]*call
+	callsByControllerID   map[elmseam.CallID]*call
+	openSetUps            int            // set-ups without a final answer
+	callBytes             int            // size of the numbers and descriptions of all calls, in bytes
+	lastControllerID      elmseam.CallID // id last given to a call
+	servers               map[string]*server
+	serversByID           map[elmseam.ServerID]*server
+	serverOrder           []*server        // in the order in which they came into the list
+	lastServerID          elmseam.ServerID // id last given to a server
+	removedServers        []removedServer  // servers that have left the list, oldest first
+	withdrawnRoutes       map[string]Route // by the name of the route
+	callerConns           map[ConnID]*callerConn
+	callerConnOrder       []*callerConn     // oldest first
+	pruneTimerSet         bool              // a timer is set for the next pruneCallerConns
+	pendingReleases       []*pendingRelease // releases to callers that wait for a connection, oldest first
+	flushTimerSet         bool              // a timer is set for the next flushReleases
+	unknownCallerReleases []endedCall       // calls released by callers that this process does not know, oldest first
+	endedCalls            map[ID]Time       // ids of calls that ended recently, with the time when each id was last recorded
+	endedCallOrder        []endedCall       // the same ids, oldest first
+	stopping              bool              // a Stop or a HandOver has begun
+	stopGraceOver         bool              // the grace period of a Stop or HandOver, in which new callers may still connect, has ended
+	closing               bool              // the process is about to end: set-ups are refused until the connections are closed
+	stopped               bool              // the Stopped effect has been given
+	serving               bool              // new calls are welcome, as the last Serving effect said
+	draining              bool              // callers are sent away while the process goes on, on request of an operator or for maintenance
+	drainChangedAt        Time              // when the drain began or ended
+	drainChanges          uint32            // how often a drain began or ended
+	stats                 Stats
+	hook                  Hook                 // empty outside tests
+	handingOver           bool                 // the connections of callers are being transferred to a successor
+	hasPredecessor        bool                 // a predecessor owns calls whose callers are connected here
+	sharesCallerLimit     bool                 // the predecessor has not begun to transfer: both processes hold connections of callers
+	predecessorSetUps     map[ID]ConnID        // set-ups that the predecessor still has to answer, with the connection of the caller
+	predecessorCalls      map[ID]ConnID        // calls established on the predecessor, with the connection of the caller
+	ready                 bool                 // the ReadyToServe effect has been given
+	membership            *membership.Reducer  // nil: no membership, the other members of the tier are unknown
+	selfIndex             int                  // index of this softswitch in the tier
+	maintenance           *maintenance.Reducer // nil: no ordered maintenance
+	drainReasons          drainReasons         // who has requested that this softswitch drains
+	startedAt             Time                 // time of the first event
+	takeoverFactors       map[int]float64      // by member that is not available: factor by which its absence raised the rates
+	knowledge             *knowledge.Reducer   // nil: observations of the servers are not shared with the tier
+	budget                *budget.Reducer      // nil: the quotas of cold servers' budgets are fixed
 }
 
 // New makes a core and its controller for the settings. The seed determines the random choices of the controller.
--- a/internal/core/ops_test.go
+++ b/internal/core/ops_test.go
@@ -165,7 +165,7 @@
 
 // A caller releases its call while the server has no connection. The release goes out on the next connection, which is dialled
 // even if the server drains and nothing else would need it. Guards against a server that keeps a line occupied without a caller. A
-// server that is gone, or a new process of the server, gets no release.
+// server that is gone gets no release.
 func TestReleaseWithoutServerConnection(t *testing.T) {
 	h := newHarness(t)
 	h.core.limits.MaxPendingReleases = 8
--- a/internal/core/releases.go
+++ b/internal/core/releases.go
@@ -188,6 +188,30 @@
 	c.emit(ForgetCall{Protocol: release.protocol, ID: release.id})
 }
 
+// releaseUnknownAtServers releases a call that this process does not know. It may be from before the start, on any server: also on one that
+// can't be reached now, or that comes into the list later.
+func (c *Core) releaseUnknownAtServers(id ID) {
+	c.stats.Failures.UnknownCallerReleases++
+	c.emit(Trace{Kind: TraceUnknownRelease, ID: id})
+	c.rememberEnded(id)
+	c.unknownCallerReleases = append(c.unknownCallerReleases, endedCall{id, c.now})
+	c.unknownCallerReleases = c.unknownCallerReleases[max(len(c.unknownCallerReleases)-c.limits.MaxPendingReleases, 0):]
+	for _, s := range c.serverOrder {
+		c.releaseAtServer(s, id)
+	}
+}
+
+// releasesForNewServer returns the calls to release at a server that comes into the list: those that callers released within EndedCallTTL
+// and that this process does not know.
+func (c *Core) releasesForNewServer() (ids []ID) {
+	for _, release := range c.unknownCallerReleases {
+		if release.recordedAt > c.now-c.limits.EndedCallTTL {
+			ids = append(ids, release.id)
+		}
+	}
+	return ids
+}
+
 // sendEnd sends a server the End of a call on any usable connection; without one it sends nothing.
 func (c *Core) sendEnd(s *server, id ID) {
 	if conn := c.connForSetUp(s); conn != nil {
--- a/internal/core/releases_test.go
+++ b/internal/core/releases_test.go
@@ -86,3 +86,80 @@
 		t.Errorf("%d releases within a second, want the remaining %d", sent, 2*maxReleasesPerFlush)
 	}
 }
+
+// TestCallerReleaseWithoutServerConnectionLost guards against calls that stand at a server for ever: a caller's release of a call from before
+// the start went only to the servers that had a connection just then.
+func TestCallerReleaseWithoutServerConnectionLost(t *testing.T) {
+	h := newRestartedHarness(t)
+	h.recordDials = true
+	h.step(CallerUp{Conn: 2, Protocol: "f"})
+	h.step(ServerDown{Server: "b", Conn: 11})
+	h.advance(time.Millisecond)
+	h.step(ServerDown{Server: "b", Address: "b:1"})
+	h.wantEffects(h.step(CallerEnd{ID: 99, From: 2}), "end99@10 ")
+	h.wantEffects(h.step(CallerEnd{ID: 99, From: 2}), "") // repeated
+	h.wantEffects(h.step(ServerUp{Server: "b", Address: "b:1", Conn: 12}), "end99@12 ")
+	h.wantEffects(h.step(ServerEnd{Server: "b", Conn: 12, ID: 99, Reason: ReasonNormal}), "") // crossed the release of the caller
+}
+
+// TestCallerReleaseBeforeServerListed guards against the same for a server that comes into the list only after the release, as when the
+// list of the start is old.
+func TestCallerReleaseBeforeServerListed(t *testing.T) {
+	for _, phase := range []elmseam.Phase{elmseam.PhaseReady, elmseam.PhaseDraining} {
+		h := newRestartedHarness(t)
+		h.recordDials = true
+		h.core.limits.MaxPendingReleases = 2
+		h.step(CallerUp{Conn: 2, Protocol: "f"})
+		h.step(CallerEnd{ID: 96, From: 2})
+		h.advance(61 * time.Second) // EndedCallTTL
+		for id := ID(97); id <= 99; id++ {
+			h.step(CallerEnd{ID: id, From: 2})
+		}
+		h.wantEffects(h.step(ServerList{Servers: []Server{{Name: "c", Address: "c:1", Cell: 2, Phase: phase}}}), "dial-c ")
+		h.wantEffects(h.step(ServerUp{Server: "c", Address: "c:1", Conn: 13}), "end98@13 end99@13 ")
+	}
+}
+
+// TestWaitingServerReleaseDroppedByLateList guards against a call that stands at the new process of a server for ever: a caller's release
+// waited for a connection, and was dropped when the list named the restart of the server, later than the call began.
+func TestWaitingServerReleaseDroppedByLateList(t *testing.T) {
+	h := newRestartedHarness(t)
+	h.step(CallerUp{Conn: 2, Protocol: "f"})
+	restartedAt := h.now
+	h.advance(time.Second)
+	h.step(SetUp{ID: 7, From: 2, TimeLeft: 5 * time.Second, At: h.now})
+	h.step(ServerAnswer{Server: "a", Conn: 10, ID: 7})
+	h.step(ServerDown{Server: "a", Conn: 10})
+	h.step(CallerEnd{ID: 7, From: 2})
+	h.step(ServerList{Servers: []Server{{Name: "a", Address: "a:1", Phase: elmseam.PhaseReady, Started: restartedAt}}})
+	h.wantEffects(h.step(ServerUp{Server: "a", Address: "a:1", Conn: 12}), "end7@12 ")
+}
+
+// TestLateAnswerOnUnusableConnectionNotReleased guards against a call that stands at its server without a caller: the answer came after the
+// set-up had ended, on a connection that takes nothing any more.
+func TestLateAnswerOnUnusableConnectionNotReleased(t *testing.T) {
+	h := newRestartedHarness(t)
+	h.step(CallerUp{Conn: 2, Protocol: "f"})
+	h.step(SetUp{ID: 7, From: 2, TimeLeft: 5 * time.Second, At: h.now}) // keeps the connection open
+	h.step(ServerMalformed{Server: "a", Conn: 10})
+	h.wantEffects(h.step(ServerAnswer{Server: "a", Conn: 10, ID: 99}), "")
+	h.wantEffects(h.step(ServerUp{Server: "a", Address: "a:1", Conn: 12}), "end99@12 ")
+}
+
+// TestStopDropsWaitingServerRelease guards against a stop that ends the process while a caller's release still waits for the connection to a
+// server that is being dialled. A server that can't be reached delays no stop.
+func TestStopDropsWaitingServerRelease(t *testing.T) {
+	for _, reachable := range []bool{true, false} {
+		h := newRestartedHarness(t)
+		h.step(CallerUp{Conn: 2, Protocol: "f"})
+		h.step(ServerDown{Server: "b", Conn: 11})
+		h.step(CallerEnd{ID: 99, From: 2})
+		h.step(Stop{})
+		h.wantEffects(h.advance(800*ms), "")
+		if reachable {
+			h.wantEffects(h.step(ServerUp{Server: "b", Address: "b:1", Conn: 12}), "end99@12 close@2 stopped ")
+		} else {
+			h.wantEffects(h.step(ServerDown{Server: "b", Address: "b:1"}), "close@2 stopped ")
+		}
+	}
+}
--- a/internal/core/servermsgs.go
+++ b/internal/core/servermsgs.go
@@ -59,7 +59,7 @@
 	case call != nil && call.concernsEarlierAttempt(ev.Conn) && c.guardEnabled(GuardSingleAnswer):
 		return // answer to an earlier attempt, whose End is being written
 	case call == nil:
-		c.sendEnd(s, ev.ID)
+		c.releaseAtServer(s, ev.ID)
 		return
 	case call.attempt.phase != attemptSent && c.guardEnabled(GuardSingleAnswer):
 		return // the attempt's End is being written
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -20,7 +20,7 @@
 		switch {
 		case s == nil:
 			s = &server{id: c.controllerServerID(entry.Name), established: make(map[ID]*call), outstanding: make(map[ID]*call)}
-			s.lastAliveAt = c.now
+			s.lastAliveAt, s.pendingReleases = c.now, c.releasesForNewServer()
 			c.servers[entry.Name], c.serversByID[s.id] = s, s
 			c.serverOrder = append(c.serverOrder, s)
 		case s.Started != entry.Started || s.Address != entry.Address:
@@ -55,7 +55,6 @@
 		}
 	}
 	c.closeServerConnsBefore(s, newSince)
-	s.pendingReleases = nil // they were for the former process
 	if len(s.established) == 0 {
 		c.forgetOutages(s)
 	}
@@ -99,6 +98,8 @@
 			c.resetEstablishedCalls(s)
 			c.closeServerConns(s)
 			c.removeServerIfUnused(s)
+		} else if len(s.pendingReleases) > 0 {
+			c.dialServerAhead(s)
 		}
 	}
 }
--- a/internal/core/stop.go
+++ b/internal/core/stop.go
@@ -28,11 +28,16 @@
 			c.emit(ReadyToServe{})
 		}
 	}
-	if c.stopGraceOver && !c.closing && len(c.calls) == 0 && len(c.pendingReleases) == 0 && !c.transfersPending() {
+	if c.stopGraceOver && !c.closing && len(c.calls) == 0 && len(c.pendingReleases) == 0 && !c.serverReleasesPending() && !c.transfersPending() {
 		c.beginClosing()
 	}
 }
 
+// serverReleasesPending says whether the release of a call waits for a connection to a server. A server that can't be reached does not count.
+func (c *Core) serverReleasesPending() bool {
+	return slices.ContainsFunc(c.serverOrder, func(s *server) bool { return len(s.pendingReleases) > 0 && !s.dialFailed })
+}
+
 // beginClosing begins the end of the process, when nothing is pending any more or MaxStopWait has passed, and announces to the other
 // members that this softswitch leaves. Set-ups that callers sent before they could know of the end may still arrive: they are refused
 // for StopLinger before the connections are closed. There is no such wait if StopLinger is 0, or if the successor has every connection.
