Core: a draining server that may have calls from before the start gets a connection

What callers saw: after a restart, calls at a server that drained at that time were never released, as no connection was made to it on which it could send their releases.

Change: a listed server that drains and started before this process gets one connection, again after each loss, if its protocol identifies calls across processes (Transient).

--- a/cmd/elmseam/restart_test.go
+++ b/cmd/elmseam/restart_test.go
@@ -99,3 +99,21 @@
 		})
 	}
 }
+
+// TestReleaseOfDrainingServerLostAtRestart guards against calls that never end for their callers: they stand at a server that drains when the
+// next process starts, which made no connection to it for their releases.
+func TestReleaseOfDrainingServerLostAtRestart(t *testing.T) {
+	t.Parallel()
+	srv, other := listen(t), startMachine(t, 300*time.Millisecond)
+	process := startProgram(t, "", serverEntry("s", "in_service", srv))
+	process.establishAt(acceptServer(t, srv))
+	process.writeConfig(process.channel, testSettings, serverEntry("s", "terminating", srv), serverEntry("other", "in_service", other))
+	process = process.restart(syscall.SIGKILL)
+	caller := dial(t, process.listen)
+	caller.sendSetUp(2)
+	caller.wantCallerMessage(9, 2)
+	sendOnNewConns(srv, fmt.Sprintf(releaseLine, 1))
+	if released := readReleases(caller, 1, time.Now().Add(2*time.Second)); released != 1 {
+		t.Error("the call is not released to its callers")
+	}
+}
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -98,7 +98,7 @@
 			c.resetEstablishedCalls(s)
 			c.closeServerConns(s)
 			c.removeServerIfUnused(s)
-		} else if len(s.pendingReleases) > 0 {
+		} else if len(s.pendingReleases) > 0 || c.mayHaveUnknownCalls(s) {
 			c.dialServerAhead(s)
 		}
 	}
@@ -173,12 +173,18 @@
 			wanted = min(wanted, max(c.limits.MaxServerConns/len(c.serverOrder), 1))
 		}
 		return wanted
-	case len(s.established) > 0, len(s.pendingReleases) > 0 && s.Phase != elmseam.PhaseGone:
+	case len(s.established) > 0, len(s.pendingReleases) > 0 && s.Phase != elmseam.PhaseGone, c.mayHaveUnknownCalls(s):
 		return 1
 	}
 	return 0
 }
 
+// mayHaveUnknownCalls says whether calls from before the start of this process may stand at a server that drains. It sends their releases on
+// the next connection. Protocols with associations identify no calls of a former process.
+func (c *Core) mayHaveUnknownCalls(s *server) bool {
+	return s.Phase == elmseam.PhaseDraining && s.Started < c.startedAt && c.limits.Transient[s.Protocol]
+}
+
 // usableConnCount returns how many connections to a server can carry new set-ups: those that are not marked unusable.
 func (s *server) usableConnCount() (n int) {
 	for _, conn := range s.conns {
