Core: releases survive a hand-over that begins, and a predecessor that ends

Cause, two places. Releases that waited for a connection when a hand-over began waited on in the predecessor, though all callers connect to the successor from then on (a waiting release was only tried when a connection came). And the successor forwarded a release of an unknown call to its predecessor and kept nothing: if that ended before it handled it, the release was lost, in both directions.

Not seen on processes: both were found by reading the paths of a release.

--- a/internal/core/callers.go
+++ b/internal/core/callers.go
@@ -68,7 +68,7 @@
 			delete(c.predecessorCalls, ev.ID)
 			delete(c.predecessorSetUps, ev.ID)
 			c.rememberEnded(ev.ID) // the predecessor may send a release of the call at the same time
-			c.emit(ToPredecessor{Event: ev})
+			c.forwardToPredecessor(ev.ID, ev)
 		default:
 			c.releaseUnknownAtServers(ev.ID)
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -60,6 +60,7 @@
 	hasPredecessor        bool                 // a predecessor owns calls whose callers are connected here
 	sharesCallerLimit     bool                 // the predecessor has not begun to transfer: both processes hold connections of callers
 	predecessorSetUps     map[ID]ConnID        // set-ups that the predecessor still has to answer, with the connection of the caller
+	forwardedReleases     []forwardedRelease   // releases that the predecessor may not have handled, oldest first
 	predecessorCalls      map[ID]ConnID        // calls established on the predecessor, with the connection of the caller
 	ready                 bool                 // the ReadyToServe effect has been given
 	membership            *membership.Reducer  // nil: no membership, the other members of the tier are unknown
@@ -204,9 +205,7 @@
 	case Relayed:
 		c.relayFromPredecessor(ev)
 	case EndedCalls:
-		for _, id := range ev.IDs {
-			c.rememberEnded(id)
-		}
+		c.handleEndedCalls(ev)
 	case OfferWritten:
 		c.stats.Sends++
 	case TimerFired:
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 )
 
 // In a hand-over a new process, the successor, takes over from the running process, its predecessor, while both run. The
@@ -17,6 +18,7 @@
 		return
 	}
 	c.handingOver, c.stopping = true, true
+	c.flushReleases() // callers connect to the successor from now on
 	for _, conn := range c.callerConnOrder {
 		c.stopReadingConn(conn)
 	}
@@ -76,6 +78,54 @@
 	}
 }
 
+// forwardedRelease is a release that was forwarded to the predecessor.
+type forwardedRelease struct {
+	id          ID
+	event       Event // the ServerEnd or CallerEnd
+	forwardedAt Time
+}
+
+// maxForwardDelay is the longest time until the predecessor has handled a forwarded event or counts as gone.
+const maxForwardDelay = 2 * time.Second
+
+// forwardToPredecessor forwards the release of a call that this process does not know, and the predecessor may. The release is kept for
+// maxForwardDelay in case the predecessor ends before it handles it.
+func (c *Core) forwardToPredecessor(id ID, event Event) {
+	c.forwardedReleases = slices.DeleteFunc(c.forwardedReleases, func(release forwardedRelease) bool {
+		return release.forwardedAt < c.now-maxForwardDelay
+	})
+	c.forwardedReleases = append(c.forwardedReleases, forwardedRelease{id, event, c.now})
+	c.forwardedReleases = c.forwardedReleases[max(len(c.forwardedReleases)-c.limits.MaxPendingReleases, 0):]
+	c.emit(ToPredecessor{Event: event})
+}
+
+// handleForwardedReleases handles the releases that a predecessor which has ended may not have handled.
+func (c *Core) handleForwardedReleases() {
+	releases := c.forwardedReleases
+	c.forwardedReleases = nil
+	for _, release := range releases {
+		if release.forwardedAt < c.now-maxForwardDelay {
+			continue
+		}
+		switch event := release.event.(type) {
+		case ServerEnd:
+			c.releaseUnknown(event)
+		case CallerEnd:
+			c.releaseUnknownAtServers(event.ID)
+		}
+	}
+}
+
+// handleEndedCalls records calls that have ended in the predecessor, which has handled their releases.
+func (c *Core) handleEndedCalls(ev EndedCalls) {
+	ended := make(map[ID]bool)
+	for _, id := range ev.IDs {
+		c.rememberEnded(id)
+		ended[id] = true
+	}
+	c.forwardedReleases = slices.DeleteFunc(c.forwardedReleases, func(release forwardedRelease) bool { return ended[release.id] })
+}
+
 // handlePredecessor handles news that a predecessor owns calls whose callers are connected here, or that the predecessor has ended. The
 // set-ups that an ended predecessor left unanswered may have run at a server and are rejected as ReasonFailed.
 func (c *Core) handlePredecessor(ev Predecessor) {
@@ -88,6 +138,7 @@
 		c.rememberEnded(id)
 	}
 	clear(c.predecessorSetUps)
+	c.handleForwardedReleases()
 }
 
 // relayFromPredecessor passes an answer or a release of the predecessor on to the caller. A second final answer to a set-up is dropped,
--- a/internal/core/releases.go
+++ b/internal/core/releases.go
@@ -26,7 +26,7 @@
 		return
 	}
 	if c.hasPredecessor { // the predecessor knows whether the call has ended
-		c.emit(ToPredecessor{Event: ev})
+		c.forwardToPredecessor(ev.ID, ev)
 		return
 	}
 	c.stats.Failures.UnknownServerReleases++
@@ -158,15 +158,20 @@
 	}
 }
 
-// scheduleFlush has flushReleases called again, if a connection of a protocol can take releases now, or soon as it may become quiet.
+// scheduleFlush has flushReleases called again, if the callers of a protocol can be reached now or soon: a connection takes releases or may
+// become quiet, or the successor takes them.
 func (c *Core) scheduleFlush(protocol Protocol) {
-	if c.flushTimerSet || !slices.ContainsFunc(c.callerConnOrder, func(conn *callerConn) bool {
-		return conn.protocol == protocol && (c.acceptsReleases(conn) || c.mayBecomeQuiet(conn))
-	}) {
+	if c.flushTimerSet {
 		return
 	}
-	c.flushTimerSet = true
-	c.setTimer(c.now+releaseFlushInterval, Token{kind: tokenFlushReleases})
+	reachable := c.handingOver && c.limits.Transient[protocol]
+	for _, conn := range c.callerConnOrder {
+		reachable = reachable || conn.protocol == protocol && (c.acceptsReleases(conn) || c.mayBecomeQuiet(conn))
+	}
+	if reachable {
+		c.flushTimerSet = true
+		c.setTimer(c.now+releaseFlushInterval, Token{kind: tokenFlushReleases})
+	}
 }
 
 // cancelRelease takes a waiting release back, as its caller has released the call too.
