Config: at SIGHUP a file that lacks any part of the running one changes nothing

Cause: Reload compared top-level keys only; below them a fixed list was checked (requiredKeysBySection), which lacks many keys. What a file lacks takes its default, and the default of class-cells permits every cell. Hypotheses excluded: a partly applied file (the log says "configuration reloaded", conf_loaded=1, and classes and front agree); calls bound to older settings (all calls came 1.5 s later); the retry's choice by the controller (eligible() refuses other cells as soon as Class.Cells is filled: the same play without the SIGHUP sends none astray).

Change: checkComplete compares the new file with the running one as a whole: keys at any depth, entries of lists by name, emptied lists of the settings, shorter lists of names. Lists with an entry per class must have one for each class, at the start as well: a shorter one left the last classes without a restriction, one that was not shortened with its class moved the entries to other classes. A class that had cells must have some. Why not more required keys: the list has to name each key of each deployment, and misses the next one; at the start nothing tells which optional keys a deployment has.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,10 +5,8 @@
 import (
 	"encoding/json"
 	"fmt"
-	"maps"
 	"net"
 	"os"
-	"slices"
 	"strconv"
 
 	"elmseam"
@@ -33,9 +31,9 @@
 	PeerListen string   // host:port on which the tier's datagrams arrive
 	Peers      []string // addresses of the tier's softswitches, by index
 
-	sockets               int                        // file descriptors that the process may hold
-	socketsSharedWithM3UA bool                       // ShareSocketsWithM3UA was called
-	topLevelKeys          map[string]json.RawMessage // top-level keys of the configuration file
+	sockets               int  // file descriptors that the process may hold
+	socketsSharedWithM3UA bool // ShareSocketsWithM3UA was called
+	document              any  // the configuration file as it was read, without the environment's values
 }
 
 // configFile is the JSON form of the configuration file.
@@ -74,8 +72,8 @@
 	if err := json.Unmarshal(text, &parsed); err != nil {
 		return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
 	}
-	var topLevelKeys map[string]json.RawMessage
-	if err := json.Unmarshal(text, &topLevelKeys); err != nil {
+	document, err := parseDocument(text)
+	if err != nil {
 		return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
 	}
 	if value := getenv("ROUTER_NAME"); value != "" {
@@ -89,7 +87,7 @@
 	}
 	cfg, err := buildConfig(parsed)
 	if err == nil {
-		cfg.topLevelKeys = topLevelKeys
+		cfg.document = document
 	}
 	return cfg, err
 }
@@ -154,17 +152,18 @@
 	c.Limits.MaxM3UACallers, c.Limits.Core.MaxServerConns = shares.m3uaCallers, shares.servers
 }
 
-// Reload reads the configuration again. The new file must contain every top-level key of the old one, with a value other
-// than null. The classes of the old configuration keep their indexes.
+// Reload reads the configuration again. The new file must contain every part of the running one: see checkComplete. The classes of the old
+// configuration keep their indexes.
 func Reload(getenv func(string) string, old *Config) (*Config, error) {
 	cfg, err := Load(getenv)
 	if err != nil {
 		return nil, err
 	}
-	for _, key := range slices.Sorted(maps.Keys(old.topLevelKeys)) { // a value from the environment doesn't replace a missing key
-		if value, found := cfg.topLevelKeys[key]; !found || string(value) == "null" {
-			return nil, fmt.Errorf("%s: missing", key)
-		}
+	if err := checkComplete("", old.document, cfg.document); err != nil {
+		return nil, err
+	}
+	if err := settings.CheckCellsKept(old.Deployment, cfg.Deployment); err != nil {
+		return nil, err
 	}
 	if old.socketsSharedWithM3UA {
 		cfg.ShareSocketsWithM3UA()
--- a/internal/core/releases_test.go
+++ b/internal/core/releases_test.go
@@ -180,7 +180,7 @@
 	h.wantEffects(h.advance(time.Millisecond), "dial-c ")
 	h.step(ServerUp{Server: "c", Address: "c:1", Conn: 14})
 	h.wantEffects(h.setUpFrom(2, 7), "offer7@10 ") // it gets no set-up
-	h.advance(61 * time.Second) // EndedCallTTL: the release of call 98 does not wait for server d
+	h.advance(61 * time.Second)                    // EndedCallTTL: the release of call 98 does not wait for server d
 	started := Server{Name: "d", Address: "d:1", Phase: elmseam.PhaseDraining, Started: h.now}
 	h.wantEffects(h.step(ServerList{Servers: []Server{started}}), "") // it started after this process, which knows all calls there
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -201,8 +201,8 @@
 }
 
 // Validate checks that the settings contain every required key, that max-attempts and the classes' hard limits are
-// positive, that the tenants' shares and allowances and over-share-worth are in their ranges, and that the settings don't
-// contradict themselves. The text of an error is one line that names the field.
+// positive, that lists with an entry per class have one for each, that the tenants' shares and allowances and over-share-worth are in
+// their ranges, and that the settings don't contradict themselves. The text of an error is one line that names the field.
 func Validate(text []byte) error {
 	var topLevelKeys map[string]json.RawMessage
 	if err := json.Unmarshal(text, &topLevelKeys); err != nil {
@@ -235,6 +235,9 @@
 			return fmt.Errorf("%shard-limit-us: %v is not positive", field, float64(classLimits.HardLimit))
 		}
 	}
+	if err := checkPerClassLists(topLevelKeys[perClassSection], len(classes)); err != nil {
+		return err
+	}
 	var limits struct {
 		MaxAttempts int `json:"max-attempts"`
 	}
