Config: a members file that lacks a key of the running one changes nothing at SIGHUP

What operators would see: a members file without maintenance.budget, or none at all, was applied at SIGHUP, and the budget silently became its default (1), or stayed without a line in the log.

Change: ReloadMembers compares the keys with those of the running file. reload moves out of main.go into a type of its own (cmd/elmseam/reload.go): run() held its state in variables.

Off on the platform, where the file is not enabled.

--- a/cmd/elmseam/main.go
+++ b/cmd/elmseam/main.go
@@ -24,7 +24,6 @@
 	"elmseam/internal/handover"
 	"elmseam/internal/loop"
 	"elmseam/internal/m3ua"
-	"elmseam/internal/maintenance"
 	"elmseam/internal/mgmt"
 	"elmseam/internal/peers"
 	"elmseam/internal/platform"
@@ -246,33 +245,8 @@
 	commandFeed.Follow(cfg.CommandChannel, nil)
 	backgroundTasks = append(backgroundTasks, func() { commandFeed.Run(ctx) })
 
-	// reload reads the configuration again and applies it. An invalid configuration changes nothing. Of the members file only
-	// the maintenance budget is applied.
-	reload := func() {
-		newCfg, err := config.Reload(os.Getenv, cfg)
-		if err != nil {
-			log.Error().Err(err).Msg("configuration rejected")
-			eventLoop.Post(core.Misconfigured{})
-			return
-		}
-		if newCfg.Listen != cfg.Listen || newCfg.Name != cfg.Name || newCfg.Mgmt != cfg.Mgmt {
-			log.Warn().Str("name", newCfg.Name).Str("listen", newCfg.Listen).Str("mgmt", newCfg.Mgmt).Msg("changes of name, listen and mgmt need a restart")
-		}
-		cfg = newCfg
-		limiter.setLimits(cfg.Limits)
-		platformProtocol.Configure(cfg.Platform())
-		if m3uaProtocol != nil { // before the core knows the new classes and offers their calls to M3UA servers
-			m3uaProtocol.Configure(cfg.M3UA(signalling.M3UA))
-		}
-		eventLoop.Post(core.Configured{Settings: cfg.Settings, Limits: cfg.Limits.Core})
-		if newMembers, err := config.LoadMembers(membersPath, membersPathSet); err != nil {
-			log.Error().Err(err).Msg("members file rejected")
-		} else if tierSocket != nil && newMembers.Maintenance.Enabled {
-			eventLoop.Post(core.MaintenanceRequest{Event: maintenance.SetBudget{Budget: newMembers.MaintenanceBudget(len(cfg.Peers))}})
-		}
-		commandFeed.Follow(cfg.CommandChannel, cfg.InitialCommands)
-		log.Info().Str("channel", cfg.CommandChannel).Msg("configuration reloaded")
-	}
+	reloader := &reloader{cfg: cfg, members: members, membersPath: membersPath, membersPathSet: membersPathSet, inTier: tierSocket != nil, signalling: signalling,
+		loop: eventLoop, platform: platformProtocol, m3ua: m3uaProtocol, feed: commandFeed, limiter: limiter, log: log}
 	go func() {
 		for _, event := range initialEvents {
 			eventLoop.Post(event)
@@ -283,7 +257,7 @@
 		for {
 			select {
 			case <-reloadSignals:
-				reload()
+				reloader.reload()
 			case <-stopSignals:
 				log.Info().Msg("stopping")
 				if !upgrader.requestStop() {
--- a/internal/config/members.go
+++ b/internal/config/members.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io/fs"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -37,6 +38,8 @@
 	Maintenance Maintenance `toml:"maintenance"`
 	Quotas      Quotas      `toml:"parts"`
 	Knowledge   Knowledge   `toml:"knowledge"`
+
+	keys []string // keys that the file contains, with those of its tables
 }
 
 // Knowledge is the [knowledge] table of the members file: whether this softswitch shares its observations of the
@@ -158,6 +161,21 @@
 	return file, nil
 }
 
+// ReloadMembers reads the members file again. The new file must contain every key of the running one, as a limit that it omits would silently
+// get its default.
+func ReloadMembers(path string, pathSet bool, running MembersFile) (MembersFile, error) {
+	file, err := LoadMembers(path, pathSet)
+	if err != nil {
+		return file, err
+	}
+	for _, key := range running.keys {
+		if !slices.Contains(file.keys, key) {
+			return file, fmt.Errorf("%s: %s: missing", path, key)
+		}
+	}
+	return file, nil
+}
+
 // ParseMembers parses the text of a members file. The text of an error is one line that names the field.
 func ParseMembers(text string) (MembersFile, error) {
 	membershipDefaults := membership.Defaults()
@@ -185,6 +203,9 @@
 	if unknown := meta.Undecoded(); len(unknown) > 0 {
 		return file, fmt.Errorf("%s: unknown field", unknown[0])
 	}
+	for _, key := range meta.Keys() {
+		file.keys = append(file.keys, key.String())
+	}
 	if err := file.Maintenance.maintenanceLimits(1).Check(); err != nil {
 		return file, fmt.Errorf("maintenance.%w", err)
 	}
