Platform: a caller's release that crosses the close of its connection is handled

What was seen: a call stood at its server without a caller, as the release of its caller came just when the softswitch closed that connection to make room for others.

Change: releases are handled on a connection that is being closed; other messages are dropped as before, and so is all input after a malformed message. The set-ups that are dropped are remembered, at most 1,000 on a connection, so that their ends go to no server.

Result: TestCallerReleaseCrossesCloseLost (in two pieces, behind a set-up) fails before, passes after.

--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -73,7 +73,7 @@
 }
 
 // closeGracefully starts to write all queued messages and then half-closes the connection. It does not wait. Meanwhile readCaller
-// reads and drops what the caller still sends, until the caller closes its side: closing with unread data would reset the
+// reads what the caller still sends, and drops all but releases, until the caller closes its side: closing with unread data would reset the
 // connection, and the reset would discard messages that the caller has not read yet. Both the writing and the reading have a
 // time limit.
 func (c *callerConn) closeGracefully() {
@@ -105,10 +105,10 @@
 	c.conn.SetReadDeadline(deadline)
 }
 
-// discardIncoming reads and drops all data until the connection ends or its close deadline has passed.
-func (c *callerConn) discardIncoming(buf *transport.Buffer) {
+// readUntilClosed calls handleInput when there is new data in the buffer, until the connection ends or its close deadline has passed.
+func (c *callerConn) readUntilClosed(buf *transport.Buffer, handleInput func()) {
 	for {
-		buf.Skip(len(buf.Bytes()))
+		handleInput()
 		c.mu.Lock()
 		deadline := c.closeDeadline // zero: no deadline until the core closes the connection
 		c.conn.SetReadDeadline(deadline)
--- a/internal/platform/caller_reader.go
+++ b/internal/platform/caller_reader.go
@@ -62,7 +62,7 @@
 		switch timedOut := errors.Is(err, os.ErrDeadlineExceeded); {
 		case r.conn.closingGracefully.Load():
 			if err == nil {
-				r.conn.discardIncoming(r.buf)
+				r.conn.readUntilClosed(r.buf, r.handleReleases)
 			}
 			return false
 		case timedOut && r.conn.transferring.Load():
@@ -113,7 +113,7 @@
 		}
 		r.platform.loop.Post(core.TransferFailed{Conn: r.conn.connID})
 	case r.conn.closingGracefully.Load():
-		r.conn.discardIncoming(r.buf)
+		r.conn.readUntilClosed(r.buf, r.handleReleases)
 	}
 	return transferred, keptHere
 }
@@ -149,15 +149,10 @@
 // discarded.
 func (r *callerReader) handleMessage(msg frame, following []byte) error {
 	if msg.msgType == typeSetUp && (r.peerClosed || containsGiveUp(following, msg.callID)) {
-		if r.discardedSetUps == nil {
-			r.discardedSetUps = make(map[core.ID]bool)
-		}
-		r.discardedSetUps[msg.callID] = true
+		r.discardSetUp(msg.callID)
 		return nil
 	}
-	discarded := r.discardedSetUps[msg.callID]
-	delete(r.discardedSetUps, msg.callID)
-	return r.platform.handleFrame(r.conn.connID, r.conn.outbox, msg, r.receivedAt, discarded)
+	return r.platform.handleFrame(r.conn.connID, r.conn.outbox, msg, r.receivedAt, r.takeDiscarded(msg.callID))
 }
 
 // refuseSetUp has the core refuse a set-up.
@@ -172,7 +167,50 @@
 		r.refuseSetUp(id)
 	}
 	r.platform.loop.Post(core.CallerMalformed{Conn: r.conn.connID})
-	r.conn.discardIncoming(r.buf)
+	r.conn.readUntilClosed(r.buf, r.discardInput)
+}
+
+// discardInput drops all that was read.
+func (r *callerReader) discardInput() { r.buf.Skip(len(r.buf.Bytes())) }
+
+// handleReleases handles the complete releases on a connection that is being closed, as their calls would stand at the servers otherwise.
+// Other messages are dropped: a caller sends a set-up that crosses the close again. So is all input after a malformed message.
+func (r *callerReader) handleReleases() {
+	for {
+		msg, size, err := parseFrame(r.buf.Bytes(), r.limits.MaxMessageSize)
+		switch {
+		case err == errIncomplete:
+			return
+		case err != nil:
+			r.discardInput()
+			return
+		case msg.msgType == typeSetUp:
+			r.discardSetUp(msg.callID)
+		case msg.msgType == typeRelease:
+			r.platform.loop.Post(core.CallerEnd{ID: msg.callID, From: r.conn.connID, SetUpDiscarded: r.takeDiscarded(msg.callID)})
+		}
+		r.buf.Skip(size)
+	}
+}
+
+// maxDiscardedSetUps is the number of discarded set-ups that are remembered on a connection. The end of a forgotten one goes to all servers.
+const maxDiscardedSetUps = 1000
+
+// discardSetUp records that a set-up is not posted.
+func (r *callerReader) discardSetUp(id core.ID) {
+	if r.discardedSetUps == nil {
+		r.discardedSetUps = make(map[core.ID]bool)
+	}
+	if len(r.discardedSetUps) < maxDiscardedSetUps {
+		r.discardedSetUps[id] = true
+	}
+}
+
+// takeDiscarded says whether the set-up of a call was discarded, and forgets that.
+func (r *callerReader) takeDiscarded(id core.ID) bool {
+	discarded := r.discardedSetUps[id]
+	delete(r.discardedSetUps, id)
+	return discarded
 }
 
 // containsGiveUp reports whether b, the bytes read after the set-up of call id, contains the whole release message by which the caller gives
--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -814,3 +814,22 @@
 		}
 	}
 }
+
+// TestCallerReleaseCrossesCloseLost guards against calls that stand at a server without a caller: the caller released its call, whole or in
+// pieces, just as the softswitch closed that connection to make room for others. A set-up that crosses the close is not served.
+func TestCallerReleaseCrossesCloseLost(t *testing.T) {
+	s := newScenario(t, func(s *scenario) { s.limits.CallerConnsTarget = 1 })
+	s.callerConn.Write(setUpFrame(1, "voice", "9000", ""))
+	s.wantLine(`"offer"`, `0001"`)
+	s.sendLine(acceptLine, 1)
+	s.wantFrame(typeAnswer, 1, -1)
+	other := s.connectCaller() // displaces the first connection, which carries no open set-up
+	s.wantCallerEOF()
+	crossing := append(setUpFrame(2, "voice", "9000", ""), releaseFrame(1, 16)...)
+	s.callerConn.Write(crossing[:len(crossing)-3])
+	time.Sleep(10 * time.Millisecond)
+	s.callerConn.Write(crossing[len(crossing)-3:])
+	s.wantLine(`"end"`, `0001"`)
+	other.callerConn.Write(setUpFrame(3, "voice", "9000", ""))
+	s.wantLine(`"offer"`, `0003"`)
+}
