Core: a process that hung gets a connection on which it repeats its releases

Cause: a connection with an unanswered set-up counts as dead and is closed. A process that hung writes releases there when it goes on, before it reads the end, and repeats them only on the next connection that is made after that.

Change: when a server gives its first sign of life after a connection to it was closed as dead, one more connection is made 0.1 s later, as for the liveness check: an unused one makes room for it. Off where LivenessCheckAfter is 0 or the protocol has associations.

Result: TestReleaseLostOnClosedConnection fails before, passes after; the other tests of the core pass.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -298,6 +298,10 @@
 		if s := c.servers[token.server]; s != nil {
 			c.loseDoubtfulCalls(s)
 		}
+	case tokenReleaseRepeat:
+		if s := c.servers[token.server]; s != nil {
+			c.requestReleases(s)
+		}
 	case tokenLiveness:
 		if s := c.servers[token.server]; s != nil {
 			c.checkLiveness(s)
--- a/internal/core/liveness.go
+++ b/internal/core/liveness.go
@@ -31,7 +31,8 @@
 	resetsSince      Time // when the first of the last series of resets came; 0: none came
 	connGeneration   int  // of the next connection; it grows when an outage or a series of resets begins
 	timerSet         bool // a timer for checkLiveness is set
-	verifying        bool // the dial under way only verifies that the server can be reached
+	verifying        bool // the dial under way is for a connection beyond those that are wanted: see dialExtra
+	closedDeadConn   bool // a connection was closed as dead, and the server has given no sign of life since
 }
 
 // callDoubt says whether the process that knows an established call may be gone.
@@ -43,6 +44,10 @@
 // recordServerInput records that something has come on a connection of a server.
 func (c *Core) recordServerInput(s *server, id ConnID) {
 	s.lastAliveAt = c.now
+	if s.closedDeadConn {
+		s.closedDeadConn = false
+		c.setTimer(c.now+releaseRepeatDelay, Token{kind: tokenReleaseRepeat, server: s.Name})
+	}
 	conn := s.connByID(id)
 	if conn == nil {
 		return
@@ -249,8 +254,7 @@
 		return
 	}
 	if c.now-s.lastAliveAt >= c.limits.LivenessCheckAfter && !s.dialPending {
-		s.verifying = c.startDial(s)
-		if !s.verifying && len(s.conns) == 0 {
+		if !c.dialExtra(s) && len(s.conns) == 0 {
 			c.beginOutageNow(s)
 			s.dialFailed = true
 		}
@@ -258,6 +262,29 @@
 	c.watchLiveness(s)
 }
 
+// dialExtra asks for a connection to a server, also beyond those that are wanted. It returns whether it did.
+func (c *Core) dialExtra(s *server) bool {
+	s.verifying = c.startDial(s)
+	return s.verifying
+}
+
+// releaseRepeatDelay is the time between the first sign of life of a process that hung and the connection on which it is to repeat its
+// releases.
+const releaseRepeatDelay = 100 * time.Millisecond
+
+// recordDeadConn records that a connection to a server was closed as dead. A process that hung may write releases there when it goes on, and
+// repeats them only on the next connection that is made after that.
+func (c *Core) recordDeadConn(s *server) {
+	s.closedDeadConn = c.limits.LivenessCheckAfter > 0 && c.limits.Transient[s.Protocol]
+}
+
+// requestReleases makes a connection on which a server repeats the releases that it has written to connections closed as dead.
+func (c *Core) requestReleases(s *server) {
+	if s.Phase != elmseam.PhaseGone && !s.dialPending {
+		c.dialExtra(s)
+	}
+}
+
 // keepVerified makes room for a connection that was made to verify that the server can be reached. The connections on which established calls
 // were set up stay open: a process that hung sends their releases there when it goes on. It returns false if there is no room.
 func (c *Core) keepVerified(s *server) bool {
--- a/internal/core/probe.go
+++ b/internal/core/probe.go
@@ -108,6 +108,7 @@
 func (c *Core) replaceConn(s *server, conn *serverConn) {
 	c.prober.ConnClosed(uint64(conn.id))
 	c.stats.Failures.ConnsReplaced++
+	c.recordDeadConn(s)
 	c.emit(Trace{Kind: TraceConnReplaced, Server: s.Name, Conn: conn.id})
 	if slices.ContainsFunc(inArrivalOrder(s.outstanding), func(call *call) bool { return call.attempt.conn == conn }) {
 		conn.unusable = true
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -404,6 +404,7 @@
 	tokenReleaseGuard                      // the release guard of a waiting attempt has ended
 	tokenRedial                            // a server may be dialled again
 	tokenServerLost                        // calls that an outage of a server has put in doubt count as lost
+	tokenReleaseRepeat                     // a process that hung has gone on, and may have to repeat releases
 	tokenLiveness                          // a server with established calls may have been silent for LivenessCheckAfter
 	tokenStopGrace                         // the grace of a stop or a hand-over has ended
 	tokenDrainCheck                        // idle connections are closed during a drain
