Platform: input behind a malformed message on a closing connection is dropped

What was seen on reading the change once more: the commit on releases that cross a close says that all input after a malformed message is dropped. Only what had been read with it was: what came later was parsed again, and a release in it ended its call, though nothing shows where the next message begins. Cause: handleReleases kept no record of the malformed message between two reads. Change: it does. Result: TestInputAfterMalformedMessageOnClosingConnection fails before (the call is ended at its server), passes after; the platform's tests pass.

--- a/internal/platform/caller_reader.go
+++ b/internal/platform/caller_reader.go
@@ -30,6 +30,7 @@
 	discardedSetUps map[core.ID]bool // set-ups that were not posted, as the caller had given them up or left
 	hasRead         bool             // something was read from the connection
 	peerClosed      bool             // the caller had closed its side by the first read
+	malformed       bool             // a malformed message came on the connection while it was being closed
 }
 
 // readCaller reads a caller's messages until the connection ends or the successor has it. unparsed holds bytes that a predecessor
@@ -176,14 +177,13 @@
 // handleReleases handles the complete releases on a connection that is being closed, as their calls would stand at the servers otherwise.
 // Other messages are dropped: a caller sends a set-up that crosses the close again. So is all input after a malformed message.
 func (r *callerReader) handleReleases() {
-	for {
+	for !r.malformed {
 		msg, size, err := parseFrame(r.buf.Bytes(), r.limits.MaxMessageSize)
 		switch {
 		case err == errIncomplete:
 			return
 		case err != nil:
-			r.discardInput()
-			return
+			r.malformed = true
 		case msg.msgType == typeSetUp:
 			r.discardSetUp(msg.callID)
 		case msg.msgType == typeRelease:
@@ -191,6 +191,7 @@
 		}
 		r.buf.Skip(size)
 	}
+	r.discardInput()
 }
 
 // maxDiscardedSetUps is the number of discarded set-ups that are remembered on a connection. The end of a forgotten one goes to all servers.
--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -833,3 +833,21 @@
 	other.callerConn.Write(setUpFrame(3, "voice", "9000", ""))
 	s.wantLine(`"offer"`, `0003"`)
 }
+
+// TestInputAfterMalformedMessageOnClosingConnection guards against bytes behind a malformed message that are taken for a caller's release
+// while the connection is being closed: nothing shows where the next message begins.
+func TestInputAfterMalformedMessageOnClosingConnection(t *testing.T) {
+	s := newScenario(t, func(s *scenario) { s.limits.CallerConnsTarget = 1 })
+	s.callerConn.Write(setUpFrame(1, "voice", "9000", ""))
+	s.wantLine(`"offer"`, `0001"`)
+	s.sendLine(acceptLine, 1)
+	s.wantFrame(typeAnswer, 1, -1)
+	other := s.connectCaller() // displaces the first connection, which carries no open set-up
+	s.wantCallerEOF()
+	s.callerConn.Write([]byte{0, 1, 0}) // shorter than any message
+	time.Sleep(10 * time.Millisecond)
+	s.callerConn.Write(releaseFrame(1, 16))
+	time.Sleep(10 * time.Millisecond)
+	other.callerConn.Write(setUpFrame(2, "voice", "9000", ""))
+	s.wantLine(`"offer"`, `0002"`)
+}
