Config: the check for a missing part stands once

checkComplete, checkObjectComplete and checkListComplete each tested for a missing value, and parseDocument only wrapped json.Unmarshal. No behaviour changes; the tests of the package, which damage every part of a file, pass unchanged.

--- a/internal/config/completeness.go
+++ b/internal/config/completeness.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -16,34 +15,26 @@
 // optionalInNewEntries are keys that a new entry of a list may lack although all entries had them.
 var optionalInNewEntries = []string{"aim-stretch"}
 
-// parseDocument decodes a configuration file into maps, lists and scalars.
-func parseDocument(text []byte) (document any, err error) {
-	err = json.Unmarshal(text, &document)
-	return document, err
-}
-
 // checkComplete returns an error that names the first part of the running configuration that the new one lacks: a key at any depth, in the
 // settings all entries of a list, or entries of a list that may not shrink. field is the path of both values; it is empty for the whole file.
 func checkComplete(field string, running, current any) error {
-	switch running := running.(type) {
-	case nil:
+	switch {
+	case running == nil:
 		return nil
+	case current == nil:
+		return fmt.Errorf("%s: missing", field)
+	}
+	switch running := running.(type) {
 	case map[string]any:
 		return checkObjectComplete(field, running, current)
 	case []any:
 		return checkListComplete(field, running, current)
 	}
-	if current == nil {
-		return fmt.Errorf("%s: missing", field)
-	}
 	return nil
 }
 
 // checkObjectComplete is checkComplete for an object.
 func checkObjectComplete(field string, running map[string]any, current any) error {
-	if current == nil {
-		return fmt.Errorf("%s: missing", field)
-	}
 	object, ok := current.(map[string]any)
 	if !ok {
 		return fmt.Errorf("%s: not an object", field)
@@ -59,9 +50,6 @@
 
 // checkListComplete is checkComplete for a list.
 func checkListComplete(field string, running []any, current any) error {
-	if current == nil {
-		return fmt.Errorf("%s: missing", field)
-	}
 	list, ok := current.([]any)
 	switch {
 	case !ok:
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -72,8 +72,8 @@
 	if err := json.Unmarshal(text, &parsed); err != nil {
 		return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
 	}
-	document, err := parseDocument(text)
-	if err != nil {
+	var document any
+	if err := json.Unmarshal(text, &document); err != nil {
 		return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
 	}
 	if value := getenv("ROUTER_NAME"); value != "" {
