--- a/review/standin-2/flood.go
+++ b/review/standin-2/flood.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"net"
@@ -12,14 +13,29 @@
 	"time"
 )
 
-// floodMemory: some clients send the same again the moment it is turned away.
+// badClients are clients that send the same again the moment it is turned away.
+type badClients struct {
+	connections int
+	atOnce      int // set-ups that each connection keeps open
+	descSize    int // bytes of the description of a set-up
+	duration    time.Duration
+}
+
+// floodMemory: a few clients send small set-ups.
 func floodMemory(w *world, trouble bool) (verdict, error) {
+	return flood(w, trouble, badClients{connections: 4, atOnce: 200, descSize: 18, duration: 12 * time.Second})
+}
+
+// floodLarge: many clients send set-ups of nearly 16 KiB.
+func floodLarge(w *world, trouble bool) (verdict, error) {
+	return flood(w, trouble, badClients{connections: 100, atOnce: 100, descSize: 15900, duration: 6 * time.Second})
+}
+
+// flood has bad clients send beside usual ones, and compares the memory of the softswitch with its limit.
+func flood(w *world, trouble bool, bad badClients) (verdict, error) {
 	const (
-		memoryMB    = 64
-		connections = 4
-		atOnce      = 200 // set-ups that each connection of a bad client keeps open
-		duration    = 12 * time.Second
-		work        = 20 * time.Millisecond // of the server's processor for a set-up
+		memoryMB = 64
+		work     = 20 * time.Millisecond // of the server's processor for a set-up
 	)
 	w.oneCore = true
 	configPath, tmpDir := filepath.Join(w.dir, "config.json"), filepath.Join(w.dir, "tmp")
@@ -56,15 +72,15 @@
 		return notRun, err
 	}
 	var sent, turnedAway atomic.Int64
-	end := time.Now().Add(duration)
+	end := time.Now().Add(bad.duration)
 	if trouble {
-		for k := range connections {
+		for k := range bad.connections {
 			conn, err := net.Dial("tcp", listen)
 			if err != nil {
 				return notRun, err
 			}
 			defer conn.Close()
-			go badClient(conn, uint64(k+1)<<40, atOnce, end, &sent, &turnedAway)
+			go bad.send(conn, uint64(k+1)<<40, end, &sent, &turnedAway)
 		}
 	}
 	go func() { // the usual clients: 20 calls a second
@@ -94,20 +110,21 @@
 	return held, nil
 }
 
-// badClient keeps some set-ups open on a connection and sends the same again, under a new id, the moment one is turned away.
-func badClient(conn net.Conn, id uint64, atOnce int, end time.Time, sent, turnedAway *atomic.Int64) {
+// send keeps some set-ups open on a connection and sends the same again, under a new id, the moment one is turned away.
+func (bad badClients) send(conn net.Conn, id uint64, end time.Time, sent, turnedAway *atomic.Int64) {
+	desc := bytes.Repeat([]byte("x"), bad.descSize)
 	appendSetUp := func(b []byte) []byte {
 		id++
 		sent.Add(1)
 		body := binary.BigEndian.AppendUint64([]byte{frameSetUp}, id)
 		for _, p := range [][]byte{param(paramClass, []byte("status-check")), param(paramLeft, []byte("9000")), param(paramNumber, fmt.Appendf(nil, "%016x", id)),
-			param(paramExtras, []byte("dest:0;width:1;via:-1")), param(paramDesc, []byte("c=IN IP4 10.4.7.9\r\n"))} {
+			param(paramExtras, []byte("dest:0;width:1;via:-1")), param(paramDesc, desc)} {
 			body = append(body, p...)
 		}
 		return append(binary.BigEndian.AppendUint16(b, uint16(len(body))), body...)
 	}
 	var out, in []byte
-	for range atOnce {
+	for range bad.atOnce {
 		out = appendSetUp(out)
 	}
 	for buf := make([]byte, 64<<10); time.Now().Before(end); {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -21,6 +21,7 @@
 	"circuits-restart": circuitsRestart,
 	"reset-set-up":     resetSetUp,
 	// Found as well, not kept as cases: see REPORT-2.md.
+	"flood-large":           floodLarge,
 	"withdrawn-upgrade":     withdrawnUpgrade,
 	"forgotten-connection":  forgottenConnection,
 	"release-at-stop":       releaseAtStop,
