Loop: timers of calls that have ended are dropped

Cause: no timer was ever cancelled; each refused or given-up set-up left one or two until its deadline, 9 s at 80,000 a second. Change: the loop's queue of timers drops the obsolete ones whenever it has doubled; core.TimerObsolete, which the model checker used already, says which. It also counts a deadline of an answered set-up and timers of an earlier attempt as obsolete.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -226,9 +226,33 @@
 // emit adds an effect to those of this Step.
 func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
 
-// setTimer asks for a TimerFired with the token. A timer is never cancelled: handleTimer checks whether it still applies.
+// setTimer asks for a TimerFired with the token. A timer is never cancelled: handleTimer checks whether it still applies, and
+// TimerObsolete says so before it fires.
 func (c *Core) setTimer(at Time, token Token) { c.emit(Timer{At: at, Token: token}) }
 
+// TimerObsolete says whether a timer of a call can have no effect any more, however long it has to run: the call has ended, has its
+// answer, or has gone on to another attempt. Whoever keeps the timers may drop such a timer. The controller's ids of calls are never
+// used twice.
+func (c *Core) TimerObsolete(token Token) bool {
+	if token.kind == tokenController {
+		return !c.controller.HasCall(elmseam.CallID(token.number))
+	}
+	if token.controllerID == 0 {
+		return false
+	}
+	call := c.calls[token.call]
+	if call == nil || call.controllerID != token.controllerID {
+		return true
+	}
+	switch token.kind {
+	case tokenDeadline, tokenRebind:
+		return call.answered
+	case tokenAttemptTimeout, tokenReleaseGuard:
+		return call.attempt == nil || uint32(call.attempt.number) != token.number
+	}
+	return false
+}
+
 // notifyController hands the controller an event and carries out the actions that it decides on.
 func (c *Core) notifyController(ev elmseam.Event) {
 	if c.hook.SuppressEvent != nil && c.hook.SuppressEvent(ev) {
--- a/internal/core/hook.go
+++ b/internal/core/hook.go
@@ -31,18 +31,6 @@
 // guardEnabled says whether a guard is not disabled by the hook.
 func (c *Core) guardEnabled(g Guard) bool { return c.hook.DisabledGuards&g == 0 }
 
-// TimerObsolete says whether a timer can have no effect any more, because its call has ended. The controller's ids of calls are
-// never used twice.
-func (c *Core) TimerObsolete(token Token) bool {
-	switch token.kind {
-	case tokenController:
-		return !c.controller.HasCall(elmseam.CallID(token.number))
-	case tokenDeadline, tokenRebind, tokenAttemptTimeout, tokenReleaseGuard:
-		return c.calls[token.call] == nil || c.calls[token.call].controllerID != token.controllerID
-	}
-	return false
-}
-
 // Retained counts what a core keeps for calls.
 type Retained struct {
 	Calls, Open, Bytes    int // calls, those without a final answer, and the size of the numbers and descriptions of all calls in bytes
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -3,7 +3,6 @@
 package loop
 
 import (
-	"container/heap"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -41,7 +40,7 @@
 	startSinceEpoch   time.Duration // wall-clock time of startedAt, since the Unix epoch
 	handlers          map[core.ConnID]EffectHandler
 	dialers           map[core.Protocol]Dialer
-	timers            timerHeap         // pending timers
+	timers            timerQueue        // pending timers
 	handleOtherEffect func(core.Effect) // receives the effects that are for no single connection
 	log               zerolog.Logger
 	publishInterval   time.Duration // between snapshots of the counters; 0: no snapshots
@@ -160,8 +159,8 @@
 	}
 	for {
 		wait := time.Hour
-		if len(l.timers) > 0 {
-			wait = max(l.timers[0].At-l.Now(), 0)
+		if next, pending := l.timers.next(); pending {
+			wait = max(next-l.Now(), 0)
 		}
 		timer.Reset(wait)
 		var item inboxItem
@@ -173,11 +172,10 @@
 			continue
 		case item = <-l.inbox:
 		case <-timer.C:
-			if len(l.timers) == 0 || l.timers[0].At > l.Now() {
+			if next, pending := l.timers.next(); !pending || next > l.Now() {
 				continue
 			}
-			fired := heap.Pop(&l.timers).(core.Timer)
-			item = inboxItem{postedAt: l.Now(), ev: core.TimerFired{Token: fired.Token}}
+			item = inboxItem{postedAt: l.Now(), ev: core.TimerFired{Token: l.timers.pop().Token}}
 		}
 		if l.processItem(item) {
 			var flushes sync.WaitGroup // in parallel: a stalled connection must not delay the others
@@ -209,7 +207,7 @@
 		for _, e := range l.core.Step(item.postedAt, ev) {
 			switch e := e.(type) {
 			case core.Timer:
-				heap.Push(&l.timers, e)
+				l.timers.push(e, l.core.TimerObsolete)
 			case core.Dial:
 				if dial := l.dialers[e.Protocol]; dial != nil {
 					go dial(e)
@@ -272,18 +270,3 @@
 	}
 	return 0
 }
-
-// timerHeap is a heap of pending timers, ordered by their times; the timer that fires first is at index 0. It implements
-// heap.Interface.
-type timerHeap []core.Timer
-
-func (t timerHeap) Len() int           { return len(t) }
-func (t timerHeap) Less(i, j int) bool { return t[i].At < t[j].At }
-func (t timerHeap) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
-func (t *timerHeap) Push(x any)        { *t = append(*t, x.(core.Timer)) }
-func (t *timerHeap) Pop() any {
-	old := *t
-	last := old[len(old)-1]
-	*t = old[:len(old)-1]
-	return last
-}
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -62,6 +62,49 @@
 	}
 }
 
+// Set-ups that are refused at once, or given up at once, with a time limit of hours used to leave their timers until then, so that
+// callers which sent the same again could fill the memory.
+func TestEndedCallsLeaveNoTimers(t *testing.T) {
+	for name, giveUp := range map[string]bool{"refused": false, "given up": true} {
+		t.Run(name, func(t *testing.T) {
+			l := newLoopWithServer(t, giveUp)
+			const calls = 50000
+			for id := core.ID(1); id <= calls; id++ {
+				l.processItem(inboxItem{postedAt: l.Now(), ev: core.SetUp{ID: id, From: 1, Cell: -1, TimeLeft: time.Hour, At: l.Now()}})
+				if giveUp {
+					l.processItem(inboxItem{postedAt: l.Now(), ev: core.CallerEnd{ID: id, From: 1}})
+					l.processItem(inboxItem{postedAt: l.Now(), ev: core.EndWritten{Server: "a", Conn: 2, ID: id}})
+				}
+			}
+			if retained := l.core.Retained(); retained.Calls != 0 || len(l.timers.heap) > 2*minTimersToPurge {
+				t.Errorf("%d timers and %d calls after %d calls that have ended", len(l.timers.heap), retained.Calls, calls)
+			}
+		})
+	}
+}
+
+// newLoopWithServer returns a loop whose core has a caller on connection 1 and, if withServer is true, the server "a" on connection 2.
+func newLoopWithServer(t *testing.T, withServer bool) *Loop {
+	t.Helper()
+	c, err := core.New(elmseam.Settings{
+		Classes: []elmseam.Class{{Deadline: 2 * time.Hour, Worth: 1}}, MaxAttempts: 1, OwnCell: -1, CanCancel: true, RetransmitInterval: time.Hour,
+	}, 1, core.Limits{CallerConnsTarget: 100, MaxOpen: 100, MaxCallBytes: 1 << 20, MaxEndedCalls: 100})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := New(c, 8, func(core.Effect) {}, zerolog.Nop())
+	events := []core.Event{core.CallerUp{Conn: 1, Protocol: "test"}}
+	if withServer {
+		events = append(events,
+			core.ServerList{Full: true, Servers: []core.Server{{Name: "a", Address: "a:1", Protocol: "test", Phase: elmseam.PhaseReady}}},
+			core.ServerUp{Server: "a", Address: "a:1", Conn: 2})
+	}
+	for _, event := range events {
+		l.processItem(inboxItem{postedAt: l.Now(), ev: event})
+	}
+	return l
+}
+
 // lastEffect returns the last of effects, or nil if there are none.
 func lastEffect(effects []core.Effect) core.Effect {
 	if len(effects) == 0 {
