Loop, core: what waits for the core and what calls keep is bounded in bytes

Cause: the inbox held 4,096 events whatever their size; a call counted with its descriptions alone; answers were counted and bounded nowhere.

--- a/cmd/elmseam/main.go
+++ b/cmd/elmseam/main.go
@@ -90,7 +90,7 @@
 	var tierSocket *peers.Socket
 	var platformRef atomic.Pointer[platform.Platform] // set before the event loop runs
 	sampledLog, callLog := transport.SampledLogger(log), transport.SampledLogger(log)
-	eventLoop := loop.New(reducer, cfg.Limits.EventQueue, func(effect core.Effect) {
+	eventLoop := loop.New(reducer, cfg.Limits.Inbox, func(effect core.Effect) {
 		switch effect := effect.(type) {
 		case core.Serving:
 			if m3uaProtocol != nil {
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -7,6 +7,7 @@
 	"elmseam/internal/core"
 	"elmseam/internal/feed"
 	"elmseam/internal/handover"
+	"elmseam/internal/loop"
 	"elmseam/internal/maintenance"
 	"elmseam/internal/membership"
 	"elmseam/internal/mgmt"
@@ -30,7 +31,7 @@
 	ConfirmTimeout time.Duration // wait for the confirmation of a release (M3UA) before the release is sent again
 	MaxCallerConns int           // max. simultaneous connections of platform callers
 	MaxM3UACallers int           // max. simultaneous connections of M3UA callers; 0 unless ShareSocketsWithM3UA was called
-	EventQueue     int           // max. events that wait for the core
+	Inbox          loop.InboxLimits
 	StatsInterval  time.Duration // time between two snapshots of the statistics
 	Mgmt           mgmt.Limits
 
@@ -51,6 +52,12 @@
 // endedCallBytes is the approximate memory, in bytes, that one remembered ended call takes.
 const endedCallBytes = 128
 
+// callOverhead is the approximate memory, in bytes, that a call takes besides its descriptions and its number.
+const callOverhead = 512
+
+// openSetUpBytes is the approximate memory, in bytes, that an open set-up takes besides its description, with its attempt and timers.
+const openSetUpBytes = 1024
+
 // waitingReleaseBytes is the approximate memory, in bytes, that a release to a caller takes while it waits for a connection.
 const waitingReleaseBytes = 64
 
@@ -113,7 +120,7 @@
 		ConnectTimeout: deployment.ConnectTimeout,
 		ConfirmTimeout: 15 * time.Second, // lower limit of timer T1 in ITU-T Q.764
 		MaxCallerConns: shares.callers,
-		EventQueue:     4096,
+		Inbox:          loop.InboxLimits{MaxEvents: 4096, MaxBytes: memoryBytes / 16, MaxPerConn: 32},
 		StatsInterval:  50 * time.Millisecond, // statistics may be up to 0.5 s old
 		Mgmt: mgmt.Limits{MaxConns: shares.mgmt, MaxRequestSize: 8 << 10,
 			ReadTimeout: 2 * time.Second, WriteTimeout: time.Second, MaxStatsAge: 2 * time.Second, MaxOrders: 16},
@@ -132,12 +139,13 @@
 	// Data queued for platform callers that don't read, and the data of open calls, take at most a quarter of the memory
 	// each, unless the queues need more to hold two of the largest messages each.
 	limits.CallerConn.MaxQueuedBytes = min(limits.CallerConn.MaxQueuedBytes, max(int(memoryBytes/4)/shares.callers, 2*maxMessageSize))
-	limits.Core.MaxCallBytes = int(memoryBytes / 4)
+	limits.Core.MaxCallBytes, limits.Core.CallOverhead = int(memoryBytes/4), callOverhead
 	if limits.ConnectTimeout <= 0 {
 		limits.ConnectTimeout = 500 * time.Millisecond
 	}
 	if limits.Core.MaxOpen <= 0 {
 		limits.Core.MaxOpen = 20000
 	}
+	limits.Core.MaxOpen = min(limits.Core.MaxOpen, int(memoryBytes/8/openSetUpBytes))
 	return limits
 }
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -13,7 +13,7 @@
 	SetUp
 	controllerID   elmseam.CallID // the controller's id of the call
 	fingerprint    uint64         // hash of what the set-up asks for; a set-up sent again has the same
-	keptBytes      int            // size of the number and the description that the call keeps, in bytes
+	keptBytes      int            // memory of the call, in bytes; changed by setKeptBytes only
 	releaseGuard   time.Duration  // release guard of the settings that the call arrived under
 	protocol       Protocol       // signalling protocol of the caller
 	deadline       Time           // latest time of the final answer
@@ -31,6 +31,7 @@
 	connGeneration int            // generation of that connection
 	doubt          callDoubt      // whether that server's process may be gone
 	answerDesc     []byte         // description in the answer of that server
+	answerDropped  bool           // that description is not kept any more
 }
 
 // endedCall remembers the id of a call that has ended.
@@ -63,7 +64,7 @@
 		return
 	}
 	timeLeft := ev.TimeLeft - (c.now - ev.At) - c.limits.AnswerMargin
-	size := len(ev.Desc) + len(ev.NumberText)
+	size := c.limits.CallOverhead + len(ev.Desc) + len(ev.NumberText)
 	switch {
 	case ev.Class < 0:
 		c.emit(Rejected{To: ev.From, ID: ev.ID, Reason: ReasonUnsupported})
@@ -79,10 +80,10 @@
 		return
 	}
 	c.lastControllerID++
-	call := &call{SetUp: ev, keptBytes: size, controllerID: c.lastControllerID, fingerprint: fingerprintOf(ev), protocol: from.protocol, deadline: c.now + timeLeft, maxAttempts: c.maxAttempts, releaseGuard: c.releaseGuard}
+	call := &call{SetUp: ev, controllerID: c.lastControllerID, fingerprint: fingerprintOf(ev), protocol: from.protocol, deadline: c.now + timeLeft, maxAttempts: c.maxAttempts, releaseGuard: c.releaseGuard}
 	c.calls[call.ID], c.callsByControllerID[call.controllerID] = call, call
 	c.openSetUps++
-	c.callBytes += size
+	c.setKeptBytes(call, size)
 	c.setTimer(call.deadline, Token{kind: tokenDeadline, call: call.ID, controllerID: call.controllerID})
 	c.notifyController(elmseam.Arrival{
 		Call: call.controllerID, Class: ev.Class, Number: ev.Number, Cell: ev.Cell, Interrupted: ev.Interrupted,
@@ -92,8 +93,8 @@
 	call.Tenant = ""
 }
 
-// refusalReason says whether the core refuses a set-up without asking the controller, and why. size is that of the set-up's number and
-// description in bytes.
+// refusalReason says whether the core refuses a set-up without asking the controller, and why. size is the memory of its call in bytes. Kept
+// answers are dropped where the set-up needs their room.
 func (c *Core) refusalReason(timeLeft time.Duration, size int) (reason RefusalReason, refused bool) {
 	switch {
 	case timeLeft <= 0:
@@ -104,7 +105,7 @@
 		return RefusalStopping, true
 	case c.openSetUps >= c.limits.MaxOpen:
 		return RefusalMaxOpen, true
-	case c.callBytes+size > c.limits.MaxCallBytes:
+	case !c.makeRoom(size):
 		return RefusalMemory, true
 	}
 	return 0, false
@@ -119,7 +120,7 @@
 func (c *Core) handleRepeatedSetUp(call *call, ev SetUp) {
 	resent := ev.From != call.From && fingerprintOf(ev) == call.fingerprint
 	switch {
-	case resent && call.server != nil:
+	case resent && call.server != nil && !call.answerDropped:
 		call.From = ev.From
 		c.emit(Answered{To: call.From, ID: call.ID, Desc: call.answerDesc})
 	case resent && !call.answered && !call.callerGone:
@@ -230,7 +231,8 @@
 	if c.calls[call.ID] != call || !c.guardEnabled(GuardForgetEnded) {
 		return
 	}
-	c.callBytes -= call.keptBytes
+	c.setKeptBytes(call, 0)
+	call.answerDesc, call.answerDropped = nil, true
 	delete(c.calls, call.ID)
 	delete(c.callsByControllerID, call.controllerID)
 	c.rememberEnded(call.ID)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -30,7 +30,8 @@
 	calls                 map[ID]*call
 	callsByControllerID   map[elmseam.CallID]*call
 	openSetUps            int            // set-ups without a final answer
-	callBytes             int            // size of the numbers and descriptions of all calls, in bytes
+	callBytes             int            // memory of all calls, in bytes
+	keptAnswers           []keptAnswer   // answers that may have to be repeated, oldest first
 	lastControllerID      elmseam.CallID // id last given to a call
 	servers               map[string]*server
 	serversByID           map[elmseam.ServerID]*server
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -304,6 +304,29 @@
 	}
 }
 
+// Calls that stand used to keep their answers' descriptions however many there were: large answers to small set-ups filled the memory, and
+// then every further set-up was refused.
+func TestAnswersOfStandingCallsFillMemory(t *testing.T) {
+	h := newHarness(t)
+	const calls = 30
+	for id := ID(1); id <= calls; id++ {
+		if effects := h.step(SetUp{ID: id, From: 1, TimeLeft: 5 * time.Second, At: h.now, Desc: make([]byte, 10)}); !strings.HasPrefix(effects, "offer") {
+			t.Fatalf("set-up %d beside calls that stand: effects %q", id, effects)
+		}
+		for _, server := range []string{"a", "b"} {
+			if h.core.servers[server].outstanding[id] != nil {
+				h.step(ServerAnswer{Server: server, ID: id, Desc: make([]byte, 40)})
+			}
+		}
+		if h.core.callBytes > h.core.limits.MaxCallBytes {
+			t.Fatalf("%d calls take %d bytes of %d", id, h.core.callBytes, h.core.limits.MaxCallBytes)
+		}
+	}
+	h.step(CallerUp{Conn: 2, Protocol: "f"})
+	h.wantEffects(h.step(SetUp{ID: calls, From: 2, TimeLeft: 5 * time.Second, At: h.now, Desc: make([]byte, 10)}), fmt.Sprintf("answered%d@2 ", calls))
+	h.wantEffects(h.step(SetUp{ID: 1, From: 2, TimeLeft: 5 * time.Second, At: h.now, Desc: make([]byte, 10)}), "rejected1@2 ")
+}
+
 // The guards of the core hold whatever the controller decides: here the test decides on attempts that break the rules.
 func TestGuardsHoldAgainstTheController(t *testing.T) {
 	h := newHarness(t)
--- a/internal/core/servermsgs.go
+++ b/internal/core/servermsgs.go
@@ -72,9 +72,8 @@
 	delete(s.outstanding, call.ID)
 	call.server, call.answerDesc, call.answered, call.establishedAt = s, ev.Desc, true, c.now
 	call.serverConn, call.connGeneration = ev.Conn, s.generationOf(ev.Conn)
-	c.callBytes += len(ev.Desc) - len(call.SetUp.Desc)
-	call.keptBytes += len(ev.Desc) - len(call.SetUp.Desc)
-	call.SetUp.Desc = nil
+	call.SetUp.Desc, call.NumberText = nil, ""
+	c.keepAnswer(call)
 	s.established[call.ID] = call
 	c.watchLiveness(s)
 	c.openSetUps--
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -451,7 +451,8 @@
 	CallerQuietAfter    time.Duration     // an unused transient connection that brings no test for this long is a caller's, not a health check; 0: it never counts as one
 	NewConnGrace        time.Duration     // age at which an unused connection may be closed; before that its first set-up may be on its way
 	MaxOpen             int               // max set-ups without a final answer at a time
-	MaxCallBytes        int               // bytes of descriptions and numbers of all calls beyond which set-ups are refused
+	MaxCallBytes        int               // max memory of all calls, in bytes; set-ups beyond it are refused
+	CallOverhead        int               // memory that a call takes besides its descriptions and its number, in bytes
 	RetryAfterHint      time.Duration     // RetryAfter of refusals that the core gives without asking the controller
 	EndedCallTTL        time.Duration     // how long the id of an ended call is remembered
 	MaxEndedCalls       int               // max ids of ended calls that are remembered; 0: no limit
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -33,8 +33,7 @@
 // Loop owns a core and runs it. Its methods may be called from any goroutine, except for those that must be called before Run.
 type Loop struct {
 	core              *core.Core
-	inbox             chan inboxItem
-	done              chan struct{} // closed when Run returns
+	inbox             *inbox
 	lastConnID        atomic.Uint64 // connection id that NewConnID returned last
 	startedAt         time.Time
 	startSinceEpoch   time.Duration // wall-clock time of startedAt, since the Unix epoch
@@ -53,21 +52,12 @@
 	At time.Time // when the snapshot was taken
 }
 
-// inboxItem is an event in the inbox, with the time at which it was posted. If the event begins a connection, conn and
-// handler name the connection and its effect handler; otherwise they are zero.
-type inboxItem struct {
-	postedAt core.Time
-	ev       core.Event
-	conn     core.ConnID
-	handler  EffectHandler
-}
-
-// New returns a loop for c whose inbox holds inboxSize events. handleOtherEffect receives the effects that are for no single
+// New returns a loop for c whose inbox keeps to the limits. handleOtherEffect receives the effects that are for no single
 // connection, such as core.Serving, core.ForgetCall and core.SendToMember; it must not block.
-func New(c *core.Core, inboxSize int, handleOtherEffect func(core.Effect), log zerolog.Logger) *Loop {
+func New(c *core.Core, limits InboxLimits, handleOtherEffect func(core.Effect), log zerolog.Logger) *Loop {
 	startedAt := time.Now()
 	return &Loop{
-		core: c, inbox: make(chan inboxItem, inboxSize), done: make(chan struct{}),
+		core: c, inbox: newInbox(limits),
 		startedAt: startedAt, startSinceEpoch: time.Duration(startedAt.UnixNano()),
 		handlers: make(map[core.ConnID]EffectHandler), dialers: make(map[core.Protocol]Dialer),
 		handleOtherEffect: handleOtherEffect, log: log,
@@ -81,7 +71,7 @@
 func (l *Loop) WallTime(t core.Time) time.Time { return l.startedAt.Add(t - l.startSinceEpoch) }
 
 // Done returns a channel that is closed when the loop has ended.
-func (l *Loop) Done() <-chan struct{} { return l.done }
+func (l *Loop) Done() <-chan struct{} { return l.inbox.closed() }
 
 // NewConnID returns an unused connection id, unique in this process.
 func (l *Loop) NewConnID() core.ConnID { return core.ConnID(l.lastConnID.Add(1)) }
@@ -100,55 +90,11 @@
 	return Snapshot{}
 }
 
-// Post puts an event into the inbox. It waits while the inbox is full; after the loop has ended, it drops the event.
-func (l *Loop) Post(ev core.Event) { l.post(inboxItem{postedAt: l.Now(), ev: ev}) }
-
-// Attach puts the event that begins a connection into the inbox, together with the handler of the connection's effects. It
-// waits while the inbox is full; after the loop has ended, it makes the handler close the connection gracefully.
-func (l *Loop) Attach(conn core.ConnID, handler EffectHandler, ev core.Event) {
-	l.post(inboxItem{postedAt: l.Now(), ev: ev, conn: conn, handler: handler})
-}
-
-// post puts an item into the inbox, or rejects the item if the loop has ended.
-func (l *Loop) post(item inboxItem) {
-	select {
-	case l.inbox <- item:
-	case <-l.done:
-		item.reject()
-		return
-	}
-	select {
-	case <-l.done: // the loop may have ended before it took the item
-		l.rejectQueued()
-	default:
-	}
-}
-
-// reject handles an item that the loop can no longer take because it has ended. If the item begins a connection, reject closes
-// the connection gracefully.
-func (item inboxItem) reject() {
-	if item.handler != nil {
-		item.handler.HandleEffect(core.GracefulClose{To: item.conn})
-	}
-}
-
-// rejectQueued takes all items that are left in the inbox after the loop has ended, and rejects them.
-func (l *Loop) rejectQueued() {
-	for {
-		select {
-		case item := <-l.inbox:
-			item.reject()
-		default:
-			return
-		}
-	}
-}
-
 // Run runs the core until it emits core.Stopped, after a core.Stop or a core.HandOver, or until the context ends.
 // After core.Stopped, Run flushes the connections that are not being closed before it returns.
 func (l *Loop) Run(ctx context.Context) {
-	defer l.rejectQueued()
-	defer close(l.done)
+	defer l.inbox.rejectQueued()
+	defer l.inbox.close()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	var publishTick <-chan time.Time
@@ -170,7 +116,8 @@
 		case <-publishTick:
 			l.snapshot.Store(&Snapshot{l.core.Stats(l.Now()), time.Now()})
 			continue
-		case item = <-l.inbox:
+		case item = <-l.inbox.items:
+			l.inbox.release(item)
 		case <-timer.C:
 			if next, pending := l.timers.next(); !pending || next > l.Now() {
 				continue
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -37,7 +38,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		l := New(c, 8, func(core.Effect) {}, zerolog.Nop())
+		l := New(c, InboxLimits{MaxEvents: 8, MaxBytes: 1 << 20, MaxPerConn: 4}, func(core.Effect) {}, zerolog.Nop())
 		handlers := make(map[core.ConnID]*recordingHandler)
 		attach := func() {
 			conn := l.NewConnID()
@@ -92,7 +93,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := New(c, 8, func(core.Effect) {}, zerolog.Nop())
+	l := New(c, InboxLimits{MaxEvents: 8, MaxBytes: 1 << 20, MaxPerConn: 4}, func(core.Effect) {}, zerolog.Nop())
 	events := []core.Event{core.CallerUp{Conn: 1, Protocol: "test"}}
 	if withServer {
 		events = append(events,
@@ -105,6 +106,37 @@
 	return l
 }
 
+// The inbox used to hold 4,096 events whatever their size, 64 MiB of large set-ups, and one connection could fill all of it, so that the
+// events of others waited behind thousands.
+func TestInboxIsBoundedInBytesAndByConnection(t *testing.T) {
+	for name, test := range map[string]struct {
+		descSize, want int
+	}{"small": {10, 16}, "large": {16 << 10, 3}} {
+		t.Run(name, func(t *testing.T) {
+			c, err := core.New(elmseam.Settings{Classes: []elmseam.Class{{Deadline: time.Second, Worth: 1}}, MaxAttempts: 1, OwnCell: -1}, 1, core.Limits{CallerConnsTarget: 100})
+			if err != nil {
+				t.Fatal(err)
+			}
+			l := New(c, InboxLimits{MaxEvents: 4096, MaxBytes: 3*(16<<10+eventOverhead) + 1000, MaxPerConn: 16}, func(core.Effect) {}, zerolog.Nop())
+			var posters sync.WaitGroup
+			source := l.NewSource()
+			for id := range core.ID(1000) {
+				posters.Go(func() { source.Post(core.SetUp{ID: id, Desc: make([]byte, test.descSize)}) })
+			}
+			time.Sleep(100 * time.Millisecond)
+			if queued := len(l.inbox.items); queued != test.want {
+				t.Errorf("%d events of one connection in the inbox, want %d", queued, test.want)
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			ended := make(chan struct{})
+			go func() { l.Run(ctx); close(ended) }()
+			posters.Wait()
+			cancel()
+			<-ended
+		})
+	}
+}
+
 // lastEffect returns the last of effects, or nil if there are none.
 func lastEffect(effects []core.Effect) core.Effect {
 	if len(effects) == 0 {
--- a/internal/m3ua/caller.go
+++ b/internal/m3ua/caller.go
@@ -140,7 +140,7 @@
 	c.m3ua.mu.Lock()
 	delete(c.m3ua.activeCallers, c)
 	c.m3ua.mu.Unlock()
-	c.m3ua.loop.Post(core.CallerDown{Conn: c.connID})
+	c.events.Post(core.CallerDown{Conn: c.connID})
 }
 
 // handleData handles a DATA message, which carries an ISUP message.
@@ -162,7 +162,7 @@
 		c.sendISUP(circ.reverse(), isupMessage{kind: isupRLC})
 		c.m3ua.mu.Unlock()
 		if ok {
-			c.m3ua.loop.Post(core.CallerEnd{ID: id, From: c.connID})
+			c.events.Post(core.CallerEnd{ID: id, From: c.connID})
 		}
 	case isupRLC: // the circuit was freed when the REL was sent
 	default:
@@ -194,7 +194,7 @@
 	c.m3ua.mu.Unlock()
 	setUp.ID = id
 	c.sendISUP(circ.reverse(), isupMessage{kind: isupACM})
-	c.m3ua.loop.Post(setUp)
+	c.events.Post(setUp)
 }
 
 // freeCircuitLocked frees a circuit towards a caller and returns the call that was on it. The caller of the method holds m.mu
--- a/internal/m3ua/m3ua_test.go
+++ b/internal/m3ua/m3ua_test.go
@@ -142,7 +142,7 @@
 		t.Fatal(err)
 	}
 	var m3uaProtocol *M3UA
-	eventLoop := loop.New(reducer, 1024, func(e core.Effect) {
+	eventLoop := loop.New(reducer, loop.InboxLimits{MaxEvents: 1024, MaxBytes: 1 << 20, MaxPerConn: 16}, func(e core.Effect) {
 		switch e := e.(type) {
 		case core.Serving:
 			m3uaProtocol.SetServing(e.On)
@@ -481,7 +481,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	eventLoop := loop.New(reducer, 16, func(core.Effect) {}, zerolog.Nop())
+	eventLoop := loop.New(reducer, loop.InboxLimits{MaxEvents: 16, MaxBytes: 1 << 20, MaxPerConn: 16}, func(core.Effect) {}, zerolog.Nop())
 	m, err := New(Config{FileConfig: file, Deployment: testDeployment, ServerConn: testLimits, ConnectTimeout: 50 * time.Millisecond}, eventLoop, zerolog.New(&log))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/m3ua/server.go
+++ b/internal/m3ua/server.go
@@ -78,7 +78,7 @@
 	m.log.Info().Err(err).Str("server", e.Server).Msg("association with server ended")
 	if s.active {
 		trunk.withLock(trunk.ConnLost)
-		m.loop.Post(core.ServerDown{Server: e.Server, Conn: s.connID, SilentFor: m.loop.Now() - s.lastInputAt})
+		s.events.Post(core.ServerDown{Server: e.Server, Conn: s.connID, SilentFor: m.loop.Now() - s.lastInputAt})
 	} else { // no set-up went out on the connection
 		m.loop.Post(core.ServerDown{Server: e.Server, Address: e.Address})
 	}
@@ -142,14 +142,14 @@
 		}
 	})
 	s.m3ua.loop.Attach(s.connID, s, core.ServerUp{Server: s.name, Address: address, Conn: s.connID})
-	s.m3ua.loop.Post(core.ServerPaused{Server: s.name})
+	s.events.Post(core.ServerPaused{Server: s.name})
 }
 
 // setPaused posts whether the server accepts new set-ups. Before the activation it does nothing, because a server sends
 // AS-INACTIVE while an ASP comes up.
 func (s *serverConn) setPaused(paused bool) {
 	if s.active {
-		s.m3ua.loop.Post(core.ServerPaused{Server: s.name, Paused: paused})
+		s.events.Post(core.ServerPaused{Server: s.name, Paused: paused})
 	}
 }
 
@@ -167,7 +167,7 @@
 		}
 		holdBackShare := float64(min(level&0xff, maxCongestionLevel)) / maxCongestionLevel
 		report := core.Report{{Metric: elmseam.LoadMetricHoldBackShare, Value: holdBackShare}}
-		s.m3ua.loop.Post(core.ServerReport{Server: s.name, Conn: s.connID, Report: report})
+		s.events.Post(core.ServerReport{Server: s.name, Conn: s.connID, Report: report})
 	}
 }
 
@@ -194,7 +194,7 @@
 		var ok bool
 		s.trunk.withLock(func(time.Time) { id, ok = s.trunk.Answered(circ.cic) })
 		if ok {
-			s.m3ua.loop.Post(core.ServerAnswer{Server: s.name, Conn: s.connID, ID: id, Desc: isupMsg.desc})
+			s.events.Post(core.ServerAnswer{Server: s.name, Conn: s.connID, ID: id, Desc: isupMsg.desc})
 		}
 	case isupREL, isupRSC: // an RSC has no cause: its call ends with core.ReasonReset
 		var id core.ID
@@ -204,7 +204,7 @@
 			s.sendISUP(circ.cic, isupMessage{kind: isupRLC}, nil)
 		})
 		if ok {
-			s.m3ua.loop.Post(core.ServerEnd{
+			s.events.Post(core.ServerEnd{
 				Server: s.name, Conn: s.connID, ID: id, Reason: q850.ReasonFromCause(isupMsg.cause), Refusal: q850.RefusalFromCause(isupMsg.cause),
 			})
 		}
--- a/internal/m3ua/session.go
+++ b/internal/m3ua/session.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"elmseam/internal/core"
+	"elmseam/internal/loop"
 	"elmseam/internal/transport"
 )
 
@@ -16,6 +17,7 @@
 	m3ua        *M3UA
 	conn        net.Conn
 	limits      transport.Limits
+	events      *loop.Source // posts what comes on the connection
 	outbox      *transport.Outbox
 	handleOther func(msg message, at core.Time) error // handles the messages that dispatch does not
 	lastInputAt core.Time                             // when the peer last sent something, or when the session began
@@ -23,7 +25,7 @@
 
 // newSession returns a session on an open connection.
 func (m *M3UA) newSession(conn net.Conn, limits transport.Limits) session {
-	return session{m3ua: m, conn: conn, limits: limits, outbox: transport.NewOutbox(conn, limits), lastInputAt: m.loop.Now()}
+	return session{m3ua: m, conn: conn, limits: limits, events: m.loop.NewSource(), outbox: transport.NewOutbox(conn, limits), lastInputAt: m.loop.Now()}
 }
 
 // errMessageTimeout ends a connection whose peer takes longer than MessageTimeout to send one message.
--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"elmseam/internal/core"
+	"elmseam/internal/loop"
 	"elmseam/internal/q850"
 	"elmseam/internal/transport"
 )
@@ -20,6 +21,7 @@
 	platform          *Platform
 	connID            core.ConnID
 	conn              net.Conn
+	events            *loop.Source // posts what comes on the connection
 	outbox            *transport.Outbox
 	lingerTimeout     time.Duration      // longest time between the half-close and the end of the connection
 	writeTimeout      time.Duration      // longest time that one write may take
@@ -39,7 +41,7 @@
 // newCallerConn returns the callerConn for an open connection.
 func (p *Platform) newCallerConn(id core.ConnID, conn net.Conn, limits transport.Limits) *callerConn {
 	return &callerConn{
-		platform: p, connID: id, conn: conn, outbox: transport.NewOutbox(conn, limits),
+		platform: p, connID: id, conn: conn, events: p.loop.NewSource(), outbox: transport.NewOutbox(conn, limits),
 		lingerTimeout: limits.LingerTimeout, writeTimeout: limits.WriteTimeout,
 		transferOrders: make(chan core.Transfer, 1), coreClosed: make(chan struct{}),
 	}
@@ -123,7 +125,7 @@
 // parsed. It reports whether the successor has the connection and, if not, whether this process keeps serving the connection:
 // a successor that dies during the transfer must not cost callers their connections.
 func (c *callerConn) transferToSuccessor(unparsed []byte) (transferred, keptHere bool) {
-	c.platform.loop.Post(core.ReadingStopped{Conn: c.connID})
+	c.events.Post(core.ReadingStopped{Conn: c.connID})
 	var transfer core.Transfer
 	select {
 	case transfer = <-c.transferOrders:
--- a/internal/platform/caller_reader.go
+++ b/internal/platform/caller_reader.go
@@ -41,7 +41,7 @@
 		r.messageDeadline = time.Now().Add(limits.MessageTimeout)
 	}
 	if r.fill(unparsed) != nil || !r.run() {
-		p.loop.Post(core.CallerDown{Conn: c.connID})
+		c.events.Post(core.CallerDown{Conn: c.connID})
 	}
 }
 
@@ -76,7 +76,7 @@
 			r.endMalformed()
 			return false
 		case timedOut:
-			r.platform.loop.Post(core.CallerIdle{Conn: r.conn.connID})
+			r.conn.events.Post(core.CallerIdle{Conn: r.conn.connID})
 			continue
 		case err != nil:
 			return false
@@ -107,12 +107,12 @@
 	transferred, keptHere = r.conn.transferToSuccessor(r.buf.Bytes())
 	switch {
 	case transferred:
-		r.platform.loop.Post(core.Transferred{Conn: r.conn.connID})
+		r.conn.events.Post(core.Transferred{Conn: r.conn.connID})
 	case keptHere:
 		if !r.messageDeadline.IsZero() {
 			r.messageDeadline = r.messageDeadline.Add(time.Since(begunAt))
 		}
-		r.platform.loop.Post(core.TransferFailed{Conn: r.conn.connID})
+		r.conn.events.Post(core.TransferFailed{Conn: r.conn.connID})
 	case r.conn.closingGracefully.Load():
 		r.conn.readUntilClosed(r.buf, r.handleReleases)
 	}
@@ -153,12 +153,12 @@
 		r.discardSetUp(msg.callID)
 		return nil
 	}
-	return r.platform.handleFrame(r.conn.connID, r.conn.outbox, msg, r.receivedAt, r.takeDiscarded(msg.callID))
+	return r.conn.handleFrame(msg, r.receivedAt, r.takeDiscarded(msg.callID))
 }
 
 // refuseSetUp has the core refuse a set-up.
 func (r *callerReader) refuseSetUp(id core.ID) {
-	r.platform.loop.Post(core.SetUp{ID: id, From: r.conn.connID, Class: -1, At: r.receivedAt})
+	r.conn.events.Post(core.SetUp{ID: id, From: r.conn.connID, Class: -1, At: r.receivedAt})
 }
 
 // endMalformed has the core close the connection after a message that is malformed or incomplete, and drops what still comes. The discarded
@@ -167,7 +167,7 @@
 	for id := range r.discardedSetUps {
 		r.refuseSetUp(id)
 	}
-	r.platform.loop.Post(core.CallerMalformed{Conn: r.conn.connID})
+	r.conn.events.Post(core.CallerMalformed{Conn: r.conn.connID})
 	r.conn.readUntilClosed(r.buf, r.discardInput)
 }
 
@@ -187,7 +187,7 @@
 		case msg.msgType == typeSetUp:
 			r.discardSetUp(msg.callID)
 		case msg.msgType == typeRelease:
-			r.platform.loop.Post(core.CallerEnd{ID: msg.callID, From: r.conn.connID, SetUpDiscarded: r.takeDiscarded(msg.callID)})
+			r.conn.events.Post(core.CallerEnd{ID: msg.callID, From: r.conn.connID, SetUpDiscarded: r.takeDiscarded(msg.callID)})
 		}
 		r.buf.Skip(size)
 	}
@@ -232,20 +232,20 @@
 
 // handleFrame posts the event for a caller's message and answers the message if the protocol requires that. setUpDiscarded
 // means that the set-up which a release message ends was never posted.
-func (p *Platform) handleFrame(conn core.ConnID, outbox *transport.Outbox, msg frame, receivedAt core.Time, setUpDiscarded bool) error {
+func (c *callerConn) handleFrame(msg frame, receivedAt core.Time, setUpDiscarded bool) error {
 	switch msg.msgType {
 	case typeSetUp:
-		p.loop.Post(p.setUpEvent(conn, msg, receivedAt))
+		c.events.Post(c.platform.setUpEvent(c.connID, msg, receivedAt))
 	case typeRelease:
-		p.loop.Post(core.CallerEnd{ID: msg.callID, From: conn, SetUpDiscarded: setUpDiscarded})
-		outbox.Send(transport.Message{Data: appendFrame(nil, typeReleaseAck, msg.callID, nil)})
+		c.events.Post(core.CallerEnd{ID: msg.callID, From: c.connID, SetUpDiscarded: setUpDiscarded})
+		c.outbox.Send(transport.Message{Data: appendFrame(nil, typeReleaseAck, msg.callID, nil)})
 	case typeTest:
 		passed := byte(1)
-		if p.stopping.Load() || p.draining.Load() {
+		if c.platform.stopping.Load() || c.platform.draining.Load() {
 			passed = 0
 		}
-		outbox.Send(transport.Message{Data: appendFrame(nil, typeTested, msg.callID, appendParam(nil, paramCause, passed))})
-		p.loop.Post(core.CallerTested{Conn: conn})
+		c.outbox.Send(transport.Message{Data: appendFrame(nil, typeTested, msg.callID, appendParam(nil, paramCause, passed))})
+		c.events.Post(core.CallerTested{Conn: c.connID})
 	case typeProgress, typeReleaseAck, typeGroup, typeTested:
 	default:
 		return fmt.Errorf("unknown message type %d", msg.msgType)
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -67,7 +67,7 @@
 		t.Fatal(err)
 	}
 	reducer.SetHook(s.hook)
-	eventLoop := loop.New(reducer, 64, func(e core.Effect) {
+	eventLoop := loop.New(reducer, loop.InboxLimits{MaxEvents: 64, MaxBytes: 1 << 20, MaxPerConn: 16}, func(e core.Effect) {
 		select {
 		case s.effects <- e:
 		default:
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"elmseam/internal/core"
+	"elmseam/internal/loop"
 	"elmseam/internal/probe"
 	"elmseam/internal/q850"
 	"elmseam/internal/settings"
@@ -27,6 +28,7 @@
 	platform *Platform
 	name     string // name of the server
 	connID   core.ConnID
+	events   *loop.Source // posts what comes on the connection
 	outbox   *transport.Outbox
 
 	lingerTimeout time.Duration // between the half-close and the close of a graceful close
@@ -102,12 +104,12 @@
 	p.connsOutsideAcceptor.Add(1)
 	defer p.connsOutsideAcceptor.Add(-1)
 	defer conn.Close()
-	s := &serverConn{platform: p, name: e.Server, connID: p.loop.NewConnID(), outbox: transport.NewOutbox(conn, cfg.ServerConn),
+	s := &serverConn{platform: p, name: e.Server, connID: p.loop.NewConnID(), events: p.loop.NewSource(), outbox: transport.NewOutbox(conn, cfg.ServerConn),
 		lingerTimeout: cfg.ServerConn.LingerTimeout}
 	p.loop.Attach(s.connID, s, core.ServerUp{Server: e.Server, Address: e.Address, Conn: s.connID})
 	err = s.readLines(conn, cfg.ServerConn)
 	p.log.Info().Err(err).Str("server", e.Server).Uint64("conn", uint64(s.connID)).Msg("connection to server ended")
-	p.loop.Post(core.ServerDown{Server: e.Server, Conn: s.connID, End: connEnd(err)})
+	s.events.Post(core.ServerDown{Server: e.Server, Conn: s.connID, End: connEnd(err)})
 }
 
 // connEnd says what the server's side did when a connection ended, or could not be made, with the error.
@@ -147,7 +149,7 @@
 			reportedSilent = false
 		case errors.Is(err, os.ErrDeadlineExceeded) && !lineBegun && silenceTimeout > 0:
 			reportedSilent = true
-			s.platform.loop.Post(core.ServerSilent{Server: s.name, Conn: s.connID, SilentFor: silenceTimeout})
+			s.events.Post(core.ServerSilent{Server: s.name, Conn: s.connID, SilentFor: silenceTimeout})
 			continue
 		default:
 			return err
@@ -164,7 +166,7 @@
 			}
 			if err != nil { // the core ends only the attempt that the message was for
 				s.platform.sampledLog.Warn().Err(err).Str("server", s.name).Int("bytes", lineEnd).Msg("malformed message from a server")
-				s.platform.loop.Post(core.ServerMalformed{Server: s.name, Conn: s.connID, ID: callIDOfMalformedLine(b[:lineEnd])})
+				s.events.Post(core.ServerMalformed{Server: s.name, Conn: s.connID, ID: callIDOfMalformedLine(b[:lineEnd])})
 			} else if now := time.Now(); msg.op == "group" {
 				if !lastReport.IsZero() {
 					s.platform.serverSilence.observeInterval(now.Sub(lastReport))
@@ -240,20 +242,20 @@
 	report := parseReport(msg.loadReport)
 	switch msg.op {
 	case "accept":
-		s.platform.loop.Post(core.ServerAnswer{Server: s.name, Conn: s.connID, ID: id, Desc: []byte(msg.desc), Report: report})
+		s.events.Post(core.ServerAnswer{Server: s.name, Conn: s.connID, ID: id, Desc: []byte(msg.desc), Report: report})
 	case "end":
-		s.platform.loop.Post(core.ServerEnd{
+		s.events.Post(core.ServerEnd{
 			Server: s.name, Conn: s.connID, ID: id, Reason: q850.ReasonFromCause(msg.cause), Refusal: q850.RefusalFromNote(msg.note), Report: report,
 			RefusalOnly: isRefusalCause(msg.cause),
 		})
 	case "group":
 		if report != nil {
-			s.platform.loop.Post(core.ServerReport{Server: s.name, Conn: s.connID, Report: report})
+			s.events.Post(core.ServerReport{Server: s.name, Conn: s.connID, Report: report})
 		}
 	case "test":
 		s.outbox.Send(transport.Message{Data: fmt.Appendf(nil, `{"op":"tested","call":"%016x","with":{},"why":1}`+"\n", uint64(id))})
 	case "tested":
-		s.platform.loop.Post(core.ServerProbeAnswer{Server: s.name, Conn: s.connID, ID: probe.ID(id), Report: report})
+		s.events.Post(core.ServerProbeAnswer{Server: s.name, Conn: s.connID, ID: probe.ID(id), Report: report})
 	case "ringing", "ended":
 	default:
 		return fmt.Errorf("unknown message type %q", msg.op)
