Transport: a burst no longer closes the connection of a peer that reads

Cause: Outbox.Send closed the connection once 32 KiB were queued, also where only this process's own goroutine had had no turn. Change: the memory of all queues together is bounded (callers, servers: an eighth of the limit each, with 192 bytes a message); where that is exceeded, connections whose messages wait longest are closed. Send yields to the goroutine that writes; a caller that does not read is not read; a set-up without room in a server's queue counts as not sent. A batch no longer moves the rest of the queue.

--- a/cmd/elmseam/reload.go
+++ b/cmd/elmseam/reload.go
@@ -55,6 +55,7 @@
 	}
 	r.cfg = newCfg
 	r.limiter.setLimits(newCfg.Limits)
+	newCfg.ApplyQueueLimits()
 	r.platform.Configure(newCfg.Platform())
 	if r.m3ua != nil { // before the core knows the new classes and offers their calls to M3UA servers
 		r.m3ua.Configure(newCfg.M3UA(r.signalling.M3UA))
--- a/internal/bgp/speaker.go
+++ b/internal/bgp/speaker.go
@@ -168,7 +168,7 @@
 	}
 	defer conn.Close()
 	ses := &session{
-		speaker: s, peer: peer, conn: conn, outbox: transport.NewOutbox(conn, s.limits.Conn), externalPeer: peer.AS != s.as,
+		speaker: s, peer: peer, conn: conn, outbox: transport.NewOutbox(conn, s.limits.Conn, transport.NewBudget(s.limits.Conn.MaxQueuedBytes)), externalPeer: peer.AS != s.as,
 		announcedByPeer: make(map[netip.Prefix]bool)}
 	defer context.AfterFunc(ctx, func() { ses.closeWithNotification(codeAdminShutdown) })()
 	ses.outbox.Send(transport.Message{Data: openMessage{s.as, s.holdTime, s.routerID}.encode()})
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -13,6 +13,7 @@
 	"elmseam/internal/core"
 	"elmseam/internal/feed"
 	"elmseam/internal/settings"
+	"elmseam/internal/transport"
 )
 
 // Config is the complete configuration of a softswitch.
@@ -31,6 +32,9 @@
 	PeerListen string   // host:port on which the tier's datagrams arrive
 	Peers      []string // addresses of the tier's softswitches, by index
 
+	callerQueues *transport.Budget // memory of what is queued for callers, for all fronts
+	serverQueues *transport.Budget // memory of what is queued for servers, for all fronts
+
 	sockets               int  // file descriptors that the process may hold
 	socketsSharedWithM3UA bool // ShareSocketsWithM3UA was called
 	document              any  // the configuration file as it was read, without the environment's values
@@ -142,6 +146,7 @@
 	}
 	cfg.sockets = parsed.Limits.Sockets
 	cfg.Limits = buildLimits(parsed, cfg.Deployment)
+	cfg.callerQueues, cfg.serverQueues = transport.NewBudget(cfg.Limits.CallerQueueBytes), transport.NewBudget(cfg.Limits.ServerQueueBytes)
 	return cfg, nil
 }
 
@@ -152,6 +157,12 @@
 	c.Limits.MaxM3UACallers, c.Limits.Core.MaxServerConns = shares.m3uaCallers, shares.servers
 }
 
+// ApplyQueueLimits has the queues of open connections keep to the limits of this configuration.
+func (c *Config) ApplyQueueLimits() {
+	c.callerQueues.SetMax(c.Limits.CallerQueueBytes)
+	c.serverQueues.SetMax(c.Limits.ServerQueueBytes)
+}
+
 // Reload reads the configuration again. The new file must contain every part of the running one: see checkComplete. The classes of the old
 // configuration keep their indexes.
 func Reload(getenv func(string) string, old *Config) (*Config, error) {
@@ -168,6 +179,7 @@
 	if old.socketsSharedWithM3UA {
 		cfg.ShareSocketsWithM3UA()
 	}
+	cfg.callerQueues, cfg.serverQueues = old.callerQueues, old.serverQueues // open connections count there
 	settings.KeepClassIndexes(old.Deployment, &cfg.Deployment, &cfg.Settings, old.Settings)
 	return cfg, nil
 }
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -32,8 +32,12 @@
 	MaxCallerConns int           // max. simultaneous connections of platform callers
 	MaxM3UACallers int           // max. simultaneous connections of M3UA callers; 0 unless ShareSocketsWithM3UA was called
 	Inbox          loop.InboxLimits
-	StatsInterval  time.Duration // time between two snapshots of the statistics
-	Mgmt           mgmt.Limits
+
+	CallerQueueBytes int // max. memory of what is queued for all callers, in bytes
+	ServerQueueBytes int // max. memory of what is queued for all servers, in bytes
+
+	StatsInterval time.Duration // time between two snapshots of the statistics
+	Mgmt          mgmt.Limits
 
 	HandOver    handover.Limits
 	Peers       peers.Limits
@@ -126,7 +130,7 @@
 			ReadTimeout: 2 * time.Second, WriteTimeout: time.Second, MaxStatsAge: 2 * time.Second, MaxOrders: 16},
 		HandOver: handover.Limits{
 			HelloTimeout: time.Second, ExitTimeout: 2 * time.Second, WriteTimeout: time.Second, MaxMessageSize: 128 << 10,
-			MaxQueuedBytes: 4 << 20, MaxEndedCalls: 4096,
+			MaxQueuedBytes: max(4<<20, int(memoryBytes/8)), MaxEndedCalls: 4096,
 		},
 		Peers:       peers.Limits{MaxQueued: 256, MaxReceiveRate: 400, ListenRetryDelay: 100 * time.Millisecond},
 		MemoryLimit: memoryBytes * 6 / 10,
@@ -136,9 +140,9 @@
 	limits.ServerConn.LineTimeout, limits.ServerConn.MaxSilence = 500*time.Millisecond, 3*time.Second
 	// The linger is short for servers: they close at once, and the descriptor may be needed for another connection.
 	limits.ServerConn.LingerTimeout = 50 * time.Millisecond
-	// Data queued for platform callers that don't read, and the data of open calls, take at most a quarter of the memory
-	// each, unless the queues need more to hold two of the largest messages each.
-	limits.CallerConn.MaxQueuedBytes = min(limits.CallerConn.MaxQueuedBytes, max(int(memoryBytes/4)/shares.callers, 2*maxMessageSize))
+	limits.CallerQueueBytes, limits.ServerQueueBytes = int(memoryBytes/8), int(memoryBytes/8)
+	limits.CallerConn.MaxQueuedBytes = min(limits.CallerConn.MaxQueuedBytes, max(limits.CallerQueueBytes/shares.callers, 2*maxMessageSize))
+	limits.ServerConn.MaxQueuedBytes = min(limits.ServerConn.MaxQueuedBytes, limits.ServerQueueBytes/4)
 	limits.Core.MaxCallBytes, limits.Core.CallOverhead = int(memoryBytes/4), callOverhead
 	if limits.ConnectTimeout <= 0 {
 		limits.ConnectTimeout = 500 * time.Millisecond
--- a/internal/config/signalling.go
+++ b/internal/config/signalling.go
@@ -41,7 +41,7 @@
 func (c *Config) Platform() platform.Config {
 	return platform.Config{
 		Deployment: c.Deployment, CallerConn: c.Limits.CallerConn, ServerConn: c.Limits.ServerConn,
-		ConnectTimeout: c.Limits.ConnectTimeout, MaxCallerConns: c.Limits.MaxCallerConns,
+		ConnectTimeout: c.Limits.ConnectTimeout, MaxCallerConns: c.Limits.MaxCallerConns, CallerQueues: c.callerQueues, ServerQueues: c.serverQueues,
 	}
 }
 
@@ -51,6 +51,7 @@
 	return m3ua.Config{
 		FileConfig: file, Deployment: c.Deployment, CallerConn: c.Limits.CallerConn, ServerConn: c.Limits.ServerConn,
 		ConnectTimeout: c.Limits.ConnectTimeout, MaxCallerConns: c.Limits.MaxM3UACallers, ConfirmTimeout: c.Limits.ConfirmTimeout,
+		CallerQueues: c.callerQueues, ServerQueues: c.serverQueues,
 	}
 }
 
--- a/internal/m3ua/caller.go
+++ b/internal/m3ua/caller.go
@@ -24,7 +24,9 @@
 
 // serveCaller serves a caller's connection until it ends.
 func (m *M3UA) serveCaller(conn net.Conn) {
-	c := &callerConn{session: m.newSession(conn, m.config.Load().CallerConn)}
+	cfg := m.config.Load()
+	c := &callerConn{session: m.newSession(conn, cfg.CallerConn, cfg.CallerQueues)}
+	c.paced = true
 	c.handleOther = c.handleMessage
 	c.aspUpTimer = time.AfterFunc(c.limits.MessageTimeout, func() { conn.Close() })
 	defer c.aspUpTimer.Stop()
--- a/internal/m3ua/m3ua.go
+++ b/internal/m3ua/m3ua.go
@@ -122,6 +122,9 @@
 	ServerConn     transport.Limits // limits of a connection to a server
 	MaxCallerConns int              // maximum number of open connections of callers
 	ConfirmTimeout time.Duration    // min wait before a release that a server has not confirmed is sent again
+
+	CallerQueues *transport.Budget // memory of what is queued for all callers
+	ServerQueues *transport.Budget // memory of what is queued for all servers
 }
 
 // M3UA serves callers and reaches servers over M3UA-style signalling.
--- a/internal/m3ua/m3ua_test.go
+++ b/internal/m3ua/m3ua_test.go
@@ -153,12 +153,12 @@
 	file.PointCode, file.NetworkIndicator, file.RoutingContext, file.HeartbeatMS = ownPC, 2, 1, 1000
 	file.Circuits, file.Categories, file.Cells = 512, map[string]int{"voice": 10}, map[string]int{"100": 0}
 	m3uaProtocol, err = New(Config{FileConfig: file, Deployment: testDeployment,
-		CallerConn: testLimits, ServerConn: testLimits, ConnectTimeout: time.Second, MaxCallerConns: 8, ConfirmTimeout: 50 * time.Millisecond}, eventLoop, zerolog.Nop())
+		CallerConn: testLimits, ServerConn: testLimits, ConnectTimeout: time.Second, MaxCallerConns: 8, ConfirmTimeout: 50 * time.Millisecond, CallerQueues: transport.NewBudget(1 << 20), ServerQueues: transport.NewBudget(1 << 20)}, eventLoop, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
 	eventLoop.SetDialer(Protocol, m3uaProtocol.Dial)
-	platformProtocol := platform.New(platform.Config{Deployment: testDeployment, CallerConn: testLimits, ServerConn: testLimits, ConnectTimeout: time.Second, MaxCallerConns: 8}, eventLoop, zerolog.Nop())
+	platformProtocol := platform.New(platform.Config{Deployment: testDeployment, CallerConn: testLimits, ServerConn: testLimits, ConnectTimeout: time.Second, MaxCallerConns: 8, CallerQueues: transport.NewBudget(1 << 20), ServerQueues: transport.NewBudget(1 << 20)}, eventLoop, zerolog.Nop())
 	eventLoop.SetDialer(platform.Protocol, platformProtocol.Dial)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -482,7 +482,7 @@
 		t.Fatal(err)
 	}
 	eventLoop := loop.New(reducer, loop.InboxLimits{MaxEvents: 16, MaxBytes: 1 << 20, MaxPerConn: 16}, func(core.Effect) {}, zerolog.Nop())
-	m, err := New(Config{FileConfig: file, Deployment: testDeployment, ServerConn: testLimits, ConnectTimeout: 50 * time.Millisecond}, eventLoop, zerolog.New(&log))
+	m, err := New(Config{FileConfig: file, Deployment: testDeployment, ServerConn: testLimits, ConnectTimeout: 50 * time.Millisecond, CallerQueues: transport.NewBudget(1 << 20), ServerQueues: transport.NewBudget(1 << 20)}, eventLoop, zerolog.New(&log))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/m3ua/server.go
+++ b/internal/m3ua/server.go
@@ -60,7 +60,7 @@
 		return
 	}
 	defer conn.Close()
-	s := &serverConn{session: m.newSession(conn, cfg.ServerConn), name: e.Server, trunk: trunk, activated: make(chan struct{})}
+	s := &serverConn{session: m.newSession(conn, cfg.ServerConn, cfg.ServerQueues), name: e.Server, trunk: trunk, activated: make(chan struct{})}
 	s.handleOther = func(msg message, at core.Time) error { return s.handleMessage(msg, e.Address) }
 	s.send(msgASPUP)
 	activationTimer := time.AfterFunc(cfg.ConnectTimeout, func() {
@@ -298,7 +298,7 @@
 	if err != nil || len(data) > s.limits.MaxMessageSize {
 		return s.freeUnsent(e.ID)
 	}
-	s.outbox.Send(transport.Message{
+	queued := s.outbox.Send(transport.Message{
 		Data: data, ID: uint64(e.ID), Withdrawable: true, Deadline: s.m3ua.loop.WallTime(e.Until),
 		OnWritten: func() { s.m3ua.loop.Post(core.OfferWritten{Server: s.name, ID: e.ID}) },
 		OnExpired: func() {
@@ -307,6 +307,9 @@
 			}
 		},
 	})
+	if !queued {
+		return s.freeUnsent(e.ID)
+	}
 	return nil
 }
 
--- a/internal/m3ua/session.go
+++ b/internal/m3ua/session.go
@@ -19,13 +19,14 @@
 	limits      transport.Limits
 	events      *loop.Source // posts what comes on the connection
 	outbox      *transport.Outbox
+	paced       bool                                  // a peer that does not read is not read either
 	handleOther func(msg message, at core.Time) error // handles the messages that dispatch does not
 	lastInputAt core.Time                             // when the peer last sent something, or when the session began
 }
 
-// newSession returns a session on an open connection.
-func (m *M3UA) newSession(conn net.Conn, limits transport.Limits) session {
-	return session{m3ua: m, conn: conn, limits: limits, events: m.loop.NewSource(), outbox: transport.NewOutbox(conn, limits), lastInputAt: m.loop.Now()}
+// newSession returns a session on an open connection. What it queues counts in the budget.
+func (m *M3UA) newSession(conn net.Conn, limits transport.Limits, queues *transport.Budget) session {
+	return session{m3ua: m, conn: conn, limits: limits, events: m.loop.NewSource(), outbox: transport.NewOutbox(conn, limits, queues), lastInputAt: m.loop.Now()}
 }
 
 // errMessageTimeout ends a connection whose peer takes longer than MessageTimeout to send one message.
@@ -47,6 +48,9 @@
 	malformedCount, unansweredHeartbeats := 0, 0
 	var messageDeadline time.Time // by when the message being read must be complete; zero between messages
 	for {
+		if s.paced {
+			s.outbox.WaitForRoom(func() bool { return false })
+		}
 		readDeadline := time.Now().Add(heartbeatInterval)
 		if !messageDeadline.IsZero() && messageDeadline.Before(readDeadline) {
 			readDeadline = messageDeadline
--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -41,7 +41,7 @@
 // newCallerConn returns the callerConn for an open connection.
 func (p *Platform) newCallerConn(id core.ConnID, conn net.Conn, limits transport.Limits) *callerConn {
 	return &callerConn{
-		platform: p, connID: id, conn: conn, events: p.loop.NewSource(), outbox: transport.NewOutbox(conn, limits),
+		platform: p, connID: id, conn: conn, events: p.loop.NewSource(), outbox: transport.NewOutbox(conn, limits, p.config.Load().CallerQueues),
 		lingerTimeout: limits.LingerTimeout, writeTimeout: limits.WriteTimeout,
 		transferOrders: make(chan core.Transfer, 1), coreClosed: make(chan struct{}),
 	}
@@ -201,6 +201,7 @@
 		c.closeGracefully()
 	case core.StopReading:
 		c.transferring.Store(true)
+		c.outbox.Interrupt()
 		c.setReadDeadline(time.Now())
 	case core.Transfer:
 		c.mu.Lock()
--- a/internal/platform/caller_reader.go
+++ b/internal/platform/caller_reader.go
@@ -58,6 +58,7 @@
 // run reads until the connection ends or the successor has it, and reports whether the successor has it.
 func (r *callerReader) run() (transferred bool) {
 	for {
+		r.conn.outbox.WaitForRoom(r.conn.transferring.Load)
 		r.setReadDeadline()
 		err := r.buf.Fill(r.conn.conn)
 		switch timedOut := errors.Is(err, os.ErrDeadlineExceeded); {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -28,6 +28,9 @@
 
 	ServerConn     transport.Limits // limits of a connection to a server
 	MaxCallerConns int              // maximum number of open connections that Serve has accepted; adopted ones do not count
+
+	CallerQueues *transport.Budget // memory of what is queued for all callers
+	ServerQueues *transport.Budget // memory of what is queued for all servers
 }
 
 // activeConfig is a Config together with the class indexes by class name. Removed classes have no entry.
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -78,7 +78,7 @@
 		MessageTimeout: testTimeout, IdleTimeout: testTimeout, LingerTimeout: 100 * time.Millisecond, MaxLingerBytes: 1 << 16}
 	platform := New(Config{
 		Deployment: settings.Deployment{Classes: []settings.Class{{Name: "voice", Cells: []int{0, 1}, Lines: 1}}, ReportMetrics: []string{"spare", "cut_by"}}, ConnectTimeout: time.Second, MaxCallerConns: 8,
-		CallerConn: limits, ServerConn: limits,
+		CallerConn: limits, ServerConn: limits, CallerQueues: transport.NewBudget(64 << 20), ServerQueues: transport.NewBudget(1 << 20),
 	}, eventLoop, zerolog.Nop())
 	eventLoop.SetDialer(Protocol, func(d core.Dial) {
 		s.dialCount.Add(1)
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -40,15 +40,18 @@
 // Flush waits for a short, bounded time until all queued messages are written.
 func (s *serverConn) Flush() { s.outbox.Flush() }
 
-// HandleEffect sends the message for an effect to the server. It returns core.NotSent for offers that it could withdraw.
+// HandleEffect sends the message for an effect to the server. It returns core.NotSent for offers that it could not queue or could withdraw.
 func (s *serverConn) HandleEffect(e core.Effect) []core.Event {
 	switch e := e.(type) {
 	case core.Offer:
-		s.outbox.Send(transport.Message{
+		queued := s.outbox.Send(transport.Message{
 			Data: appendOffer(nil, e, s.platform.loop.Now()), ID: uint64(e.ID), Withdrawable: true, Deadline: s.platform.loop.WallTime(e.Until),
 			OnWritten: func() { s.platform.loop.Post(core.OfferWritten{Server: s.name, ID: e.ID}) },
 			OnExpired: func() { s.platform.loop.Post(core.NotSent{Server: s.name, Conn: s.connID, ID: e.ID}) },
 		})
+		if !queued {
+			return []core.Event{core.NotSent{Server: s.name, Conn: s.connID, ID: e.ID}}
+		}
 	case core.End:
 		if s.outbox.Withdraw(uint64(e.ID)) {
 			return []core.Event{core.NotSent{Server: s.name, Conn: s.connID, ID: e.ID}}
@@ -104,7 +107,7 @@
 	p.connsOutsideAcceptor.Add(1)
 	defer p.connsOutsideAcceptor.Add(-1)
 	defer conn.Close()
-	s := &serverConn{platform: p, name: e.Server, connID: p.loop.NewConnID(), events: p.loop.NewSource(), outbox: transport.NewOutbox(conn, cfg.ServerConn),
+	s := &serverConn{platform: p, name: e.Server, connID: p.loop.NewConnID(), events: p.loop.NewSource(), outbox: transport.NewOutbox(conn, cfg.ServerConn, cfg.ServerQueues),
 		lingerTimeout: cfg.ServerConn.LingerTimeout}
 	p.loop.Attach(s.connID, s, core.ServerUp{Server: e.Server, Address: e.Address, Conn: s.connID})
 	err = s.readLines(conn, cfg.ServerConn)
--- a/internal/transport/outbox.go
+++ b/internal/transport/outbox.go
@@ -1,9 +1,10 @@
 package transport
 
 import (
-	"bufio"
 	"io"
 	"net"
+	"runtime"
+	"slices"
 	"sync"
 	"time"
 )
@@ -12,7 +13,7 @@
 type Limits struct {
 	InitialBufferSize int           // initial size of the read buffer, and size of the write buffer, in bytes
 	MaxMessageSize    int           // max size of a received message, and of the set-ups that package m3ua sends, in bytes
-	MaxQueuedBytes    int           // max bytes queued for writing; beyond it the peer counts as stalled and the connection is closed
+	MaxQueuedBytes    int           // bytes queued for writing beyond which no set-up is queued, and WaitForRoom waits
 	WriteTimeout      time.Duration // max duration of one write; beyond it the connection is closed
 	MessageTimeout    time.Duration // max time until the first message, or a message that has begun, is complete
 	IdleTimeout       time.Duration // max time without data between messages
@@ -31,57 +32,116 @@
 	Deadline     time.Time // the write of a withdrawable message does not begin after this time
 	OnWritten    func()    // called when the message has been written; may be nil
 	OnExpired    func()    // called when the message was dropped because its deadline had passed; required for a withdrawable message
+
+	queuedAt time.Time // set by Send
 }
 
-// Outbox writes messages to a connection in order. Only Flush and Linger wait for the peer: a goroutine writes while the queue
-// is not empty, and calls the functions of the messages. The connection of a peer that reads nothing is closed when a write
-// exceeds limits.WriteTimeout or the queue exceeds limits.MaxQueuedBytes.
+// Outbox writes messages to a connection in order. Only Flush, Linger and WaitForRoom wait for the peer: a goroutine writes while the queue
+// is not empty, and calls the functions of the messages. The connection of a peer that reads nothing is closed when a write exceeds
+// limits.WriteTimeout, or when the outbox's budget is exceeded. A long queue alone is no sign of such a peer: the goroutine may have had no
+// turn yet.
 type Outbox struct {
 	conn   net.Conn
 	limits Limits
-	writer *bufio.Writer
+	budget *Budget
 
 	mu           sync.Mutex // guards the fields below
+	room         *sync.Cond // signalled when WaitForRoom may return
 	queue        []Message
-	queuedBytes  int       // total size of the messages in queue
+	queuedBytes  int       // memory of the messages in queue and of the batch being written
+	batchBytes   int       // memory of the batch being written
+	batchSince   time.Time // when the first message of that batch was queued
 	writing      bool      // writeLoop is running
 	writeStarted time.Time // when the write in progress was started; zero if there is none
 	closed       bool      // this side has closed the connection
 	onFinished   func()    // the function passed to Finish, called after the last write; nil until Finish is called
 }
 
-// NewOutbox returns the outbox of a connection.
-func NewOutbox(conn net.Conn, limits Limits) *Outbox {
-	return &Outbox{conn: conn, limits: limits, writer: bufio.NewWriterSize(conn, limits.InitialBufferSize)}
+// NewOutbox returns the outbox of a connection. Its messages count in the budget.
+func NewOutbox(conn net.Conn, limits Limits, budget *Budget) *Outbox {
+	o := &Outbox{conn: conn, limits: limits, budget: budget}
+	o.room = sync.NewCond(&o.mu)
+	return o
+}
+
+// messageOverhead is the approximate memory of a queued message besides its data, in bytes.
+const messageOverhead = 192
+
+// memory returns the approximate memory that a queued message takes, in bytes.
+func (m *Message) memory() int { return messageOverhead + len(m.Data) }
+
+// yieldAbove is the number of queued bytes at which Send lets the writing goroutine have its turn.
+const yieldAbove = 64 << 10
+
+// Send queues a message. It returns false if it drops the message: after Finish or Close, or because a withdrawable message would exceed
+// limits.MaxQueuedBytes. If the budget is exceeded, connections are closed, perhaps this one.
+func (o *Outbox) Send(message Message) bool {
+	queued, starved := o.enqueue(message)
+	if starved {
+		runtime.Gosched()
+	}
+	o.budget.reclaim()
+	return queued
 }
 
-// Send queues a message. It closes the connection if more than limits.MaxQueuedBytes are queued. After Finish or Close the
-// message is dropped.
-func (o *Outbox) Send(message Message) {
+// enqueue adds a message to the queue, unless it has to be dropped. starved means that much is queued, and that the goroutine which writes
+// has not had its turn.
+func (o *Outbox) enqueue(message Message) (queued, starved bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.closed || o.onFinished != nil {
-		return
-	}
-	if o.queuedBytes += len(message.Data); o.queuedBytes > o.limits.MaxQueuedBytes {
-		o.closeLocked()
-		return
+	if o.closed || o.onFinished != nil || message.Withdrawable && o.queuedBytes+message.memory() > o.limits.MaxQueuedBytes {
+		return false, false
 	}
+	message.queuedAt = time.Now()
 	o.queue = append(o.queue, message)
+	o.countLocked(message.memory())
+	o.startLocked()
+	return true, o.queuedBytes > yieldAbove && o.writeStarted.IsZero()
+}
+
+// countLocked counts a change of the queued bytes. The caller holds o.mu.
+func (o *Outbox) countLocked(change int) {
+	o.queuedBytes += change
+	o.budget.add(change)
+}
+
+// startLocked starts the goroutine that writes, if it does not run. The caller holds o.mu.
+func (o *Outbox) startLocked() {
 	if !o.writing {
 		o.writing = true
+		o.budget.setQueued(o, true)
 		go o.writeLoop()
 	}
 }
 
+// load returns what the outbox has queued, and whether its peer reads.
+func (o *Outbox) load(now time.Time) outboxLoad {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return outboxLoad{o.queuedBytes, o.batchBytes > 0 && now.Sub(o.batchSince) > stalledAfter}
+}
+
+// WaitForRoom waits while more than limits.MaxQueuedBytes are queued: a peer that does not read what it is sent is not read any further
+// either. It returns when the outbox is closed or finished, and after Interrupt once interrupted returns true.
+func (o *Outbox) WaitForRoom(interrupted func() bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for o.queuedBytes > o.limits.MaxQueuedBytes && !o.closed && o.onFinished == nil && !interrupted() {
+		o.room.Wait()
+	}
+}
+
+// Interrupt has WaitForRoom look at its condition again.
+func (o *Outbox) Interrupt() { o.room.Broadcast() }
+
 // Withdraw removes the withdrawable message with the given id from the queue. It reports whether the message was still queued.
 func (o *Outbox) Withdraw(id uint64) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for i, message := range o.queue {
 		if message.Withdrawable && message.ID == id {
-			o.queuedBytes -= len(message.Data)
-			o.queue = append(o.queue[:i], o.queue[i+1:]...)
+			o.countLocked(-message.memory())
+			o.queue = slices.Delete(o.queue, i, i+1)
 			return true
 		}
 	}
@@ -97,11 +157,12 @@
 	for _, message := range o.queue {
 		if message.Withdrawable {
 			ids = append(ids, message.ID)
-			o.queuedBytes -= len(message.Data)
+			o.countLocked(-message.memory())
 		} else {
 			remaining = append(remaining, message)
 		}
 	}
+	clear(o.queue[len(remaining):])
 	o.queue = remaining
 	if !o.writeStarted.IsZero() && time.Since(o.writeStarted) > o.limits.FlushTimeout {
 		o.closeLocked()
@@ -120,10 +181,8 @@
 		return
 	}
 	o.onFinished = done
-	if !o.writing {
-		o.writing = true
-		go o.writeLoop()
-	}
+	o.room.Broadcast()
+	o.startLocked()
 }
 
 // Close drops the queue and closes the connection at once.
@@ -136,6 +195,9 @@
 // closeLocked drops the queue and closes the connection. The caller holds o.mu.
 func (o *Outbox) closeLocked() {
 	o.closed, o.queue = true, nil
+	o.countLocked(-o.queuedBytes)
+	o.batchBytes = 0
+	o.room.Broadcast()
 	o.conn.Close()
 }
 
@@ -153,33 +215,46 @@
 			}
 			return
 		}
-		now := time.Now()
-		o.conn.SetWriteDeadline(now.Add(o.limits.WriteTimeout))
-		var err error
-		written := batch[:0]
-		for _, message := range batch {
-			if message.Withdrawable && now.After(message.Deadline) {
-				message.OnExpired()
-				continue
-			}
-			if _, err = o.writer.Write(message.Data); err != nil {
-				break
-			}
-			written = append(written, message)
-		}
-		if err == nil {
-			err = o.writer.Flush()
-		}
-		if err != nil {
-			o.Close()
+		if !o.writeBatch(batch) {
 			return
 		}
-		for _, message := range written {
-			if message.OnWritten != nil {
-				message.OnWritten()
-			}
+	}
+}
+
+// writeBatch writes messages, except for those that have expired, and calls their functions. If the write fails, it closes the connection
+// and returns false.
+func (o *Outbox) writeBatch(batch []Message) bool {
+	now := time.Now()
+	o.conn.SetWriteDeadline(now.Add(o.limits.WriteTimeout))
+	var data net.Buffers
+	written := batch[:0]
+	for _, message := range batch {
+		if message.Withdrawable && now.After(message.Deadline) {
+			message.OnExpired()
+			continue
 		}
+		data = append(data, message.Data)
+		written = append(written, message)
+	}
+	if _, err := data.WriteTo(o.conn); err != nil {
+		o.Close()
+		o.endWriting()
+		return false
 	}
+	for _, message := range written {
+		if message.OnWritten != nil {
+			message.OnWritten()
+		}
+	}
+	return true
+}
+
+// endWriting records that writeLoop ends after a failed write.
+func (o *Outbox) endWriting() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.writing = false
+	o.budget.setQueued(o, false)
 }
 
 // nextBatch removes the messages of the next write from the queue. When the queue is empty it returns the function passed to
@@ -187,8 +262,12 @@
 func (o *Outbox) nextBatch() (batch []Message, done func()) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.countLocked(-o.batchBytes)
+	o.batchBytes = 0
+	o.room.Broadcast()
 	if o.writeStarted = (time.Time{}); o.closed || len(o.queue) == 0 {
 		o.writing = false
+		o.budget.setQueued(o, false)
 		if o.closed {
 			return nil, nil
 		}
@@ -197,11 +276,13 @@
 	count, size := 0, 0
 	for count < len(o.queue) && (count == 0 || size+len(o.queue[count].Data) <= o.limits.InitialBufferSize) {
 		size += len(o.queue[count].Data)
+		o.batchBytes += o.queue[count].memory()
 		count++
 	}
-	batch = append([]Message(nil), o.queue[:count]...)
-	o.queue = append(o.queue[:0], o.queue[count:]...)
-	o.queuedBytes -= size
+	o.batchSince = o.queue[0].queuedAt
+	batch = slices.Clone(o.queue[:count])
+	clear(o.queue[:count])
+	o.queue = o.queue[count:]
 	o.writeStarted = time.Now()
 	return batch, nil
 }
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -39,7 +39,7 @@
 // connection, so that the peer does not receive them late.
 func TestStalledPeerDoesNotBlockSend(t *testing.T) {
 	conn, _ := tcpPair(t)
-	outbox := NewOutbox(conn, Limits{InitialBufferSize: 1 << 10, MaxQueuedBytes: 64 << 20, WriteTimeout: time.Minute, FlushTimeout: time.Millisecond})
+	outbox := NewOutbox(conn, Limits{InitialBufferSize: 1 << 10, MaxQueuedBytes: 64 << 20, WriteTimeout: time.Minute, FlushTimeout: time.Millisecond}, NewBudget(64<<20))
 	stalled := func() bool {
 		outbox.mu.Lock()
 		defer outbox.mu.Unlock()
@@ -70,7 +70,7 @@
 func TestExpiredMessageIsNotWritten(t *testing.T) {
 	conn, peer := net.Pipe()
 	defer peer.Close()
-	outbox := NewOutbox(conn, Limits{InitialBufferSize: 1 << 10, MaxQueuedBytes: 1 << 10, WriteTimeout: time.Minute})
+	outbox := NewOutbox(conn, Limits{InitialBufferSize: 1 << 10, MaxQueuedBytes: 1 << 10, WriteTimeout: time.Minute}, NewBudget(1<<10))
 	expired := make(chan bool, 1)
 	outbox.Send(Message{Data: []byte("late"), Withdrawable: true, Deadline: time.Now().Add(-time.Second), OnExpired: func() { expired <- true }})
 	outbox.Send(Message{Data: []byte("next")})
@@ -105,7 +105,7 @@
 // a reset, even if the peer goes on sending.
 func TestFinishWritesAllQueuedMessages(t *testing.T) {
 	conn, peer := tcpPair(t)
-	outbox := NewOutbox(conn, Limits{InitialBufferSize: 1 << 10, MaxQueuedBytes: 64 << 20, WriteTimeout: time.Minute, FlushTimeout: time.Millisecond})
+	outbox := NewOutbox(conn, Limits{InitialBufferSize: 1 << 10, MaxQueuedBytes: 64 << 20, WriteTimeout: time.Minute, FlushTimeout: time.Millisecond}, NewBudget(64<<20))
 	total := 0
 	for n := 64 << 10; total < 16<<20; total += n { // more than the kernel's socket buffers hold
 		outbox.Send(Message{Data: make([]byte, n)})
