M3UA: the next process knows which calls stand on which circuits

Cause: all circuits of a new process count as free, and a server's REL names no call. Change: the trunk's circuits are kept in a file mapped into memory (internal/circuitfile), in state_dir or $TMPDIR. A process seizes a circuit there before it uses it, and adopts those of processes that have ended.

--- a/cmd/elmseam/main.go
+++ b/cmd/elmseam/main.go
@@ -63,6 +63,9 @@
 	}
 	if signalling.Enabled {
 		cfg.ShareSocketsWithM3UA()
+		if signalling.M3UA.StateDir == "" {
+			signalling.M3UA.StateDir = os.Getenv("TMPDIR")
+		}
 	}
 	membersPath, membersPathSet := os.LookupEnv("ELMSEAM_MEMBERS")
 	if !membersPathSet {
@@ -215,6 +218,11 @@
 		if err == nil {
 			log.Info().Str("m3ua", m3uaListener.Addr().String()).Msg("M3UA endpoint listening")
 		}
+		if hasPredecessor {
+			upgrader.onPredecessorGone = m3uaProtocol.AdoptCircuits
+		} else {
+			m3uaProtocol.AdoptCircuits()
+		}
 		backgroundTasks = append(backgroundTasks, func() {
 			for errors.Is(err, syscall.EADDRINUSE) { // the predecessor holds the address until it exits
 				time.Sleep(retryDelay)
--- a/cmd/elmseam/upgrade.go
+++ b/cmd/elmseam/upgrade.go
@@ -27,7 +27,8 @@
 	log                    zerolog.Logger
 	sampledLog             zerolog.Logger // rate-limited, for lines logged once per connection
 
-	predecessor *handover.Peer // nil if there was no predecessor
+	predecessor       *handover.Peer // nil if there was no predecessor
+	onPredecessorGone func()         // called when the predecessor has ended; may be nil
 
 	mu                sync.Mutex                  // guards the fields below
 	successorListener *net.UnixListener           // where a successor connects
@@ -61,6 +62,9 @@
 func (u *upgrader) followPredecessor() {
 	defer func() {
 		u.predecessor.Close()
+		if u.onPredecessorGone != nil { // before releases that the predecessor has not handled are sent to servers
+			u.onPredecessorGone()
+		}
 		u.loop.Post(core.Predecessor{})
 		u.memoryLimiter.addProcesses(-1)
 		u.listenForSuccessor()
--- a/internal/circuits/circuits.go
+++ b/internal/circuits/circuits.go
@@ -10,22 +10,22 @@
 	"elmseam/internal/core"
 )
 
-// circuitState is the state of a circuit.
-type circuitState uint8
+// State is the state of a circuit. The values stand in files: see package circuitfile.
+type State uint8
 
 // The states of a circuit.
 const (
-	stateFree             circuitState = iota // carries no call and may be allocated
-	stateSettingUp                            // an IAM was sent or is about to be, and no ANM has arrived
-	stateEstablished                          // the server has answered the call
-	stateReleasing                            // a REL was sent, or has to be sent on the next connection; waits for the RLC
-	stateAwaitingExtraRLC                     // an RLC has arrived, but the REL was sent more than once: another RLC may be on its way
+	StateFree             State = iota // carries no call and may be allocated
+	StateSettingUp                     // an IAM was sent or is about to be, and no ANM has arrived
+	StateEstablished                   // the server has answered the call
+	StateReleasing                     // a REL was sent, or has to be sent on the next connection; waits for the RLC
+	StateAwaitingExtraRLC              // an RLC has arrived, but the REL was sent more than once: another RLC may be on its way
 )
 
 // circuit is one circuit and the call on it.
 type circuit struct {
 	call              core.ID
-	state             circuitState
+	state             State
 	pendingRLCs       int       // RLCs that may still arrive: one for each REL sent, unless the server has lost that REL
 	ownRLCUnconfirmed bool      // the circuit was freed by an RLC sent here, and no message has shown that the server received it
 	stateSince        time.Time // time of the last REL, of the last RLC that left others pending, or of the ConnLost that ended a set-up
@@ -38,6 +38,7 @@
 	cicByCall         map[core.ID]uint16 // CIC of each call
 	searchStart       int                // where the search for a free circuit begins
 	lastOverdueSearch time.Time          // when Overdue last searched
+	table             Table              // holds the states for other processes too
 	disabledGuards    Guard
 }
 
@@ -60,7 +61,7 @@
 
 // New returns n circuits, all free.
 func New(n int) *Circuits {
-	return &Circuits{circuits: make([]circuit, n), cicByCall: make(map[core.ID]uint16)}
+	return &Circuits{circuits: make([]circuit, n), cicByCall: make(map[core.ID]uint16), table: privateTable{}}
 }
 
 // Allocate assigns a free circuit to a call whose IAM is about to be sent. Circuits that still await an RLC are not
@@ -71,8 +72,8 @@
 		if c.searchStart++; c.searchStart == len(c.circuits) {
 			c.searchStart = 0
 		}
-		if c.circuits[i].state == stateFree {
-			c.circuits[i].state, c.circuits[i].call, c.cicByCall[call] = stateSettingUp, call, uint16(i)
+		if c.circuits[i].state == StateFree && c.table.Claim(uint16(i), call) {
+			c.circuits[i].state, c.circuits[i].call, c.cicByCall[call] = StateSettingUp, call, uint16(i)
 			return uint16(i), true
 		}
 	}
@@ -81,8 +82,8 @@
 
 // NotSent frees the circuit of a call whose IAM was not sent. It does nothing if the call is not being set up.
 func (c *Circuits) NotSent(call core.ID) {
-	if cic, found := c.cicByCall[call]; found && c.circuits[cic].state == stateSettingUp {
-		c.removeCall(cic, stateFree)
+	if cic, found := c.cicByCall[call]; found && c.circuits[cic].state == StateSettingUp {
+		c.removeCall(cic, StateFree)
 	}
 }
 
@@ -90,7 +91,7 @@
 // if the call is on no circuit.
 func (c *Circuits) Release(call core.ID, now time.Time) (cic uint16, ok bool) {
 	cic, found := c.cicByCall[call]
-	if !found || c.circuits[cic].state != stateSettingUp && c.circuits[cic].state != stateEstablished {
+	if !found || !c.owned(cic) || c.circuits[cic].state != StateSettingUp && c.circuits[cic].state != StateEstablished {
 		return 0, false
 	}
 	c.markReleasing(cic, now)
@@ -100,24 +101,33 @@
 // Answered handles an ANM and returns the call that is now established. It returns false if no call is being set up on
 // the circuit.
 func (c *Circuits) Answered(cic uint16) (core.ID, bool) {
-	if int(cic) >= len(c.circuits) || c.circuits[cic].state != stateSettingUp {
+	if int(cic) >= len(c.circuits) || c.circuits[cic].state != StateSettingUp {
 		return 0, false
 	}
 	circuit := &c.circuits[cic]
 	// An RLC for an earlier release would have arrived before the ANM.
-	circuit.state, circuit.pendingRLCs, circuit.ownRLCUnconfirmed = stateEstablished, 0, false
+	circuit.pendingRLCs, circuit.ownRLCUnconfirmed = 0, false
+	c.setState(cic, StateEstablished)
 	return circuit.call, true
 }
 
-// Released handles a REL or RSC of the server and returns the call that it ends, or false if the circuit has no call. If
-// it crosses a REL sent here, the circuit stays in use until the server has confirmed that REL too. An RLC has to be sent
-// in any case.
-func (c *Circuits) Released(cic uint16) (core.ID, bool) {
-	if int(cic) >= len(c.circuits) || c.circuits[cic].state != stateSettingUp && c.circuits[cic].state != stateEstablished {
+// Released handles a REL or RSC of the server and returns the call that it ends, which may be one of another process, or false if the
+// circuit has no call. If it crosses a REL sent here, the circuit stays in use until the server has confirmed that REL too. An RLC has
+// to be sent in any case.
+func (c *Circuits) Released(cic uint16) (call core.ID, ok bool) {
+	switch {
+	case int(cic) >= len(c.circuits):
+		return 0, false
+	case c.circuits[cic].state == StateFree:
+		if call, ok = c.table.TakeEstablished(cic); !ok {
+			return 0, false
+		}
+	case c.circuits[cic].state != StateSettingUp && c.circuits[cic].state != StateEstablished:
 		return 0, false
+	default:
+		call = c.circuits[cic].call
+		c.removeCall(cic, StateFree)
 	}
-	call := c.circuits[cic].call
-	c.removeCall(cic, stateFree)
 	c.circuits[cic].pendingRLCs, c.circuits[cic].ownRLCUnconfirmed = 0, true
 	return call, true
 }
@@ -132,11 +142,13 @@
 	circuit := &c.circuits[cic]
 	circuit.pendingRLCs = max(circuit.pendingRLCs-1, 0)
 	switch {
-	case circuit.state != stateReleasing && circuit.state != stateAwaitingExtraRLC:
+	case circuit.state != StateReleasing && circuit.state != StateAwaitingExtraRLC:
 	case circuit.pendingRLCs == 0 || !c.guardEnabled(GuardReleaseCount):
-		circuit.state, circuit.ownRLCUnconfirmed = stateFree, false
+		circuit.ownRLCUnconfirmed = false
+		c.setState(cic, StateFree)
 	default:
-		circuit.state, circuit.stateSince = stateAwaitingExtraRLC, now
+		circuit.stateSince = now
+		c.setState(cic, StateAwaitingExtraRLC)
 	}
 }
 
@@ -146,13 +158,18 @@
 func (c *Circuits) ConnLost(now time.Time) {
 	for i := range c.circuits {
 		switch circuit := &c.circuits[i]; {
-		case circuit.state == stateFree && circuit.ownRLCUnconfirmed:
-			circuit.state, circuit.pendingRLCs = stateReleasing, 0
-		case circuit.state == stateSettingUp:
-			c.removeCall(uint16(i), stateReleasing)
+		case !c.owned(uint16(i)):
+		case circuit.state == StateFree && circuit.ownRLCUnconfirmed:
+			if c.table.Claim(uint16(i), 0) { // no other process has seized it, as it could with the server's RLC
+				circuit.pendingRLCs = 0
+				c.setState(uint16(i), StateReleasing)
+			}
+		case circuit.state == StateSettingUp:
+			c.removeCall(uint16(i), StateReleasing)
 			circuit.stateSince, circuit.pendingRLCs = now, 0
-		case circuit.state == stateReleasing || circuit.state == stateAwaitingExtraRLC:
-			circuit.state, circuit.pendingRLCs = stateReleasing, 0
+		case circuit.state == StateReleasing || circuit.state == StateAwaitingExtraRLC:
+			circuit.pendingRLCs = 0
+			c.setState(uint16(i), StateReleasing)
 		}
 	}
 }
@@ -161,7 +178,7 @@
 // sent.
 func (c *Circuits) Unconfirmed(now time.Time) (cics []uint16) {
 	for i := range c.circuits {
-		if c.circuits[i].state == stateReleasing {
+		if c.circuits[i].state == StateReleasing && c.owned(uint16(i)) {
 			c.markReleasing(uint16(i), now)
 			cics = append(cics, uint16(i))
 		}
@@ -180,10 +197,10 @@
 	c.lastOverdueSearch = now
 	for i := range c.circuits {
 		switch circuit := &c.circuits[i]; {
-		case now.Sub(circuit.stateSince) < timeout:
-		case circuit.state == stateAwaitingExtraRLC: // the extra RLC still counts if it arrives later
-			circuit.state = stateFree
-		case circuit.state == stateReleasing:
+		case now.Sub(circuit.stateSince) < timeout, !c.owned(uint16(i)):
+		case circuit.state == StateAwaitingExtraRLC: // the extra RLC still counts if it arrives later
+			c.setState(uint16(i), StateFree)
+		case circuit.state == StateReleasing:
 			c.markReleasing(uint16(i), now)
 			cics = append(cics, uint16(i))
 		}
@@ -195,7 +212,7 @@
 func (c *Circuits) Free() int {
 	count := 0
 	for i := range c.circuits {
-		if c.circuits[i].state == stateFree {
+		if c.circuits[i].state == StateFree {
 			count++
 		}
 	}
@@ -214,19 +231,19 @@
 
 // markReleasing removes the call, if any, from a circuit and records that a REL is sent on it.
 func (c *Circuits) markReleasing(cic uint16, now time.Time) {
-	c.removeCall(cic, stateReleasing)
+	c.removeCall(cic, StateReleasing)
 	c.circuits[cic].stateSince = now
 	c.circuits[cic].pendingRLCs++
 	if !c.guardEnabled(GuardConfirm) {
-		c.circuits[cic].state = stateFree
+		c.setState(cic, StateFree)
 	}
 }
 
 // removeCall removes the call, if any, from a circuit and sets the circuit's state to nextState.
-func (c *Circuits) removeCall(cic uint16, nextState circuitState) {
+func (c *Circuits) removeCall(cic uint16, nextState State) {
 	circuit := &c.circuits[cic]
-	if circuit.state == stateSettingUp || circuit.state == stateEstablished {
+	if circuit.state == StateSettingUp || circuit.state == StateEstablished {
 		delete(c.cicByCall, circuit.call)
 	}
-	circuit.state = nextState
+	c.setState(cic, nextState)
 }
--- a/internal/config/signalling.go
+++ b/internal/config/signalling.go
@@ -51,7 +51,7 @@
 	return m3ua.Config{
 		FileConfig: file, Deployment: c.Deployment, CallerConn: c.Limits.CallerConn, ServerConn: c.Limits.ServerConn,
 		ConnectTimeout: c.Limits.ConnectTimeout, MaxCallerConns: c.Limits.MaxM3UACallers, ConfirmTimeout: c.Limits.ConfirmTimeout,
-		CallerQueues: c.callerQueues, ServerQueues: c.serverQueues,
+		CallerQueues: c.callerQueues, ServerQueues: c.serverQueues, Name: c.Name,
 	}
 }
 
--- a/internal/m3ua/m3ua.go
+++ b/internal/m3ua/m3ua.go
@@ -35,6 +35,7 @@
 	RoutingContext   uint32         `toml:"routing_context"`
 	HeartbeatMS      int            `toml:"heartbeat_ms"` // silence after which a peer is sent a heartbeat, in milliseconds
 	Circuits         int            `toml:"circuits"`     // number of circuits to each server
+	StateDir         string         `toml:"state_dir"`    // directory of the files with the circuits' states; empty: $TMPDIR
 	Categories       map[string]int `toml:"categories"`   // calling party's category by class name
 	Cells            map[string]int `toml:"cells"`        // index of the preferred cell by destination point code, in decimal
 	Servers          []struct {
@@ -122,6 +123,7 @@
 	ServerConn     transport.Limits // limits of a connection to a server
 	MaxCallerConns int              // maximum number of open connections of callers
 	ConfirmTimeout time.Duration    // min wait before a release that a server has not confirmed is sent again
+	Name           string           // name of this softswitch, for the files in StateDir
 
 	CallerQueues *transport.Budget // memory of what is queued for all callers
 	ServerQueues *transport.Budget // memory of what is queued for all servers
@@ -160,7 +162,7 @@
 		}
 	}
 	for _, s := range cfg.Servers {
-		m.trunks[s.Name] = newTrunk(circuitID{cfg.PointCode, s.PointCode, 0}, cfg.Circuits)
+		m.trunks[s.Name] = m.newTrunk(s.Name, circuitID{cfg.PointCode, s.PointCode, 0}, cfg)
 	}
 	var seed [8]byte
 	rand.Read(seed[:])
--- a/internal/m3ua/server.go
+++ b/internal/m3ua/server.go
@@ -3,36 +3,15 @@
 import (
 	"errors"
 	"net"
-	"sync"
+	"slices"
 	"time"
 
 	"elmseam"
-	"elmseam/internal/circuits"
 	"elmseam/internal/core"
 	"elmseam/internal/q850"
 	"elmseam/internal/transport"
 )
 
-// trunk holds the circuits to one server. The mutex guards them, as the loop, the reading side and the writing side of the
-// connection all change them.
-type trunk struct {
-	pointCodes circuitID // point codes of this program and the server; the cic in it is 0
-	mu         sync.Mutex
-	*circuits.Circuits
-}
-
-// newTrunk returns a trunk with the given number of circuits, all free.
-func newTrunk(pointCodes circuitID, circuitCount int) *trunk {
-	return &trunk{pointCodes: pointCodes, Circuits: circuits.New(circuitCount)}
-}
-
-// withLock holds the trunk's mutex and calls change with the current time.
-func (t *trunk) withLock(change func(now time.Time)) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	change(time.Now())
-}
-
 // serverConn is a connection to a server, on which this program acts as an ASP of the server.
 type serverConn struct {
 	session
@@ -77,7 +56,10 @@
 	}
 	m.log.Info().Err(err).Str("server", e.Server).Msg("association with server ended")
 	if s.active {
-		trunk.withLock(trunk.ConnLost)
+		trunk.withLock(func(now time.Time) {
+			trunk.conns = slices.DeleteFunc(trunk.conns, func(conn *serverConn) bool { return conn == s })
+			trunk.ConnLost(now)
+		})
 		s.events.Post(core.ServerDown{Server: e.Server, Conn: s.connID, SilentFor: m.loop.Now() - s.lastInputAt})
 	} else { // no set-up went out on the connection
 		m.loop.Post(core.ServerDown{Server: e.Server, Address: e.Address})
@@ -137,9 +119,8 @@
 	s.active, s.connID = true, s.m3ua.loop.NewConnID()
 	close(s.activated)
 	s.trunk.withLock(func(now time.Time) {
-		for _, cic := range s.trunk.Unconfirmed(now) {
-			s.sendISUP(cic, isupMessage{kind: isupREL, cause: q850.NormalClearing}, nil)
-		}
+		s.sendReleases(s.trunk.Unconfirmed(now))
+		s.trunk.conns = append(s.trunk.conns, s)
 	})
 	s.m3ua.loop.Attach(s.connID, s, core.ServerUp{Server: s.name, Address: address, Conn: s.connID})
 	s.events.Post(core.ServerPaused{Server: s.name})
@@ -216,6 +197,13 @@
 	return nil
 }
 
+// sendReleases queues a REL on each of some circuits.
+func (s *serverConn) sendReleases(cics []uint16) {
+	for _, cic := range cics {
+		s.sendISUP(cic, isupMessage{kind: isupREL, cause: q850.NormalClearing}, nil)
+	}
+}
+
 // sendISUP queues an ISUP message on a circuit. If onWritten is not nil, it is called when the message has been written.
 func (s *serverConn) sendISUP(cic uint16, isupMsg isupMessage, onWritten func()) {
 	isup, err := buildISUP(cic, isupMsg)
@@ -278,9 +266,7 @@
 	category, hasCategory := s.m3ua.categoryOfClass(e.ClassName)
 	cic, allocated := uint16(0), false
 	s.trunk.withLock(func(now time.Time) {
-		for _, cic := range s.trunk.Overdue(now, s.m3ua.config.Load().ConfirmTimeout) {
-			s.sendISUP(cic, isupMessage{kind: isupREL, cause: q850.NormalClearing}, nil)
-		}
+		s.sendReleases(s.trunk.Overdue(now, s.m3ua.config.Load().ConfirmTimeout))
 		if hasCategory {
 			cic, allocated = s.trunk.Allocate(e.ID)
 		}
