Callers: short fields take no list, and each read is one turn

Cause: an M3UA message's parameters became a list of eight times its size and more; a connection's reader kept its turn as long as input was there, 3 ms each. Change: the parameters are looked up in the message's own bytes; the readers of callers yield after each read, on both fronts.

--- a/internal/m3ua/m3ua_test.go
+++ b/internal/m3ua/m3ua_test.go
@@ -74,9 +74,7 @@
 	for {
 		msg, size, err := parseMessage(p.buf.Bytes(), 16<<10)
 		if err != errIncomplete {
-			for i := range msg.params {
-				msg.params[i].value = bytes.Clone(msg.params[i].value)
-			}
+			msg.params = bytes.Clone(msg.params)
 			p.buf.Skip(size)
 			return msg, err
 		}
--- a/internal/m3ua/message.go
+++ b/internal/m3ua/message.go
@@ -87,10 +87,11 @@
 // errIncomplete is returned by parseMessage when the buffer does not yet hold a whole message.
 var errIncomplete = errors.New("incomplete message")
 
-// message is a parsed M3UA message. The parameter values point into the buffer that was parsed.
+// message is a parsed M3UA message. Its parameters point into the buffer that was parsed: a list of them would take many times the memory
+// of a message with very many short ones.
 type message struct {
 	kind   uint16 // class in the high byte, type in the low byte
-	params []param
+	params []byte // well-formed parameters
 }
 
 // param is one parameter of a message: its tag, and its value without padding.
@@ -101,8 +102,9 @@
 
 // paramValue returns the value of the first parameter with the given tag.
 func (m message) paramValue(tag uint16) ([]byte, bool) {
-	for _, p := range m.params {
-		if p.tag == tag {
+	for rest := m.params; len(rest) > 0; {
+		var p param
+		if p, rest, _ = cutParam(rest); p.tag == tag {
 			return p.value, true
 		}
 	}
@@ -136,20 +138,27 @@
 	}
 	size = int(length)
 	msg.kind = binary.BigEndian.Uint16(b[2:])
-	for p := b[headerSize:size]; len(p) > 0; {
-		if len(p) < paramHeaderSize {
-			return msg, size, &protocolError{errCodeParamFieldError, "truncated parameter header", false}
+	for rest := b[headerSize:size]; len(rest) > 0; {
+		if _, rest, err = cutParam(rest); err != nil {
+			return msg, size, err
 		}
-		paramSize := int(binary.BigEndian.Uint16(p[2:]))
-		if paramSize < paramHeaderSize || paramSize > len(p) {
-			return msg, size, &protocolError{errCodeParamFieldError, fmt.Sprintf("invalid parameter length %d", paramSize), false}
-		}
-		msg.params = append(msg.params, param{binary.BigEndian.Uint16(p), p[paramHeaderSize:paramSize]})
-		p = p[min((paramSize+3)&^3, len(p)):]
 	}
+	msg.params = b[headerSize:size]
 	return msg, size, nil
 }
 
+// cutParam returns the first parameter in b, and what follows it and its padding.
+func cutParam(b []byte) (p param, rest []byte, err error) {
+	if len(b) < paramHeaderSize {
+		return p, nil, &protocolError{errCodeParamFieldError, "truncated parameter header", false}
+	}
+	size := int(binary.BigEndian.Uint16(b[2:]))
+	if size < paramHeaderSize || size > len(b) {
+		return p, nil, &protocolError{errCodeParamFieldError, fmt.Sprintf("invalid parameter length %d", size), false}
+	}
+	return param{binary.BigEndian.Uint16(b), b[paramHeaderSize:size]}, b[min((size+3)&^3, len(b)):], nil
+}
+
 // buildMessage encodes a message.
 func buildMessage(kind uint16, params ...param) []byte {
 	b := []byte{version, 0, byte(kind >> 8), byte(kind), 0, 0, 0, 0}
--- a/internal/m3ua/session.go
+++ b/internal/m3ua/session.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"runtime"
 	"time"
 
 	"elmseam/internal/core"
@@ -49,6 +50,7 @@
 	var messageDeadline time.Time // by when the message being read must be complete; zero between messages
 	for {
 		if s.paced {
+			runtime.Gosched() // a caller that sends at full speed gets one turn like any other
 			s.outbox.WaitForRoom(func() bool { return false })
 		}
 		readDeadline := time.Now().Add(heartbeatInterval)
--- a/internal/platform/caller_reader.go
+++ b/internal/platform/caller_reader.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"runtime"
 	"time"
 
 	"elmseam/internal/core"
@@ -89,6 +90,7 @@
 			r.endMalformed()
 			return false
 		}
+		runtime.Gosched() // a caller that sends at full speed gets one turn like any other
 	}
 }
 
