Callers: set-ups that are read after their caller has left are dropped

Cause: whether the caller had closed its side was looked at with the first read only; what lay unread was sent on read by read. Change: it is looked at with each read of a caller, on both fronts. At most 300 dropped set-ups are remembered on a connection. A caller's part of the queues' budget is half as large, so that those who do not read cannot exceed it.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -141,7 +141,8 @@
 	// The linger is short for servers: they close at once, and the descriptor may be needed for another connection.
 	limits.ServerConn.LingerTimeout = 50 * time.Millisecond
 	limits.CallerQueueBytes, limits.ServerQueueBytes = int(memoryBytes/8), int(memoryBytes/8)
-	limits.CallerConn.MaxQueuedBytes = min(limits.CallerConn.MaxQueuedBytes, max(limits.CallerQueueBytes/shares.callers, 2*maxMessageSize))
+	// Callers that do not read fill half of it at most, as they are not read beyond this.
+	limits.CallerConn.MaxQueuedBytes = min(limits.CallerConn.MaxQueuedBytes, limits.CallerQueueBytes/2/shares.callers)
 	limits.ServerConn.MaxQueuedBytes = min(limits.ServerConn.MaxQueuedBytes, limits.ServerQueueBytes/4)
 	limits.Core.MaxCallBytes, limits.Core.CallOverhead = int(memoryBytes/4), callOverhead
 	if limits.ConnectTimeout <= 0 {
--- a/internal/m3ua/caller.go
+++ b/internal/m3ua/caller.go
@@ -157,7 +157,9 @@
 	}
 	switch isupMsg.kind {
 	case isupIAM:
-		c.handleSetUp(circ, isupMsg, receivedAt)
+		if !c.peerClosed { // otherwise the client repeats its set-up on another association, or has left
+			c.handleSetUp(circ, isupMsg, receivedAt)
+		}
 	case isupREL, isupRSC: // a client resets its circuits after a restart
 		c.m3ua.mu.Lock()
 		id, ok := c.m3ua.freeCircuitLocked(circ)
--- a/internal/m3ua/session.go
+++ b/internal/m3ua/session.go
@@ -21,6 +21,7 @@
 	events      *loop.Source // posts what comes on the connection
 	outbox      *transport.Outbox
 	paced       bool                                  // a peer that does not read is not read either
+	peerClosed  bool                                  // a caller had closed its side before what was read last was handled
 	handleOther func(msg message, at core.Time) error // handles the messages that dispatch does not
 	lastInputAt core.Time                             // when the peer last sent something, or when the session began
 }
@@ -73,6 +74,7 @@
 		unansweredHeartbeats = 0
 		receivedAt := s.m3ua.loop.Now()
 		s.lastInputAt = receivedAt
+		s.peerClosed = s.peerClosed || s.paced && transport.PeerClosed(s.conn)
 		for {
 			msg, size, err := parseMessage(buf.Bytes(), s.limits.MaxMessageSize)
 			if err == errIncomplete {
--- a/internal/platform/caller_reader.go
+++ b/internal/platform/caller_reader.go
@@ -29,8 +29,7 @@
 	messageDeadline time.Time
 	receivedAt      core.Time        // when the bytes in buf that were read last arrived
 	discardedSetUps map[core.ID]bool // set-ups that were not posted, as the caller had given them up or left
-	hasRead         bool             // something was read from the connection
-	peerClosed      bool             // the caller had closed its side by the first read
+	peerClosed      bool             // the caller had closed its side before what was read last was handled
 	malformed       bool             // a malformed message came on the connection while it was being closed
 }
 
@@ -83,9 +82,7 @@
 		case err != nil:
 			return false
 		}
-		if !r.hasRead { // the caller may have left while the connection waited in the backlog or for its transfer
-			r.hasRead, r.peerClosed = true, transport.PeerClosed(r.conn.conn)
-		}
+		r.peerClosed = r.peerClosed || transport.PeerClosed(r.conn.conn) // the caller may have left while its data waited to be read
 		if !r.handleMessages() {
 			r.endMalformed()
 			return false
@@ -198,7 +195,7 @@
 }
 
 // maxDiscardedSetUps is the number of discarded set-ups that are remembered on a connection. The end of a forgotten one goes to all servers.
-const maxDiscardedSetUps = 1000
+const maxDiscardedSetUps = 300
 
 // discardSetUp records that a set-up is not posted.
 func (r *callerReader) discardSetUp(id core.ID) {
--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -851,3 +852,59 @@
 	other.callerConn.Write(setUpFrame(2, "voice", "9000", ""))
 	s.wantLine(`"offer"`, `0002"`)
 }
+
+// blockingCaller is the connection of a caller whose first effect keeps the loop busy until unblock is closed.
+type blockingCaller struct{ blocked, unblock chan struct{} }
+
+// HandleEffect blocks.
+func (c blockingCaller) HandleEffect(core.Effect) []core.Event {
+	close(c.blocked)
+	<-c.unblock
+	return nil
+}
+
+func (blockingCaller) Close() {}
+func (blockingCaller) Flush() {}
+
+// blockLoop keeps the loop busy until the function that it returns is called.
+func (s *scenario) blockLoop() (unblock func()) {
+	caller := blockingCaller{make(chan struct{}), make(chan struct{})}
+	conn := s.loop.NewConnID()
+	s.loop.Attach(conn, caller, core.CallerUp{Conn: conn, Protocol: "test"})
+	s.loop.Post(core.SetUp{ID: 1 << 40, From: conn, Class: -1, At: s.loop.Now()})
+	<-caller.blocked
+	return func() { close(caller.unblock) }
+}
+
+// A caller sent many set-ups and closed its connection while they waited to be read. They were read and sent to servers one after the
+// other, long after their caller had left. Only those that were read before may reach the core.
+func TestSetUpsReadAfterTheirCallerHasLeft(t *testing.T) {
+	const setUps, maxRead = 60, 20 // of which the core may have 16 waiting, and one is being posted
+	var arrivals atomic.Int64
+	s := newScenario(t, func(s *scenario) {
+		s.hook.SuppressEvent = func(ev elmseam.Event) bool {
+			if _, isArrival := ev.(elmseam.Arrival); isArrival {
+				arrivals.Add(1)
+			}
+			return false
+		}
+	})
+	unblock := s.blockLoop()
+	var burst []byte
+	for id := core.ID(1); id <= setUps; id++ {
+		burst = append(burst, setUpFrame(id, "voice", "9000", "")...)
+	}
+	s.callerConn.Write(burst)
+	time.Sleep(20 * time.Millisecond)
+	s.callerConn.Close()
+	time.Sleep(20 * time.Millisecond)
+	unblock()
+	other := s.clone()
+	other.callerConn = s.dial(s.callerListener)
+	time.Sleep(100 * time.Millisecond)
+	other.callerConn.Write(appendFrame(nil, typeTest, 5, appendParam(nil, paramCause, 0)))
+	other.wantFrame(typeTested, 5, 1)
+	if n := arrivals.Load(); n == 0 || n > maxRead {
+		t.Errorf("%d of %d set-ups reached the core, want some and at most %d", n, setUps, maxRead)
+	}
+}
