Hand-over: an id that one process has sent to a server is refused by the other

Cause: each process knew only its own ids; those of ended calls came at the older one's end, those of calls that stand never. Change: while two processes run side by side, each names the calls that it sends to servers to the other (KindAttempted).

--- a/cmd/elmseam/main.go
+++ b/cmd/elmseam/main.go
@@ -120,6 +120,8 @@
 			platformRef.Load().SetDraining(effect.On)
 		case core.MaintenanceProgress:
 			sampledLog.Info().Int("member", effect.Member).Stringer("stage", effect.Record.Stage).Uint64("epoch", effect.Record.Epoch).Msg("maintenance")
+		case core.Attempted:
+			upgrader.announceAttempts(effect.IDs)
 		case core.ToPredecessor:
 			upgrader.sendToPredecessor(effect)
 		case core.ToSuccessor:
--- a/cmd/elmseam/upgrade.go
+++ b/cmd/elmseam/upgrade.go
@@ -81,6 +81,8 @@
 			u.loop.Post(core.Predecessor{Present: true, Transferring: true})
 		case handover.KindCallerConn:
 			u.adoptCallerConn(msg, file)
+		case handover.KindAttempted:
+			u.loop.Post(core.AttemptedElsewhere{IDs: msg.IDs})
 		case handover.KindCallsEnded:
 			u.loop.Post(core.EndedCalls{IDs: msg.IDs})
 		case handover.KindEffect:
@@ -119,6 +121,18 @@
 	u.sampledLog.Info().Uint64("link", uint64(connID)).Msg("caller's connection taken over")
 }
 
+// announceAttempts names calls of this process, which have been sent to servers, to the other process of a hand-over.
+func (u *upgrader) announceAttempts(ids []core.ID) {
+	u.mu.Lock()
+	successor := u.successor
+	u.mu.Unlock()
+	for _, other := range []*handover.Peer{u.predecessor, successor} {
+		if other != nil {
+			other.Send(handover.Message{Kind: handover.KindAttempted, IDs: ids})
+		}
+	}
+}
+
 // sendToPredecessor forwards an event about a call that this process does not know, and the predecessor may.
 func (u *upgrader) sendToPredecessor(request core.ToPredecessor) {
 	if u.predecessor == nil {
@@ -238,12 +252,15 @@
 			u.mu.Lock()
 			u.successorServing = true
 			u.mu.Unlock()
+			u.loop.Post(core.Successor{Serving: true})
 			u.transferIfReady()
 		case handover.KindCallerDown:
 			u.mu.Lock()
 			delete(u.transferredConns, msg.Conn)
 			u.mu.Unlock()
 			u.loop.Post(core.CallerDown{Conn: msg.Conn})
+		case handover.KindAttempted:
+			u.loop.Post(core.AttemptedElsewhere{IDs: msg.IDs})
 		case handover.KindCallerEnd:
 			u.loop.Post(core.CallerEnd{ID: msg.ID, From: msg.Conn})
 		case handover.KindServerEnd:
@@ -263,6 +280,7 @@
 	u.mu.Unlock()
 	u.memoryLimiter.addProcesses(-1)
 	u.log.Warn().Msg("successor disconnected")
+	u.loop.Post(core.Successor{})
 	for connID := range transferredConns {
 		u.loop.Post(core.CallerDown{Conn: connID})
 	}
--- a/cmd/elmseam/upgrade_test.go
+++ b/cmd/elmseam/upgrade_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -341,3 +342,52 @@
 	}
 	return nil
 }
+
+// TestSameIDAtBothProcessesOfUpgrade guards against a call that runs twice: its caller left, and the same id came again at the other process
+// of an upgrade, before or after the older one was stopped.
+func TestSameIDAtBothProcessesOfUpgrade(t *testing.T) {
+	dir, srv := t.TempDir(), listen(t)
+	predecessor := startUpgradable(t, dir, serverEntry("s", "in_service", srv))
+	var offers [4]atomic.Int64 // by call
+	acceptAll := func(peer *conn) {
+		for {
+			line, err := peer.reader.ReadString('\n')
+			if err != nil {
+				return
+			}
+			var offer struct{ Op, Call string }
+			if json.Unmarshal([]byte(line), &offer); offer.Op == "offer" {
+				call, _ := strconv.ParseUint(offer.Call, 16, 64)
+				offers[call].Add(1)
+				fmt.Fprintf(peer, `{"op":"accept","call":%q,"with":{},"desc":"x"}`+"\n", offer.Call)
+			}
+		}
+	}
+	setUp := func(call uint64) {
+		caller := dial(t, predecessor.listen)
+		defer caller.Close()
+		caller.sendSetUp(call)
+		caller.readBytes(int(binary.BigEndian.Uint16(caller.readBytes(2)))) // the answer, given again, or a refusal
+	}
+	go acceptAll(acceptServer(t, srv))
+	for call := uint64(1); call <= 3; call++ {
+		setUp(call)
+	}
+	successor := predecessor.startSuccessor(dir)
+	go acceptAll(acceptServer(t, srv))
+	time.Sleep(100 * time.Millisecond)
+	for range 10 { // either process may accept the caller
+		setUp(1)
+	}
+	predecessor.cmd.Process.Signal(syscall.SIGTERM)
+	time.Sleep(100 * time.Millisecond)
+	setUp(2)
+	predecessor.cmd.Process.Kill()
+	successor.wantLog("predecessor disconnected")
+	setUp(3)
+	for call := 1; call <= 3; call++ {
+		if n := offers[call].Load(); n != 1 {
+			t.Errorf("call %d was sent to the server %d times", call, n)
+		}
+	}
+}
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -104,10 +104,13 @@
 			CallerQuietAfter:    400 * time.Millisecond, // the platform's front tests every 0.1 s
 			MaxOpen:             deployment.MaxOpenCalls,
 			MaxEndedCalls:       int(memoryBytes / 8 / endedCallBytes),
-			Probe:               probe.Limits{Permitted: deployment.ProbesEnabled, Rate: 1, Burst: 2, Timeout: 1500 * time.Millisecond},
-			MaxRoutes:           10000,
-			RetryAfterHint:      max(deployment.MinAim/4, 50*time.Millisecond), // leaves time for a new set-up within the aim
-			EndedCallTTL:        max(deployment.MaxDeadline, 10*time.Second) * 6,
+
+			MaxAttemptedElsewhere: int(memoryBytes / 64 / endedCallBytes),
+
+			Probe:          probe.Limits{Permitted: deployment.ProbesEnabled, Rate: 1, Burst: 2, Timeout: 1500 * time.Millisecond},
+			MaxRoutes:      10000,
+			RetryAfterHint: max(deployment.MinAim/4, 50*time.Millisecond), // leaves time for a new set-up within the aim
+			EndedCallTTL:   max(deployment.MaxDeadline, 10*time.Second) * 6,
 		},
 		CallerConn: transport.Limits{
 			InitialBufferSize: 4 << 10, MaxMessageSize: maxMessageSize, MaxQueuedBytes: 1 << 20,
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -66,6 +66,9 @@
 		if conn.unansweredSince == 0 {
 			conn.unansweredSince = c.now
 		}
+		if call.attemptCount == 1 {
+			c.announceAttempt(call)
+		}
 		c.emit(Offer{To: conn.id, ID: call.ID, ClassName: call.ClassName, NumberText: call.NumberText, Desc: call.SetUp.Desc, Cell: s.Cell, Until: call.deadline})
 	}
 }
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -40,8 +40,9 @@
 	recordedAt Time // when the id was recorded
 }
 
-// handleSetUp handles a set-up from a caller. A set-up with the id of a call that has ended is refused, as ids are never used twice: the
-// caller may have sent the set-up again because its answer was lost with a closing connection.
+// handleSetUp handles a set-up from a caller. A set-up with the id of a call that has ended, or that the other process of a hand-over has
+// sent to a server, is refused, as ids are never used twice: the caller may have sent the set-up again because its answer was lost with a
+// closing connection.
 func (c *Core) handleSetUp(ev SetUp) {
 	from := c.callerConns[ev.From]
 	if from == nil { // the connection has been closed: the caller may send the set-up again on another
@@ -59,7 +60,7 @@
 		c.emit(Rejected{To: ev.From, ID: ev.ID, Reason: ReasonUnsupported})
 		return
 	}
-	if _, known := c.endedCalls[ev.ID]; known {
+	if _, known := c.endedCalls[ev.ID]; known || c.attemptedElsewhere.ids[ev.ID] {
 		c.emit(Rejected{To: ev.From, ID: ev.ID, Reason: ReasonCongested, RetryAfter: c.limits.RetryAfterHint})
 		return
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -63,6 +63,8 @@
 	predecessorSetUps     map[ID]ConnID        // set-ups that the predecessor still has to answer, with the connection of the caller
 	forwardedReleases     []forwardedRelease   // releases that the predecessor may not have handled, oldest first
 	predecessorCalls      map[ID]ConnID        // calls established on the predecessor, with the connection of the caller
+	hasSuccessor          bool                 // a successor serves callers beside this process
+	attemptedElsewhere    idSet                // calls that the other process of a hand-over has sent to a server
 	ready                 bool                 // the ReadyToServe effect has been given
 	membership            *membership.Reducer  // nil: no membership, the other members of the tier are unknown
 	selfIndex             int                  // index of this softswitch in the tier
@@ -203,6 +205,10 @@
 		}
 	case Predecessor:
 		c.handlePredecessor(ev)
+	case Successor:
+		c.handleSuccessor(ev)
+	case AttemptedElsewhere:
+		c.handleAttemptedElsewhere(ev)
 	case Relayed:
 		c.relayFromPredecessor(ev)
 	case EndedCalls:
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -222,6 +222,10 @@
 		Conn     ConnID
 		Effect   Effect
 	}
+	// Successor reports whether a successor serves callers beside this process.
+	Successor struct{ Serving bool }
+	// AttemptedElsewhere names calls that the other process of a hand-over has sent to a server.
+	AttemptedElsewhere struct{ IDs []ID }
 	// EndedCalls names calls that have ended in another process.
 	EndedCalls struct{ IDs []ID }
 	// TimerFired reports that a timer fires.
@@ -259,8 +263,11 @@
 func (Predecessor) event()     {}
 func (Relayed) event()         {}
 func (EndedCalls) event()      {}
-func (TimerFired) event()      {}
-func (Stop) event()            {}
+func (Successor) event()       {}
+
+func (AttemptedElsewhere) event() {}
+func (TimerFired) event()         {}
+func (Stop) event()               {}
 
 // Effect is an output of Step, which the loop has to carry out. The types below implement it, as do the effect types declared in
 // membership.go, maintenance.go and probe.go.
@@ -331,6 +338,8 @@
 		Protocol Protocol
 		Effect   Effect
 	}
+	// Attempted names calls that this process has sent to a server, for the other process of a hand-over.
+	Attempted struct{ IDs []ID }
 	// ReadyToServe says, once, that this process can serve.
 	ReadyToServe struct{}
 	// Timer asks for a TimerFired with the token at the time.
@@ -370,6 +379,7 @@
 func (ToPredecessor) effect() {}
 func (ToSuccessor) effect()   {}
 func (ReadyToServe) effect()  {}
+func (Attempted) effect()     {}
 func (Timer) effect()         {}
 func (Serving) effect()       {}
 func (ForgetCall) effect()    {}
@@ -456,7 +466,9 @@
 	RetryAfterHint      time.Duration     // RetryAfter of refusals that the core gives without asking the controller
 	EndedCallTTL        time.Duration     // how long the id of an ended call is remembered
 	MaxEndedCalls       int               // max ids of ended calls that are remembered; 0: no limit
-	ReportedDrainTTL    time.Duration     // how long a server counts as draining because members reported so
-	Probe               probe.Limits      // limits of probes of silent connections
-	MaxRoutes           int               // once so many withdrawn routes are remembered, one that concerns no server of the list is not
+
+	MaxAttemptedElsewhere int           // max ids of calls of the other process of a hand-over that are remembered
+	ReportedDrainTTL      time.Duration // how long a server counts as draining because members reported so
+	Probe                 probe.Limits  // limits of probes of silent connections
+	MaxRoutes             int           // once so many withdrawn routes are remembered, one that concerns no server of the list is not
 }
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -48,6 +48,7 @@
 	KindCallerConn   Kind = "caller"      // predecessor: carries a caller's connection
 	KindEffect       Kind = "effect"      // predecessor: an effect for a caller
 	KindCallsEnded   Kind = "over"        // predecessor: ids of calls that have ended
+	KindAttempted    Kind = "attempted"   // both: ids of calls that have been sent to a server
 	KindCallerDown   Kind = "caller_down" // successor: a transferred connection was closed
 	KindCallerEnd    Kind = "caller_end"  // successor: a caller released a call that the successor does not know
 	KindServerEnd    Kind = "server_end"  // successor: a server ended a call that the successor does not know
@@ -71,7 +72,7 @@
 	Reason        core.Reason   `json:"reason,omitempty"`  // why a call was rejected, released or ended by a server
 	RetryAfter    time.Duration `json:"retry,omitempty"`   // wait recommended to a rejected caller, in nanoseconds
 	Server        string        `json:"server,omitempty"`  // name of the server that ended the call
-	IDs           []core.ID     `json:"ids,omitempty"`     // the calls of a KindCallsEnded message
+	IDs           []core.ID     `json:"ids,omitempty"`     // the calls of a KindCallsEnded or KindAttempted message
 }
 
 // SocketPath returns the path of the hand-over socket of the process with the given name, or "" if dir is empty.
--- a/internal/loop/inbox.go
+++ b/internal/loop/inbox.go
@@ -105,6 +105,8 @@
 		size += len(ev.Desc)
 	case core.CallerUp:
 		size += callIDBytes * (len(ev.Open) + len(ev.Established))
+	case core.AttemptedElsewhere:
+		size += callIDBytes * len(ev.IDs)
 	case core.EndedCalls:
 		size += callIDBytes * len(ev.IDs)
 	case core.Relayed:
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -175,7 +175,7 @@
 			case core.Serving:
 				l.log.Info().Bool("serving", e.On).Msg("service")
 				l.handleOtherEffect(e)
-			case core.ForgetCall, core.ReadyToServe, core.ToPredecessor, core.ToSuccessor, core.SendToMember, core.MemberChanged,
+			case core.ForgetCall, core.ReadyToServe, core.Attempted, core.ToPredecessor, core.ToSuccessor, core.SendToMember, core.MemberChanged,
 				core.DrainChanged, core.MaintenanceProgress, core.CloseListener, core.Trace:
 				l.handleOtherEffect(e)
 			case core.Stopped:
