Core: calls of a process at a reused address stand on with its server

Cause: a server's process was known by the server's name; calls set up on the next server at its address, before the list told of it, were cut with the former one and released nowhere. Change: calls established after the next server's start are its calls; where that one is listed later, they are released there.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -45,6 +45,7 @@
 	pendingReleases       []*pendingRelease // releases to callers that wait for a connection, oldest first
 	flushTimerSet         bool              // a timer is set for the next flushReleases
 	unknownCallerReleases []endedCall       // calls released by callers that this process does not know, oldest first
+	cutCalls              []cutCall         // calls cut because their servers have gone, oldest first
 	endedCalls            map[ID]Time       // ids of calls that ended recently, with the time when each id was last recorded
 	endedCallOrder        []endedCall       // the same ids, oldest first
 	stopping              bool              // a Stop or a HandOver has begun
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -20,7 +20,7 @@
 		switch {
 		case s == nil:
 			s = &server{id: c.controllerServerID(entry.Name), established: make(map[ID]*call), outstanding: make(map[ID]*call)}
-			s.lastAliveAt, s.pendingReleases = c.now, c.releasesForNewServer()
+			s.lastAliveAt, s.pendingReleases = c.now, append(c.releasesForNewServer(), c.releasesAtReusedAddress(entry)...)
 			c.servers[entry.Name], c.serversByID[s.id] = s, s
 			c.serverOrder = append(c.serverOrder, s)
 		case s.Started != entry.Started || s.Address != entry.Address:
@@ -95,7 +95,7 @@
 			}
 		}
 		if s.Phase == elmseam.PhaseGone { // closing the connections ends the outstanding attempts
-			c.resetEstablishedCalls(s)
+			c.endCallsOfGoneServer(s)
 			c.closeServerConns(s)
 			c.removeServerIfUnused(s)
 		} else if len(s.pendingReleases) > 0 || c.mayHaveUnknownCalls(s) {
@@ -406,13 +406,6 @@
 	}
 }
 
-// resetEstablishedCalls ends the calls established on a server whose process is gone, as reset.
-func (c *Core) resetEstablishedCalls(s *server) {
-	for _, call := range inArrivalOrder(s.established) {
-		c.cutEstablished(call)
-	}
-}
-
 // inArrivalOrder returns calls in the order of their arrival, so that the same events always have the same effects.
 func inArrivalOrder(calls map[ID]*call) []*call {
 	return slices.SortedFunc(maps.Values(calls), func(a, b *call) int { return int(a.controllerID) - int(b.controllerID) })
--- a/internal/core/servers_test.go
+++ b/internal/core/servers_test.go
@@ -146,3 +146,36 @@
 		}
 	}
 }
+
+// A process came up at the address of one that had gone, and the list told of both later. Calls that had been set up there meanwhile, in the
+// name of the former server, were cut towards their callers and stood at the new server for ever. They stand on with the new server, or are
+// released there if it comes into the list after the former one has gone.
+func TestCallsOfProcessAtReusedAddress(t *testing.T) {
+	for name, inOneList := range map[string]bool{"in one list": true, "one after the other": false} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.core.limits.MaxPendingReleases = 100
+			h.wantEffects(h.setUp(7, 5*time.Second), "offer7@10 ")
+			h.wantEffects(h.step(ServerAnswer{Server: "a", Conn: 10, ID: 7}), "answered7@1 ")
+			h.advance(100 * ms)
+			h.step(ServerDown{Server: "a", Conn: 10, End: ConnEndReset})
+			h.advance(100 * ms)
+			next := Server{Name: "c", Address: "a:1", Cell: 2, Phase: elmseam.PhaseReady, Started: h.now}
+			h.advance(ms)
+			h.step(ServerUp{Server: "a", Address: "a:1", Conn: 12})
+			h.wantEffects(h.setUp(8, 5*time.Second), "offer8@12 ")
+			h.wantEffects(h.step(ServerAnswer{Server: "a", Conn: 12, ID: 8}), "answered8@1 ")
+			h.advance(time.Second)
+			gone := Server{Name: "a", Address: "a:1", Phase: elmseam.PhaseGone}
+			if inOneList {
+				h.wantEffects(h.step(ServerList{Servers: []Server{gone, next}}), "withdraw@12 released7@1 closeconn@12 ")
+				h.wantEffects(h.step(ServerUp{Server: "c", Address: "a:1", Conn: 13}), "")
+				h.wantEffects(h.step(ServerEnd{Server: "c", Conn: 13, ID: 8, Reason: ReasonNormal}), "released8@1 ")
+				return
+			}
+			h.wantEffects(h.step(ServerList{Servers: []Server{gone}}), "withdraw@12 released7@1 released8@1 closeconn@12 ")
+			h.step(ServerList{Servers: []Server{next}})
+			h.wantEffects(h.step(ServerUp{Server: "c", Address: "a:1", Conn: 13}), "end8@13 ")
+		})
+	}
+}
