Core: the end of a caller's connection costs no look at all calls

Cause: each end of a connection sorted all calls; during a hand-over each forwarded release looked at all that are kept. Change: only the connection's own calls are sorted, and none are looked at for a connection that never brought any; forwarded releases are dropped from the front.

--- a/internal/core/callers.go
+++ b/internal/core/callers.go
@@ -42,13 +42,15 @@
 // handleCallerDown handles the end of the connection of a caller. The caller may send its open set-ups again on another connection within
 // RebindTimeout.
 func (c *Core) handleCallerDown(id ConnID) {
+	conn := c.callerConns[id]
 	c.forgetCallerConn(id)
+	if conn != nil && !conn.used { // it has no calls, and connections may come and go at full speed
+		return
+	}
 	c.forgetPredecessorCalls(id)
-	for _, call := range inArrivalOrder(c.calls) {
-		if call.From == id && call.server == nil && !call.answered {
-			call.callerConnLost = true
-			c.setTimer(c.now+c.limits.RebindTimeout, Token{kind: tokenRebind, call: call.ID, controllerID: call.controllerID})
-		}
+	for _, call := range c.callsInOrder(func(call *call) bool { return call.From == id && call.server == nil && !call.answered }) {
+		call.callerConnLost = true
+		c.setTimer(c.now+c.limits.RebindTimeout, Token{kind: tokenRebind, call: call.ID, controllerID: call.controllerID})
 	}
 }
 
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -91,9 +91,9 @@
 // forwardToPredecessor forwards the release of a call that this process does not know, and the predecessor may. The release is kept for
 // maxForwardDelay in case the predecessor ends before it handles it.
 func (c *Core) forwardToPredecessor(id ID, event Event) {
-	c.forwardedReleases = slices.DeleteFunc(c.forwardedReleases, func(release forwardedRelease) bool {
-		return release.forwardedAt < c.now-maxForwardDelay
-	})
+	for len(c.forwardedReleases) > 0 && c.forwardedReleases[0].forwardedAt < c.now-maxForwardDelay {
+		c.forwardedReleases = c.forwardedReleases[1:]
+	}
 	c.forwardedReleases = append(c.forwardedReleases, forwardedRelease{id, event, c.now})
 	c.forwardedReleases = c.forwardedReleases[max(len(c.forwardedReleases)-c.limits.MaxPendingReleases, 0):]
 	c.emit(ToPredecessor{Event: event})
--- a/internal/core/ops_test.go
+++ b/internal/core/ops_test.go
@@ -1,8 +1,10 @@
 package core
 
 import (
+	"runtime"
 	"testing"
 	"time"
+	"unsafe"
 
 	"elmseam"
 )
@@ -181,3 +183,28 @@
 		t.Errorf("%+v is kept", retained)
 	}
 }
+
+// Connections of callers that came and went at full speed made the core look through and sort all calls each time, so that others waited for
+// seconds while some thousand calls stood. The end of a connection must not cost more the more calls of others there are.
+func TestEndOfConnectionCostsNoLookAtOtherCalls(t *testing.T) {
+	const otherCalls, connections = 2000, 100
+	for name, used := range map[string]bool{"unused": false, "used": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			for id := ID(1); id <= otherCalls; id++ {
+				h.core.calls[id] = &call{SetUp: SetUp{ID: id, From: 1}, controllerID: elmseam.CallID(10000 + id), answered: true}
+			}
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			for conn := ConnID(1000); conn < 1000+connections; conn++ {
+				h.core.Step(h.now, CallerUp{Conn: conn, Protocol: "f", Used: used})
+				h.core.Step(h.now, CallerDown{Conn: conn})
+			}
+			runtime.ReadMemStats(&after)
+			listOfCalls := uint64(otherCalls * unsafe.Sizeof(&call{}))
+			if size := (after.TotalAlloc - before.TotalAlloc) / connections; size >= listOfCalls {
+				t.Errorf("each end of a connection takes %d bytes, as much as a list of the other calls", size)
+			}
+		})
+	}
+}
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -406,7 +406,25 @@
 	}
 }
 
-// inArrivalOrder returns calls in the order of their arrival, so that the same events always have the same effects.
+// callsInOrder returns the calls that are wanted, in the order of their arrival.
+func (c *Core) callsInOrder(wanted func(*call) bool) (calls []*call) {
+	for _, call := range c.calls {
+		if wanted(call) {
+			calls = append(calls, call)
+		}
+	}
+	sortByArrival(calls)
+	return calls
+}
+
+// sortByArrival sorts calls in the order of their arrival, so that the same events always have the same effects.
+func sortByArrival(calls []*call) {
+	slices.SortFunc(calls, func(a, b *call) int { return int(a.controllerID) - int(b.controllerID) })
+}
+
+// inArrivalOrder returns calls in the order of their arrival.
 func inArrivalOrder(calls map[ID]*call) []*call {
-	return slices.SortedFunc(maps.Values(calls), func(a, b *call) int { return int(a.controllerID) - int(b.controllerID) })
+	sorted := slices.Collect(maps.Values(calls))
+	sortByArrival(sorted)
+	return sorted
 }
