Servers: releases of unknown calls no longer fill a connection's queue

Cause: such a release goes to every server and counted like any other message; a full queue closed the connection. Change: it is dropped where the queue is full, with a sampled log line.

--- a/internal/core/releases.go
+++ b/internal/core/releases.go
@@ -202,7 +202,11 @@
 	c.unknownCallerReleases = append(c.unknownCallerReleases, endedCall{id, c.now})
 	c.unknownCallerReleases = c.unknownCallerReleases[max(len(c.unknownCallerReleases)-c.limits.MaxPendingReleases, 0):]
 	for _, s := range c.serverOrder {
-		c.releaseAtServer(s, id)
+		if conn := c.connForSetUp(s); conn != nil {
+			c.emit(End{To: conn.id, ID: id, Unknown: true})
+		} else {
+			c.releaseAtServer(s, id)
+		}
 	}
 }
 
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -308,6 +308,8 @@
 		To     ConnID
 		ID     ID
 		Notify bool // an EndWritten or a NotSent has to follow
+
+		Unknown bool // this process does not know the call: the End may be dropped where too much is queued
 	}
 	// Withdraw takes back the offers on a connection to a server of which no byte has been written.
 	Withdraw struct{ To ConnID }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -530,3 +530,44 @@
 		}
 	})
 }
+
+// A caller that released unknown calls at full speed filled the queue of a server that reads slowly, whose connection was then closed with all
+// set-ups on it.
+func TestReleasesOfUnknownCallsCloseServerConnection(t *testing.T) {
+	s := newScenario(t)
+	cfg := *s.platform.config.Load()
+	cfg.ServerConn.WriteTimeout = testTimeout // the kernel takes more only when a third of its buffer is free
+	s.platform.Configure(cfg.Config)
+	s.serverConn.Close()
+	s.acceptServerConn()
+	conns := s.dialCount.Load()
+	stop := make(chan struct{})
+	ended := make(chan struct{})
+	serverConn := s.serverConn
+	go func() { // reads some 800 KB a second, and all at the end
+		defer close(ended)
+		for buf := make([]byte, 16<<10); ; {
+			if _, err := serverConn.Read(buf); err != nil {
+				return
+			}
+			select {
+			case <-stop:
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}()
+	var releases []byte
+	for id := core.ID(1); id <= 150000; id++ {
+		releases = append(releases, releaseFrame(id, 16)...)
+	}
+	go s.callerConn.Write(releases)
+	for id := core.ID(1); id <= 150000; id++ {
+		s.wantFrame(typeReleaseAck, id, -1)
+	}
+	if n := s.dialCount.Load(); n != conns {
+		t.Errorf("%d connections to the server were made, want %d", n, conns)
+	}
+	close(stop)
+	serverConn.Close()
+	<-ended
+}
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -56,11 +56,13 @@
 		if s.outbox.Withdraw(uint64(e.ID)) {
 			return []core.Event{core.NotSent{Server: s.name, Conn: s.connID, ID: e.ID}}
 		}
-		message := transport.Message{Data: appendEnd(nil, e.ID, q850.NormalClearing)}
+		message := transport.Message{Data: appendEnd(nil, e.ID, q850.NormalClearing), Optional: e.Unknown}
 		if e.Notify {
 			message.OnWritten = func() { s.platform.loop.Post(core.EndWritten{Server: s.name, Conn: s.connID, ID: e.ID}) }
 		}
-		s.outbox.Send(message)
+		if !s.outbox.Send(message) && e.Unknown {
+			s.platform.sampledLog.Warn().Str("server", s.name).Uint64("call", uint64(e.ID)).Msg("release of an unknown call dropped: the server's queue is full or closed")
+		}
 	case core.Probe:
 		s.outbox.Send(transport.Message{Data: fmt.Appendf(nil, `{"op":"test","call":"%016x","with":{},"why":%d}`+"\n", uint64(e.ID), testCauseLoadReport)})
 	case core.GracefulClose: // the server gets lingerTimeout to read the last messages
--- a/internal/transport/outbox.go
+++ b/internal/transport/outbox.go
@@ -28,6 +28,7 @@
 type Message struct {
 	Data         []byte
 	ID           uint64    // identifies a withdrawable message to Withdraw and WithdrawAll
+	Optional     bool      // the message is dropped rather than exceed MaxQueuedBytes
 	Withdrawable bool      // Data starts a set-up: the message can be withdrawn while queued, and expires at Deadline
 	Deadline     time.Time // the write of a withdrawable message does not begin after this time
 	OnWritten    func()    // called when the message has been written; may be nil
@@ -73,8 +74,8 @@
 // yieldAbove is the number of queued bytes at which Send lets the writing goroutine have its turn.
 const yieldAbove = 64 << 10
 
-// Send queues a message. It returns false if it drops the message: after Finish or Close, or because a withdrawable message would exceed
-// limits.MaxQueuedBytes. If the budget is exceeded, connections are closed, perhaps this one.
+// Send queues a message. It returns false if it drops the message: after Finish or Close, or because a withdrawable or optional message would
+// exceed limits.MaxQueuedBytes. If the budget is exceeded, connections are closed, perhaps this one.
 func (o *Outbox) Send(message Message) bool {
 	queued, starved := o.enqueue(message)
 	if starved {
@@ -89,7 +90,8 @@
 func (o *Outbox) enqueue(message Message) (queued, starved bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.closed || o.onFinished != nil || message.Withdrawable && o.queuedBytes+message.memory() > o.limits.MaxQueuedBytes {
+	full := o.queuedBytes+message.memory() > o.limits.MaxQueuedBytes
+	if o.closed || o.onFinished != nil || (message.Withdrawable || message.Optional) && full {
 		return false, false
 	}
 	message.queuedAt = time.Now()
