M3UA: the next process knows which calls stand on callers' circuits

Cause: the callers' circuits of an earlier process were not known. Change: they are kept in a file too, and taken over before callers are served; releases of unknown calls wait for M3UA callers; an IAM on a circuit of an earlier process's call is a new call, and the earlier one is released.

--- a/internal/circuitfile/circuitfile.go
+++ b/internal/circuitfile/circuitfile.go
@@ -57,19 +57,31 @@
 	return filepath.Join(dir, fmt.Sprintf("elmseam-%s-%s.circuits", url.PathEscape(softswitch), url.PathEscape(server)))
 }
 
+// CallersPath returns the path of the file of a softswitch for its callers' circuits.
+func CallersPath(dir, softswitch string) string {
+	return filepath.Join(dir, fmt.Sprintf("elmseam-%s.callers", url.PathEscape(softswitch)))
+}
+
 // Open opens the file at path, and makes it if there is none or if it is about another trunk. found says whether it held the states of the
 // trunk's circuits already.
 func Open(path string, trunk Trunk) (file *File, found bool, err error) {
-	size := (headerWords + wordsPerCircuit*trunk.Circuits) * wordSize
-	words, err := mapFile(path, os.O_RDWR, size)
-	if found = err == nil && words[wordVersion] == version && words[wordTrunk] == trunk.word(); !found {
-		if words, err = create(path, size, trunk); err != nil {
-			return nil, false, err
-		}
+	words, found, err := openWords(path, (headerWords+wordsPerCircuit*trunk.Circuits)*wordSize, trunk)
+	if err != nil {
+		return nil, false, err
 	}
 	return &File{words: words, owner: atomic.AddUint64(&words[wordOwner], 1)}, found, nil
 }
 
+// openWords maps the file at path into memory, and makes it if there is none or if it is about another trunk or of another size.
+func openWords(path string, size int, trunk Trunk) (words []uint64, found bool, err error) {
+	words, err = mapFile(path, os.O_RDWR, size)
+	if err == nil && words[wordVersion] == version && words[wordTrunk] == trunk.word() {
+		return words, true, nil
+	}
+	words, err = create(path, size, trunk)
+	return words, false, err
+}
+
 // create makes a file with all circuits free. It replaces another file at path at once: a process that has that one open keeps it.
 func create(path string, size int, trunk Trunk) ([]uint64, error) {
 	newPath := fmt.Sprintf("%s.%d", path, os.Getpid())
--- a/internal/circuitfile/circuitfile_test.go
+++ b/internal/circuitfile/circuitfile_test.go
@@ -66,3 +66,30 @@
 		t.Error("no error without a directory")
 	}
 }
+
+// What a process leaves in the file of callers' circuits is what the next one finds, also after more circuits were used than it has room for.
+func TestCallersCircuitsOutliveProcess(t *testing.T) {
+	path := CallersPath(t.TempDir(), "n1")
+	callers, calls, err := OpenCallers(path)
+	if err != nil || len(calls) != 0 {
+		t.Fatal(len(calls), err)
+	}
+	circuit := func(n int) CallerCircuit { return CallerCircuit{0xffffffff, uint32(n), uint16(n)} }
+	for n := range maxCallerCircuits {
+		if !callers.Put(circuit(n), core.ID(n+1)) {
+			t.Fatalf("no room for circuit %d", n)
+		}
+	}
+	if callers.Put(circuit(maxCallerCircuits), 1) {
+		t.Error("there is room for more circuits than there are places")
+	}
+	for n := 1; n < maxCallerCircuits; n++ {
+		callers.Remove(circuit(n))
+	}
+	callers.Remove(circuit(maxCallerCircuits)) // never put
+	callers.Put(circuit(1<<16-1), 9)
+	_, calls, err = OpenCallers(path)
+	if err != nil || len(calls) != 2 || calls[circuit(0)] != 1 || calls[circuit(1<<16-1)] != 9 {
+		t.Errorf("found %v, %v", calls, err)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -12,6 +12,7 @@
 	"elmseam"
 	"elmseam/internal/core"
 	"elmseam/internal/feed"
+	"elmseam/internal/m3ua"
 	"elmseam/internal/settings"
 	"elmseam/internal/transport"
 )
@@ -154,6 +155,7 @@
 func (c *Config) ShareSocketsWithM3UA() {
 	shares := divideSockets(c.sockets, true)
 	c.socketsSharedWithM3UA = true
+	c.Limits.Core.Transient[m3ua.Protocol] = false
 	c.Limits.MaxM3UACallers, c.Limits.Core.MaxServerConns = shares.m3uaCallers, shares.servers
 }
 
--- a/internal/core/releases.go
+++ b/internal/core/releases.go
@@ -42,14 +42,10 @@
 	}
 }
 
-// protocolsOfUnknownCalls returns the protocols whose callers may have a call that this process does not know. Callers of transient
-// protocols keep their calls when a process ends, whether they have connected again or not; those of others can only have one if connected.
+// protocolsOfUnknownCalls returns the protocols whose callers may have a call that this process does not know. Callers of the protocols in
+// Transient keep their calls when a process ends, whether they have connected again or not; those of others can only have one if connected.
 func (c *Core) protocolsOfUnknownCalls() (protocols []Protocol) {
-	for _, protocol := range slices.Sorted(maps.Keys(c.limits.Transient)) {
-		if c.limits.Transient[protocol] {
-			protocols = append(protocols, protocol)
-		}
-	}
+	protocols = slices.Sorted(maps.Keys(c.limits.Transient))
 	for _, conn := range c.callerConnOrder {
 		if !slices.Contains(protocols, conn.protocol) {
 			protocols = append(protocols, conn.protocol)
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -453,7 +453,7 @@
 	DrainRefuseAfter    time.Duration     // time from the beginning of a drain until set-ups are refused
 	DrainCheckInterval  time.Duration     // interval between searches for idle connections during a drain
 	DrainIdle           time.Duration     // a connection active less than this long ago is not idle: it may bring another set-up
-	Transient           map[Protocol]bool // protocols whose callers connect and disconnect freely, and are sent away by closing their connections
+	Transient           map[Protocol]bool // whether a protocol's callers connect and disconnect freely, and are sent away by closing their connections; all that keep calls over a restart
 	MaxTransferredCalls int               // max calls named when a connection is transferred; open set-ups are named even beyond it
 	HandOverGrace       time.Duration     // time after a HandOver in which connections may still arrive
 	StopGrace           time.Duration     // time after a Stop in which new calls are still accepted
--- a/internal/m3ua/caller.go
+++ b/internal/m3ua/caller.go
@@ -19,8 +19,12 @@
 	active     bool        // whether the ASP is active, as it requested with ASP Active: only then its calls are accepted
 }
 
-// Serve accepts and serves callers' connections until the listener is closed. It does not wait for them to end.
-func (m *M3UA) Serve(l net.Listener) { m.acceptor.Serve(l) }
+// Serve accepts and serves callers' connections until the listener is closed. It does not wait for them to end. No other process may serve
+// the callers of this softswitch.
+func (m *M3UA) Serve(l net.Listener) {
+	m.loadCallerCircuits()
+	m.acceptor.Serve(l)
+}
 
 // serveCaller serves a caller's connection until it ends.
 func (m *M3UA) serveCaller(conn net.Conn) {
@@ -190,29 +194,16 @@
 		setUp.ClassName, setUp.TimeLeft = class.Name, class.Deadline
 	}
 	c.m3ua.mu.Lock()
-	id, ok := c.m3ua.callByCircuit[circ]
-	if !ok {
-		id = c.m3ua.newCallID()
-		c.m3ua.callByCircuit[circ], c.m3ua.circuitByCall[id] = id, circ
-	}
+	id, over := c.m3ua.seizeCircuitLocked(circ)
 	c.m3ua.mu.Unlock()
+	if over != 0 {
+		c.events.Post(core.CallerEnd{ID: over, From: c.connID})
+	}
 	setUp.ID = id
 	c.sendISUP(circ.reverse(), isupMessage{kind: isupACM})
 	c.events.Post(setUp)
 }
 
-// freeCircuitLocked frees a circuit towards a caller and returns the call that was on it. The caller of the method holds m.mu
-// until the next message on the circuit is queued: otherwise the answer to an abandoned call could be queued after the
-// RLC, and the client would take this answer for that of the circuit's next call.
-func (m *M3UA) freeCircuitLocked(circ circuitID) (core.ID, bool) {
-	id, ok := m.callByCircuit[circ]
-	if ok {
-		delete(m.callByCircuit, circ)
-		delete(m.circuitByCall, id)
-	}
-	return id, ok
-}
-
 // sendISUP queues an ISUP message on a circuit.
 func (c *callerConn) sendISUP(circ circuitID, isupMsg isupMessage) {
 	isup, err := buildISUP(circ.cic, isupMsg)
--- a/internal/m3ua/m3ua.go
+++ b/internal/m3ua/m3ua.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"elmseam"
+	"elmseam/internal/circuitfile"
 	"elmseam/internal/core"
 	"elmseam/internal/loop"
 	"elmseam/internal/settings"
@@ -144,6 +145,8 @@
 	mu            sync.Mutex            // guards the fields below
 	callByCircuit map[circuitID]core.ID // calls on callers' circuits
 	circuitByCall map[core.ID]circuitID // the inverse of callByCircuit
+	callerFile    *circuitfile.Callers  // keeps callByCircuit for the next process; nil: nothing does
+	earlierCalls  map[core.ID]bool      // calls of callByCircuit that an earlier process left
 	activeCallers map[*callerConn]bool  // callers' connections whose ASP is active
 	serving       bool                  // whether new calls are accepted
 }
@@ -152,7 +155,7 @@
 func New(cfg Config, l *loop.Loop, log zerolog.Logger) (*M3UA, error) {
 	m := &M3UA{
 		FileConfig: cfg.FileConfig, loop: l, log: log, sampledLog: transport.SampledLogger(log), trunks: make(map[string]*trunk),
-		callByCircuit: make(map[circuitID]core.ID), circuitByCall: make(map[core.ID]circuitID), activeCallers: make(map[*callerConn]bool),
+		callByCircuit: make(map[circuitID]core.ID), circuitByCall: make(map[core.ID]circuitID), activeCallers: make(map[*callerConn]bool), earlierCalls: make(map[core.ID]bool),
 	}
 	m.acceptor = transport.NewAcceptor(func() int { return m.config.Load().MaxCallerConns }, m.serveCaller)
 	m.Configure(cfg)
--- a/internal/m3ua/m3ua_test.go
+++ b/internal/m3ua/m3ua_test.go
@@ -133,7 +133,7 @@
 		MaxAttempts: 4, OwnCell: -1, ReleaseGuard: releaseGuard, MaxRetryAfter: 2 * time.Second, RetransmitInterval: 10 * time.Second,
 		ReportMetrics: []elmseam.LoadMetric{elmseam.LoadMetricHoldBackShare},
 	}
-	reducer, err := core.New(controllerSettings, 1, core.Limits{AnswerMargin: 15 * time.Millisecond, MaxCallerReleases: 100, MaxPendingReleases: 100,
+	reducer, err := core.New(controllerSettings, 1, core.Limits{AnswerMargin: 15 * time.Millisecond, MaxCallerReleases: 100, MaxPendingReleases: 100, Transient: map[core.Protocol]bool{Protocol: false},
 		RebindTimeout:      100 * time.Millisecond,
 		InitialRedialDelay: time.Millisecond, MaxRedialDelay: time.Millisecond, ServerLostAfter: time.Minute, CallerConnsTarget: 100, MaxOpen: 10000, MaxCallBytes: 1 << 20, EndedCallTTL: time.Minute})
 	if err != nil {
--- a/internal/m3ua/restart_test.go
+++ b/internal/m3ua/restart_test.go
@@ -142,3 +142,43 @@
 		t.Errorf("a caller's release goes out on circuit %v, want %v", circ, calls.established2)
 	}
 }
+
+// Calls of M3UA callers that stood when the process was killed: the callers' releases were confirmed and passed on to nobody, and so were the
+// server's. An IAM on the circuit of such a call says that it is over; it used to be taken for a repetition of that call's.
+func TestCallersCircuitsOfKilledProcess(t *testing.T) {
+	l, dir := listen(t), t.TempDir()
+	file := serverFileConfig("hlr", serverPC, l)
+	file.StateDir = dir
+	_, address := startSoftswitch(t, 50*time.Millisecond, file)
+	server, caller := mustAcceptASP(t, l), connectCaller(t, address)
+	circuits := make([]circuitID, 3) // of the server, by the caller's circuit
+	callersCircuit := func(cic int) circuitID { return circuitID{clientPC, ownPC, uint16(cic)} }
+	iam := isupMessage{kind: isupIAM, category: 10, digits: "12"}
+	for cic := range circuits {
+		caller.sendISUP(callersCircuit(cic), iam)
+		circuits[cic], _ = server.wantISUP(t, isupIAM)
+		server.sendISUP(circuits[cic].reverse(), isupMessage{kind: isupANM})
+		caller.wantISUP(t, isupANM)
+	} // the first process does nothing more, as if it were killed
+
+	second, address := startSoftswitch(t, 50*time.Millisecond, file)
+	second.AdoptCircuits()
+	server = mustAcceptASP(t, l)
+	server.sendISUP(circuits[0].reverse(), isupMessage{kind: isupREL, cause: 16}) // before the caller is back
+	server.wantISUP(t, isupRLC)
+	caller = connectCaller(t, address)
+	if circ, _ := caller.wantISUP(t, isupREL); circ != callersCircuit(0).reverse() {
+		t.Errorf("the server's release comes on circuit %v, want %v", circ, callersCircuit(0).reverse())
+	}
+	caller.sendISUP(callersCircuit(1), isupMessage{kind: isupREL, cause: 16})
+	if circ, _ := server.wantISUP(t, isupREL); circ != circuits[1] {
+		t.Errorf("the caller's release comes on circuit %v, want %v", circ, circuits[1])
+	}
+	caller.sendISUP(callersCircuit(2), iam)
+	if circ, _ := server.wantISUP(t, isupREL); circ != circuits[2] {
+		t.Errorf("the release of the call that was on the circuit comes on %v, want %v", circ, circuits[2])
+	}
+	if circ, _ := server.wantISUP(t, isupIAM); circ == circuits[2] {
+		t.Error("the new call is on the circuit of the earlier one, which the server has not confirmed as free")
+	}
+}
