--- a/cmd/elmseam/flood_test.go
+++ b/cmd/elmseam/flood_test.go
@@ -146,7 +146,7 @@
 			if longest > answerDeadline {
 				t.Errorf("another caller waits for %v for one of %d answers", longest, len(waits))
 			}
-			if most > floodMemoryMB<<10 {
+			if most > floodMemoryMB<<10 && !raceDetector { // the run without it judges the memory
 				t.Errorf("the program takes %d KiB of memory, %d are allowed", most, floodMemoryMB<<10)
 			}
 		})
