Transport: an interrupt that meets the check of a paused reader is not lost

Found on reading the change again: Outbox.Interrupt woke WaitForRoom without its lock. An interrupt between the look at the condition and the wait was lost; in a hand-over the reader of a caller that does not read would then stop at the write's time limit only (5 s). Change: Interrupt takes the lock. The comment on InitialBufferSize says what it is since writes go out without a buffer. Evidence: TestInterruptWhileConditionIsChecked forces the order; it failed before (2 of 2) and passes (5 of 5, with the race detector too).

--- a/internal/transport/budget_test.go
+++ b/internal/transport/budget_test.go
@@ -112,6 +112,36 @@
 	}
 }
 
+// An interrupt that came just while WaitForRoom looked at its condition was lost, and the wait went on until the peer read.
+func TestInterruptWhileConditionIsChecked(t *testing.T) {
+	conn, _ := tcpPair(t)
+	outbox := NewOutbox(conn, Limits{InitialBufferSize: 4 << 10, MaxQueuedBytes: 32 << 10, WriteTimeout: time.Minute}, NewBudget(64<<20))
+	defer outbox.Close()
+	for range 1024 {
+		outbox.Send(Message{Data: make([]byte, 16<<10)})
+	}
+	for !outbox.load(time.Now()).stalled { // nothing is written any more that would end the wait
+		time.Sleep(time.Millisecond)
+	}
+	checks := 0
+	ended := make(chan struct{})
+	go func() {
+		outbox.WaitForRoom(func() bool {
+			if checks++; checks == 1 { // the interrupt comes after this check and before the wait
+				go outbox.Interrupt()
+				time.Sleep(20 * time.Millisecond)
+			}
+			return checks > 1
+		})
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(2 * time.Second):
+		t.Error("the interrupt was lost")
+	}
+}
+
 // isClosed says whether a channel on which nothing is sent is closed.
 func isClosed(c chan struct{}) bool {
 	select {
--- a/internal/transport/outbox.go
+++ b/internal/transport/outbox.go
@@ -11,7 +11,7 @@
 
 // Limits are the size limits and timeouts of a connection.
 type Limits struct {
-	InitialBufferSize int           // initial size of the read buffer, and size of the write buffer, in bytes
+	InitialBufferSize int           // initial size of the read buffer, and size of one write of several messages, in bytes
 	MaxMessageSize    int           // max size of a received message, and of the set-ups that package m3ua sends, in bytes
 	MaxQueuedBytes    int           // bytes queued for writing beyond which no set-up is queued, and WaitForRoom waits
 	WriteTimeout      time.Duration // max duration of one write; beyond it the connection is closed
@@ -134,7 +134,11 @@
 }
 
 // Interrupt has WaitForRoom look at its condition again.
-func (o *Outbox) Interrupt() { o.room.Broadcast() }
+func (o *Outbox) Interrupt() {
+	o.mu.Lock() // WaitForRoom is not between its look and its wait
+	defer o.mu.Unlock()
+	o.room.Broadcast()
+}
 
 // Withdraw removes the withdrawable message with the given id from the queue. It reports whether the message was still queued.
 func (o *Outbox) Withdraw(id uint64) bool {
