Log: why a call is cut, where it was moved, what the list named, which connections are made

New lines 'server listed' (address, phase, since_ms), 'connection to server made', 'established call stands on another server', and reason, connection and age of a call in 'established call cut'; the counter failures.calls_moved. Behaviour unchanged: internal/core, mgmt, platform, explore and cmd tests pass.

--- a/cmd/elmseam/trace.go
+++ b/cmd/elmseam/trace.go
@@ -32,7 +32,11 @@
 	case core.TraceAttemptFailed:
 		line.Int("attempt", trace.Attempt).Str("cause", causeNames[trace.Cause]).Msg("attempt failed")
 	case core.TraceCallCut:
-		line.Msg("established call cut")
+		line.Stringer("reason", trace.Cut).Uint64("conn", uint64(trace.Conn)).Dur("stood_ms", trace.StoodFor).Msg("established call cut")
+	case core.TraceCallMoved:
+		line.Str("former", trace.Former).Dur("stood_ms", trace.StoodFor).Msg("established call stands on another server")
+	case core.TraceServerListed:
+		line.Str("address", trace.Address).Str("phase", phaseNames[trace.Phase]).Int64("since_ms", trace.Started.Milliseconds()).Msg("server listed")
 	case core.TraceSetUpRefused:
 		line.Stringer("reason", trace.Refusal).Msg("set-up refused")
 	case core.TraceUnknownRelease:
@@ -44,3 +48,6 @@
 var causeNames = map[elmseam.Cause]string{
 	elmseam.CauseTimeout: "timeout", elmseam.CauseUnreachable: "unreachable", elmseam.CauseReset: "reset", elmseam.CauseCancelled: "cancelled",
 }
+
+// phaseNames are the states of servers as they appear in the log.
+var phaseNames = map[elmseam.Phase]string{elmseam.PhaseGone: "gone", elmseam.PhaseReady: "ready", elmseam.PhaseDraining: "draining"}
--- a/internal/core/addressreuse.go
+++ b/internal/core/addressreuse.go
@@ -38,6 +38,8 @@
 
 // moveEstablished records that an established call stands on another server than the one it was offered to.
 func (c *Core) moveEstablished(call *call, s *server) {
+	c.stats.Failures.CallsMoved++
+	c.emit(Trace{Kind: TraceCallMoved, Server: s.Name, Former: call.server.Name, ID: call.ID, StoodFor: c.now - call.establishedAt})
 	delete(call.server.established, call.ID)
 	call.server, call.serverConn, call.connGeneration, call.doubt = s, 0, s.connGeneration, callDoubt{}
 	s.established[call.ID] = call
@@ -48,7 +50,7 @@
 func (c *Core) cutOnGoneServer(call *call) {
 	c.cutCalls = append(c.cutCalls, cutCall{call.ID, call.server.Address, call.establishedAt, c.now})
 	c.cutCalls = c.cutCalls[max(len(c.cutCalls)-c.limits.MaxPendingReleases, 0):]
-	c.cutEstablished(call)
+	c.cutEstablished(call, CutServerGone)
 }
 
 // releasesAtReusedAddress returns the calls to release at a server that comes into the list: those that were cut with a former server at its
--- a/internal/core/liveness.go
+++ b/internal/core/liveness.go
@@ -219,14 +219,14 @@
 	c.emit(Trace{Kind: TraceServerLost, Server: s.Name, SilentFor: c.now - lost[0].doubt.since, Calls: len(s.established)})
 	for _, call := range lost {
 		c.releaseAtServer(s, call.ID)
-		c.cutEstablished(call)
+		c.cutEstablished(call, CutServerLost)
 	}
 }
 
 // cutEstablished ends an established call that neither party released.
-func (c *Core) cutEstablished(call *call) {
+func (c *Core) cutEstablished(call *call, reason CutReason) {
 	c.stats.Failures.CallsCut++
-	c.emit(Trace{Kind: TraceCallCut, Server: call.server.Name, ID: call.ID})
+	c.emit(Trace{Kind: TraceCallCut, Server: call.server.Name, ID: call.ID, Conn: call.serverConn, Cut: reason, StoodFor: c.now - call.establishedAt})
 	c.endEstablished(call, ReasonReset, elmseam.Outcome{Cause: elmseam.CauseReset})
 }
 
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -17,6 +17,9 @@
 		if s != nil && entry.Started == 0 && entry.Address == s.Address { // the entry names no start: it says nothing about the process
 			entry.Started = s.Started
 		}
+		if s == nil || s.Server != entry {
+			c.emit(Trace{Kind: TraceServerListed, Server: entry.Name, Address: entry.Address, Phase: entry.Phase, Started: entry.Started})
+		}
 		switch {
 		case s == nil:
 			s = &server{id: c.controllerServerID(entry.Name), established: make(map[ID]*call), outstanding: make(map[ID]*call)}
@@ -51,7 +54,7 @@
 	}
 	for _, call := range inArrivalOrder(s.established) {
 		if call.establishedAt < newSince {
-			c.cutEstablished(call)
+			c.cutEstablished(call, CutProcessReplaced)
 		}
 	}
 	c.closeServerConnsBefore(s, newSince)
--- a/internal/core/trace.go
+++ b/internal/core/trace.go
@@ -17,7 +17,9 @@
 	TraceServerLost                       // the calls established on a server are released, as it has been lost: SilentFor, Calls
 	TraceConnReplaced                     // a connection counts as dead and is replaced: Conn
 	TraceAttemptFailed                    // an attempt ended without an answer: ID, Attempt, Cause
-	TraceCallCut                          // an established call ended without a release by either party: ID
+	TraceCallCut                          // an established call ended without a release by either party: ID, Conn, Cut, StoodFor
+	TraceCallMoved                        // an established call stands on another server than the one it was offered to: ID, Former, StoodFor
+	TraceServerListed                     // the list names a new server, or a new state, start or address of one: Phase, Started, Address
 	TraceSetUpRefused                     // the core refused a set-up without asking the controller: ID, Refusal
 	TraceUnknownRelease                   // a release of a call that this process does not know: ID; without Server it came from a caller
 )
@@ -40,6 +42,22 @@
 	return [refusalReasonCount]string{"time_up", "draining", "stopping", "max_open", "memory"}[r]
 }
 
+// CutReason says why an established call ended without a release by either party.
+type CutReason uint8
+
+// The reasons for cutting a call.
+const (
+	CutServerGone      CutReason = iota // the list says that its server has gone
+	CutProcessReplaced                  // the list says that another process serves under the name of its server
+	CutServerLost                       // its server gave no sign of life for ServerLostAfter
+	cutReasonCount     = iota
+)
+
+// String returns the reason as it appears in logs.
+func (r CutReason) String() string {
+	return [cutReasonCount]string{"server_gone", "process_replaced", "server_lost"}[r]
+}
+
 // Trace reports a transition or a decision for the log. It asks for nothing to be carried out. The fields that are set depend on the kind.
 type Trace struct {
 	Kind      TraceKind
@@ -49,6 +67,12 @@
 	Attempt   int // index among the attempts of the call, from 0
 	Cause     elmseam.Cause
 	Refusal   RefusalReason
+	Cut       CutReason
+	Former    string        // name of the server to which the call was offered
+	Address   string        // address of the server
+	Phase     elmseam.Phase // state of the server
+	Started   Time          // when the process of the server started, by the list; 0: not told
+	StoodFor  time.Duration // time since the call was established
 	SilentFor time.Duration // time since the last sign of life of the server
 	Calls     int           // calls that are established on the server
 }
@@ -61,6 +85,7 @@
 	ServerOutages      uint64 // times that a server became unreachable
 	ServersLost        uint64 // times that a server was lost with calls established on it
 	CallsCut           uint64 // established calls that ended without a release by either party
+	CallsMoved         uint64 // established calls that stand on another server than the one they were offered to
 	ReleasesWaiting    int    // releases that wait now for a connection of callers
 	ServersUnreachable int    // servers that are unreachable now
 	FailedAttempts     [elmseam.CauseNotSent + 1]uint64
--- a/internal/mgmt/stats.go
+++ b/internal/mgmt/stats.go
@@ -46,7 +46,7 @@
 func failureStatsText(failures core.FailureStats) string {
 	values := []statValue{{"connections_replaced", failures.ConnsReplaced}, {"server_outages", failures.ServerOutages},
 		{"servers_lost", failures.ServersLost}, {"servers_unreachable", uint64(failures.ServersUnreachable)},
-		{"calls_cut", failures.CallsCut}, {"releases_waiting", uint64(failures.ReleasesWaiting)},
+		{"calls_cut", failures.CallsCut}, {"calls_moved", failures.CallsMoved}, {"releases_waiting", uint64(failures.ReleasesWaiting)},
 		{"releases_dropped", failures.ReleasesDropped}, {"server_releases_waiting", uint64(failures.ServerReleasesWaiting)},
 		{"unknown_releases.servers", failures.UnknownServerReleases}, {"unknown_releases.callers", failures.UnknownCallerReleases}}
 	for cause, count := range failures.FailedAttempts {
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -111,6 +111,7 @@
 	defer conn.Close()
 	s := &serverConn{platform: p, name: e.Server, connID: p.loop.NewConnID(), events: p.loop.NewSource(), outbox: transport.NewOutbox(conn, cfg.ServerConn, cfg.ServerQueues),
 		lingerTimeout: cfg.ServerConn.LingerTimeout}
+	p.log.Info().Str("server", e.Server).Uint64("conn", uint64(s.connID)).Str("address", e.Address).Msg("connection to server made")
 	p.loop.Attach(s.connID, s, core.ServerUp{Server: e.Server, Address: e.Address, Conn: s.connID})
 	err = s.readLines(conn, cfg.ServerConn)
 	p.log.Info().Err(err).Str("server", e.Server).Uint64("conn", uint64(s.connID)).Msg("connection to server ended")
