--- a/cmd/elmseam/vanish_test.go
+++ b/cmd/elmseam/vanish_test.go
@@ -5,8 +5,10 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"regexp"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -27,6 +29,7 @@
 
 	mu       sync.Mutex // guards the fields below
 	conns    map[net.Conn]bool
+	standing map[string]bool // ids of the calls that stand at the present process
 	vanished bool
 }
 
@@ -37,7 +40,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m := &machine{Listener: listener, reportInterval: reportInterval, stop: t.Context().Done(), conns: make(map[net.Conn]bool), ended: make(chan string, 16)}
+	m := &machine{Listener: listener, reportInterval: reportInterval, stop: t.Context().Done(), conns: make(map[net.Conn]bool), standing: make(map[string]bool), ended: make(chan string, 16)}
 	t.Cleanup(func() {
 		listener.Close()
 		m.resetConns()
@@ -68,9 +71,11 @@
 func (m *machine) serve(conn net.Conn) {
 	for lines := bufio.NewScanner(conn); lines.Scan(); {
 		if match := offerPattern.FindStringSubmatch(lines.Text()); match != nil {
+			m.setStanding(match[1], true)
 			m.send(conn, fmt.Sprintf(`{"op":"accept","call":%q,"with":{},"desc":"x"}`, match[1]))
 		}
 		if match := endPattern.FindStringSubmatch(lines.Text()); match != nil {
+			m.setStanding(match[1], false)
 			select {
 			case m.ended <- match[1]:
 			default:
@@ -79,6 +84,24 @@
 	}
 }
 
+// setStanding records that a call stands at the present process, or does no longer.
+func (m *machine) setStanding(call string, stands bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if stands {
+		m.standing[call] = true
+	} else {
+		delete(m.standing, call)
+	}
+}
+
+// standingCalls returns the ids of the calls that stand at the present process, in order.
+func (m *machine) standingCalls() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Sorted(maps.Keys(m.standing))
+}
+
 // report sends the state of the server's group at the interval, until the connection is closed.
 func (m *machine) report(conn net.Conn) {
 	for m.reportInterval > 0 && m.send(conn, groupReport) == nil && pause(m.stop, m.reportInterval) {
@@ -149,7 +172,7 @@
 	}
 }
 
-// resetConns resets all connections to the machine.
+// resetConns resets all connections to the machine, as a process does that dies with its calls.
 func (m *machine) resetConns() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -157,6 +180,7 @@
 		faultnet.Reset(conn)
 	}
 	clear(m.conns)
+	clear(m.standing)
 }
 
 // establishCalls sets calls up, numbered from 1, and waits for their answers.
