Core: the connection of a call's set-up says which process it stands on, not the time of its answer

Callers saw: calls that were never released after their server's process died and another server took its address. Cause: when one list event named the former server gone and the next one ready, every call answered after the next one's since_ms was left to it (endCallsOfGoneServer), and its doubt forgotten (moveEstablished). A process starts before the former one at its address has ended; in the same millisecond it is enough that since_ms has no fraction. The former process answers until it ends. Change: a connection leads to one process for all its life. A call is left to the next server only if the connection of its set-up was made after that one's start, no process has ended since on that connection's side, and the call is not in doubt.

--- a/internal/core/addressreuse.go
+++ b/internal/core/callprocess.go
@@ -1,9 +1,41 @@
 package core
 
-import "elmseam"
+import (
+	"time"
 
-// A new server may have the address of one that has gone, and its process may have been there before the list says so. Connections to the
-// former server then lead to the new one, and calls that were set up on them stand there.
+	"elmseam"
+)
+
+// A server's name and address may outlive its process: a new server may have the address of one that has gone, or another process serve under
+// the same name, and the list may say so late. Connections to the former server then lead to the next process, and calls that were set up on
+// them stand there.
+//
+// A connection leads to one process for all its life, so the connection of a call's set-up says on which process the call stands. The time
+// of the answer does not: a process starts before the former one at its address has ended, and the former one answers until then.
+
+// callProcess is the process on which an established call stands, of two that have served at one address.
+type callProcess uint8
+
+// The processes.
+const (
+	formerProcess callProcess = iota // the one that has gone
+	nextProcess                      // the one that serves now
+)
+
+// startTolerance is the longest time from the start of a process, as the list tells it, until the former one at its address has ended.
+const startTolerance = time.Second
+
+// processOfCall says on which process an established call stands, when another one has started at its server's address. A call in doubt has
+// lost its connection in a way that shows the end of a process.
+func (c *Core) processOfCall(call *call, nextStarted Time) callProcess {
+	switch {
+	case nextStarted == 0, call.connMadeAt <= nextStarted, call.doubt.since != 0:
+		return formerProcess
+	case call.connMadeAt < nextStarted+startTolerance && call.connGeneration < call.server.connGeneration:
+		return formerProcess
+	}
+	return nextProcess
+}
 
 // cutCall is a call that was cut because its server has gone.
 type cutCall struct {
@@ -14,11 +46,11 @@
 }
 
 // endCallsOfGoneServer ends the calls that were established on a server which has gone, and leaves those to the next server at its address
-// that have been established since that one started.
+// that stand on that one's process.
 func (c *Core) endCallsOfGoneServer(s *server) {
 	next := c.nextServerAt(s)
 	for _, call := range inArrivalOrder(s.established) {
-		if next != nil && call.establishedAt > next.Started {
+		if next != nil && c.processOfCall(call, next.Started) == nextProcess {
 			c.moveEstablished(call, next)
 		} else {
 			c.cutOnGoneServer(call)
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -27,7 +27,8 @@
 	resendAfter    Time           // no offer goes out before this time, by the release guard
 	server         *server        // server on which the call is established; nil: not established
 	establishedAt  Time           // when that server's answer came
-	serverConn     ConnID         // connection on which that answer came
+	serverConn     ConnID         // connection of the set-up to that server
+	connMadeAt     Time           // when that connection was made
 	connGeneration int            // generation of that connection
 	doubt          callDoubt      // whether that server's process may be gone
 	answerDesc     []byte         // description in the answer of that server
--- a/internal/core/liveness.go
+++ b/internal/core/liveness.go
@@ -230,12 +230,11 @@
 	c.endEstablished(call, ReasonReset, elmseam.Outcome{Cause: elmseam.CauseReset})
 }
 
-// generationOf returns the generation of a connection, or that of the next one if the connection has ended.
-func (s *server) generationOf(id ConnID) int {
-	if conn := s.connByID(id); conn != nil {
-		return conn.generation
+// recordSetUpConn records on which connection the set-up of an established call went out; nil: no longer known.
+func (call *call) recordSetUpConn(conn *serverConn) {
+	if conn != nil {
+		call.serverConn, call.connMadeAt, call.connGeneration = conn.id, conn.madeAt, conn.generation
 	}
-	return s.connGeneration
 }
 
 // watchLiveness has checkLiveness called while calls are established on a server.
--- a/internal/core/servermsgs.go
+++ b/internal/core/servermsgs.go
@@ -68,10 +68,10 @@
 		return
 	}
 	setUpTime := c.now - call.attempt.startedAt
+	call.recordSetUpConn(call.attempt.conn)
 	call.attempt = nil
 	delete(s.outstanding, call.ID)
 	call.server, call.answerDesc, call.answered, call.establishedAt = s, ev.Desc, true, c.now
-	call.serverConn, call.connGeneration = ev.Conn, s.generationOf(ev.Conn)
 	call.SetUp.Desc, call.NumberText = nil, ""
 	c.keepAnswer(call)
 	s.established[call.ID] = call
