Test: calls stand on one side only after another process has taken the address (known red)

Calls set up on the next process in the former's name are cut towards their callers and stand at the server for ever. TestCallsOfDeadProcessLeftWithNextServer compares both sides too.

--- a/cmd/elmseam/reusedaddress_test.go
+++ b/cmd/elmseam/reusedaddress_test.go
@@ -1,21 +1,94 @@
 package main
 
 import (
+	"encoding/binary"
 	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 )
 
-// startedServerEntry returns the entry of a server that started late.
+// startedServerEntry returns the entry of a server that started late; the zero time stands for a start that is not told.
 func startedServerEntry(name, status string, server *machine, startedAt time.Time) string {
-	return fmt.Sprintf(`{"name":%q,"address":%q,"group":0,"status":%q,"since_ms":%d}`, name, server.Addr(), status, startedAt.UnixMilli())
+	sinceMS := int64(0)
+	if !startedAt.IsZero() {
+		sinceMS = startedAt.UnixMilli()
+	}
+	return fmt.Sprintf(`{"name":%q,"address":%q,"group":0,"status":%q,"since_ms":%d}`, name, server.Addr(), status, sinceMS)
+}
+
+// followedCaller is a caller that follows which of its calls stand.
+type followedCaller struct {
+	*conn
+	answers chan string // ids of the calls that are answered
+
+	mu       sync.Mutex
+	standing map[string]bool
+}
+
+// followCaller connects a caller to the program.
+func followCaller(process *program) *followedCaller {
+	caller := &followedCaller{conn: dial(process.T, process.listen), answers: make(chan string, 1000), standing: make(map[string]bool)}
+	caller.SetDeadline(time.Time{})
+	go caller.read()
+	go keepActive(caller.conn)
+	return caller
+}
+
+// read follows the answers and releases until the connection ends.
+func (c *followedCaller) read() {
+	for {
+		var length [2]byte
+		if _, err := io.ReadFull(c.reader, length[:]); err != nil {
+			return
+		}
+		message := make([]byte, binary.BigEndian.Uint16(length[:]))
+		if _, err := io.ReadFull(c.reader, message); err != nil {
+			return
+		}
+		call := fmt.Sprintf("%016x", binary.BigEndian.Uint64(message[1:9]))
+		c.mu.Lock()
+		switch message[0] {
+		case 9:
+			c.standing[call] = true
+			c.answers <- call
+		case 12:
+			delete(c.standing, call)
+		}
+		c.mu.Unlock()
+	}
 }
 
 // setUpCalls sets calls up, numbered from first to last, and waits for their answers.
-func setUpCalls(caller *conn, first, last uint64) {
+func (c *followedCaller) setUpCalls(first, last uint64) {
+	c.Helper()
 	for call := first; call <= last; call++ {
-		caller.sendSetUp(call)
-		caller.wantCallerMessage(9, call)
+		c.sendSetUp(call)
+		select {
+		case <-c.answers:
+		case <-time.After(testTimeout):
+			c.Fatalf("call %d has no answer", call)
+		}
+	}
+}
+
+// standingCalls returns the ids of the calls that stand for the caller, in order.
+func (c *followedCaller) standingCalls() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Sorted(maps.Keys(c.standing))
+}
+
+// wantSameCalls checks, once all limits have passed, that exactly the calls that stand at the server stand for the caller.
+func (c *followedCaller) wantSameCalls(server *machine, deadline time.Time) {
+	c.Helper()
+	for time.Now().Before(deadline) && !slices.Equal(c.standingCalls(), server.standingCalls()) && pause(c.Context().Done(), 20*time.Millisecond) {
+	}
+	if atCaller, atServer := c.standingCalls(), server.standingCalls(); !slices.Equal(atCaller, atServer) {
+		c.Errorf("calls standing for the caller %v, at the server %v", atCaller, atServer)
 	}
 }
 
@@ -27,18 +100,103 @@
 	process := startProgram(t, "", serverEntry("former", "in_service", server))
 	channel := accept(t, process.channel)
 	channel.acceptEventStream()
-	caller := dial(t, process.listen)
-	setUpCalls(caller, 1, 3)
+	caller := followCaller(process)
+	caller.setUpCalls(1, 3)
 	nextStartedAt := time.Now()
 	pause(t.Context().Done(), 5*time.Millisecond)
-	setUpCalls(caller, 4, 6)
+	caller.setUpCalls(4, 6)
 	pause(t.Context().Done(), 60*time.Millisecond)
-	go keepActive(caller)
 	diedAt := time.Now()
 	server.restartProcess(0)
 	pause(t.Context().Done(), 700*time.Millisecond)
 	channel.sendEvent(2, serverEntry("former", "terminated", server), startedServerEntry("next", "in_service", server, nextStartedAt))
-	if released := readReleases(caller, 6, diedAt.Add(releaseLimit)); released != 6 {
-		t.Errorf("%d of 6 calls released in time", released)
+	caller.wantSameCalls(server, diedAt.Add(releaseLimit))
+}
+
+// listOrder says in which events the list tells that another process has a server's address.
+type listOrder string
+
+// The orders.
+const (
+	goneAndReady  listOrder = "former gone and next ready in one event"
+	readyAndGone  listOrder = "next ready and former gone in one event"
+	goneThenReady listOrder = "former gone, then next ready"
+	readyThenGone listOrder = "next ready, then former gone"
+	restarted     listOrder = "another start under the same name"
+)
+
+// replacement is a process that takes the address of a server's former one.
+type replacement struct {
+	order     listOrder
+	start     time.Duration // as the list tells it, from the end of the former process
+	startTold bool
+	refuseFor time.Duration // from the end of the former process until the next one listens
+}
+
+// events returns the entries of the list's events.
+func (r replacement) events(server *machine, endedAt time.Time) [][]string {
+	var startedAt time.Time
+	if r.startTold {
+		startedAt = endedAt.Add(r.start)
+	}
+	gone, ready := serverEntry("former", "terminated", server), startedServerEntry("next", "in_service", server, startedAt)
+	switch r.order {
+	case goneAndReady:
+		return [][]string{{gone, ready}}
+	case readyAndGone:
+		return [][]string{{ready, gone}}
+	case goneThenReady:
+		return [][]string{{gone}, {ready}}
+	case readyThenGone:
+		return [][]string{{ready}, {gone}}
 	}
+	return [][]string{{startedServerEntry("former", "in_service", server, startedAt)}}
 }
+
+// play replaces the process of a server with calls, sets calls up on the next one before the list names it, and compares both sides.
+func (r replacement) play(t *testing.T) {
+	t.Parallel()
+	server := startMachine(t, 300*time.Millisecond)
+	process := startProgram(t, "", serverEntry("former", "in_service", server))
+	channel := accept(t, process.channel)
+	channel.acceptEventStream()
+	caller := followCaller(process)
+	caller.setUpCalls(1, 3)
+	pause(t.Context().Done(), 20*time.Millisecond)
+	endedAt := time.Now()
+	server.restartProcess(r.refuseFor)
+	pause(t.Context().Done(), r.refuseFor+200*time.Millisecond)
+	caller.setUpCalls(4, 6)
+	pause(t.Context().Done(), 400*time.Millisecond)
+	for i, entries := range r.events(server, endedAt) {
+		channel.sendEvent(2+i, entries...)
+		pause(t.Context().Done(), 300*time.Millisecond)
+	}
+	caller.sendSetUp(7)
+	caller.sendSetUp(8)
+	pause(t.Context().Done(), time.Until(endedAt.Add(releaseLimit)))
+	caller.wantSameCalls(server, endedAt.Add(releaseLimit))
+}
+
+// replacementStarts are the starts of the next process that the list may tell, from the end of the former one.
+var replacementStarts = []time.Duration{-500 * time.Millisecond, -100 * time.Millisecond, 0, 250 * time.Millisecond, time.Hour}
+
+// playStarts plays the replacements of an order.
+func playStarts(t *testing.T, order listOrder) {
+	for _, start := range replacementStarts {
+		t.Run(fmt.Sprintf("%s, start %v after the end", order, start), replacement{order: order, start: start, startTold: true}.play)
+	}
+	t.Run(fmt.Sprintf("%s, start not told", order), replacement{order: order, refuseFor: 50 * time.Millisecond}.play)
+}
+
+// TestCallsStandOnOneSideAfterReplacement guards against calls that stand only for their caller or only at their server, after another server
+// has taken the address.
+func TestCallsStandOnOneSideAfterReplacement(t *testing.T) {
+	for _, order := range []listOrder{goneAndReady, goneThenReady, readyThenGone} {
+		playStarts(t, order)
+	}
+	t.Run(string(readyAndGone), replacement{order: readyAndGone, startTold: true, refuseFor: 50 * time.Millisecond}.play)
+}
+
+// TestCallsStandOnOneSideAfterRestart guards against the same after a restart that the list names late.
+func TestCallsStandOnOneSideAfterRestart(t *testing.T) { playStarts(t, restarted) }
