Core: calls that may stand on the next process at an address are released there

Servers saw: calls that stood for ever, though their callers had been told that they were over, where the list told no start, one later than the first connections, or one in the future; likewise answers that crossed the close of the former server's connections. Cause: only calls answered after a known start were released at the next server, and only where it was listed later. Change: three outcomes in place of two. What is certain is kept or cut as before; what may stand on either process is cut and released at the next server, whether that is listed before, with or after the former one's end. Set-ups that are out are treated alike. Two tests of the core made their connection in the same instant as the other server started; the connection is older now, as the tests meant, and their assertions stay.

--- a/internal/core/callprocess.go
+++ b/internal/core/callprocess.go
@@ -18,54 +18,71 @@
 
 // The processes.
 const (
-	formerProcess callProcess = iota // the one that has gone
-	nextProcess                      // the one that serves now
+	formerProcess    callProcess = iota // the one that has gone
+	nextProcess                         // the one that serves now
+	uncertainProcess                    // one of them: nothing tells which
 )
 
-// startTolerance is the longest time from the start of a process, as the list tells it, until the former one at its address has ended.
+// startTolerance is the longest time between the start of a process, as the list tells it, and the end of the former one at its address.
 const startTolerance = time.Second
 
 // processOfCall says on which process an established call stands, when another one has started at its server's address. A call in doubt has
-// lost its connection in a way that shows the end of a process.
+// lost its connection in a way that may show the end of a process.
 func (c *Core) processOfCall(call *call, nextStarted Time) callProcess {
 	switch {
-	case nextStarted == 0, call.connMadeAt <= nextStarted, call.doubt.since != 0:
+	case !c.mayLeadToNext(call.connMadeAt, nextStarted):
 		return formerProcess
+	case !c.startKnown(nextStarted), call.connMadeAt <= nextStarted, call.doubt.since != 0:
+		return uncertainProcess
 	case call.connMadeAt < nextStarted+startTolerance && call.connGeneration < call.server.connGeneration:
-		return formerProcess
+		return uncertainProcess
 	}
 	return nextProcess
 }
 
-// cutCall is a call that was cut because its server has gone.
+// startKnown says whether the start of a process is told, and can be true.
+func (c *Core) startKnown(started Time) bool { return started > 0 && started <= c.now }
+
+// mayLeadToNext says whether a connection that was made at a time may lead to the process that has started at the address.
+func (c *Core) mayLeadToNext(madeAt, nextStarted Time) bool {
+	return !c.startKnown(nextStarted) || madeAt > nextStarted-startTolerance
+}
+
+// cutCall is a call whose server has gone, with its set-up or established, and which may stand on the next process at the address.
 type cutCall struct {
-	id            ID
-	address       string // of that server
-	establishedAt Time
-	cutAt         Time
+	id         ID
+	address    string // of that server
+	connMadeAt Time   // when the connection of its set-up was made
+	cutAt      Time
 }
 
-// endCallsOfGoneServer ends the calls that were established on a server which has gone, and leaves those to the next server at its address
-// that stand on that one's process.
+// endCallsOfGoneServer ends the calls and set-ups of a server which has gone. It leaves those calls to the next server at its address that
+// stand on that one's process, and releases there what may stand there.
 func (c *Core) endCallsOfGoneServer(s *server) {
 	next := c.nextServerAt(s)
 	for _, call := range inArrivalOrder(s.established) {
 		if next != nil && c.processOfCall(call, next.Started) == nextProcess {
 			c.moveEstablished(call, next)
-		} else {
-			c.cutOnGoneServer(call)
+			continue
+		}
+		c.releaseAtNextProcess(cutCall{call.ID, s.Address, call.connMadeAt, c.now}, next)
+		c.cutEstablished(call, CutServerGone)
+	}
+	for _, call := range inArrivalOrder(s.outstanding) { // their answers may cross the close of their connections
+		if conn := call.attempt.conn; conn != nil {
+			c.releaseAtNextProcess(cutCall{call.ID, s.Address, conn.madeAt, c.now}, next)
 		}
 	}
 }
 
-// nextServerAt returns another listed server that has the address of a server, and is known to have started late; nil: there is none.
-func (c *Core) nextServerAt(former *server) *server {
+// nextServerAt returns another listed server that has the address of a server, the one that started last; nil: there is none.
+func (c *Core) nextServerAt(former *server) (next *server) {
 	for _, s := range c.serverOrder {
-		if s != former && s.Address == former.Address && s.Phase != elmseam.PhaseGone && s.Started > 0 {
-			return s
+		if s != former && s.Address == former.Address && s.Phase != elmseam.PhaseGone && (next == nil || s.Started > next.Started) {
+			next = s
 		}
 	}
-	return nil
+	return next
 }
 
 // moveEstablished records that an established call stands on another server than the one it was offered to.
@@ -78,19 +95,25 @@
 	c.watchLiveness(s)
 }
 
-// cutOnGoneServer cuts a call and remembers it for a server that comes into the list at the same address.
-func (c *Core) cutOnGoneServer(call *call) {
-	c.cutCalls = append(c.cutCalls, cutCall{call.ID, call.server.Address, call.establishedAt, c.now})
+// releaseAtNextProcess releases a call at the next server at its address (nil: none is listed) if it may stand there, and remembers the call
+// for servers that come into the list later.
+func (c *Core) releaseAtNextProcess(call cutCall, next *server) {
+	if next != nil && c.mayLeadToNext(call.connMadeAt, next.Started) {
+		c.releaseAtServer(next, call.id)
+	}
+	c.cutCalls = append(c.cutCalls, call)
 	c.cutCalls = c.cutCalls[max(len(c.cutCalls)-c.limits.MaxPendingReleases, 0):]
-	c.cutEstablished(call, CutServerGone)
 }
 
 // releasesAtReusedAddress returns the calls to release at a server that comes into the list: those that were cut with a former server at its
-// address, and were established after this one had started.
+// address, and may stand on its process. A call that has been established again since is left alone.
 func (c *Core) releasesAtReusedAddress(entry Server) (ids []ID) {
-	for _, call := range c.cutCalls {
-		if entry.Started > 0 && call.address == entry.Address && call.establishedAt > entry.Started && call.cutAt > c.now-c.limits.EndedCallTTL {
-			ids = append(ids, call.id)
+	for _, cut := range c.cutCalls {
+		if cut.address != entry.Address || cut.cutAt <= c.now-c.limits.EndedCallTTL || !c.mayLeadToNext(cut.connMadeAt, entry.Started) {
+			continue
+		}
+		if call := c.calls[cut.id]; call == nil || call.server == nil {
+			ids = append(ids, cut.id)
 		}
 	}
 	return ids
--- a/internal/core/crossings_test.go
+++ b/internal/core/crossings_test.go
@@ -203,6 +203,7 @@
 func TestAnotherServerAtTheSameAddress(t *testing.T) {
 	h := newHarness(t)
 	h.recordDials = true
+	h.core.servers["a"].conns[0].madeAt -= time.Minute // long before the other server starts
 	h.setUp(1, 5*time.Second)
 	h.step(ServerAnswer{Server: "a", ID: 1})
 	h.setUp(2, 5*time.Second) // at server "a"
--- a/internal/core/servers_test.go
+++ b/internal/core/servers_test.go
@@ -155,6 +155,7 @@
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t)
 			h.core.limits.MaxPendingReleases = 100
+			h.core.servers["a"].conns[0].madeAt -= time.Minute // long before the other server starts
 			h.wantEffects(h.setUp(7, 5*time.Second), "offer7@10 ")
 			h.wantEffects(h.step(ServerAnswer{Server: "a", Conn: 10, ID: 7}), "answered7@1 ")
 			h.advance(100 * ms)
@@ -179,3 +180,31 @@
 		})
 	}
 }
+
+// A set-up is out on a connection that leads to the next server's process when the list tells of it. The answer crosses the close of the
+// connection, and the call is released there. A call that has been established again meanwhile is left alone.
+func TestAnswerCrossesCloseAtReusedAddress(t *testing.T) {
+	for name, inOneList := range map[string]bool{"in one list": true, "one after the other": false} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.core.limits.MaxPendingReleases = 100
+			next := Server{Name: "c", Address: "a:1", Cell: 2, Phase: elmseam.PhaseReady, Started: h.now - ms}
+			gone := Server{Name: "a", Address: "a:1", Phase: elmseam.PhaseGone}
+			h.advance(100 * ms)
+			h.wantEffects(h.setUp(7, 5*time.Second), "offer7@10 ")
+			if inOneList {
+				h.wantEffects(h.step(ServerList{Servers: []Server{gone, next}}), "withdraw@10 closeconn@10 ")
+				h.wantEffects(h.step(ServerUp{Server: "c", Address: "a:1", Conn: 13}), "end7@13 ")
+				return
+			}
+			h.wantEffects(h.step(ServerList{Servers: []Server{gone}}), "withdraw@10 closeconn@10 ")
+			h.wantEffects(h.advance(201*ms), "offer7@11 ")
+			h.step(ServerList{Servers: []Server{next}})
+			h.wantEffects(h.step(ServerUp{Server: "c", Address: "a:1", Conn: 13}), "end7@13 ")
+			h.wantEffects(h.step(ServerAnswer{Server: "b", Conn: 11, ID: 7}), "answered7@1 ")
+			later := Server{Name: "d", Address: "a:1", Cell: 3, Phase: elmseam.PhaseReady, Started: h.now - ms}
+			h.step(ServerList{Servers: []Server{later}})
+			h.wantEffects(h.step(ServerUp{Server: "d", Address: "a:1", Conn: 14}), "")
+		})
+	}
+}
