Core: calls that may stand on a restarted server's process are released there

Callers saw: calls answered after the told start by the process that died then were kept; servers saw: calls that stood for ever, where the told start was later than the first connections, in the future, or before the one told earlier. Change: both ask processOfCall; what may stand on the next process is released there, set-ups that are out included.

--- a/internal/core/callprocess.go
+++ b/internal/core/callprocess.go
@@ -58,7 +58,7 @@
 
 // endCallsOfGoneServer ends the calls and set-ups of a server which has gone. It leaves those calls to the next server at its address that
 // stand on that one's process, and releases there what may stand there.
-func (c *Core) endCallsOfGoneServer(s *server) {
+func (c *Core) endCallsOfGoneServer(s *server, reason CutReason) {
 	next := c.nextServerAt(s)
 	for _, call := range inArrivalOrder(s.established) {
 		if next != nil && c.processOfCall(call, next.Started) == nextProcess {
@@ -66,7 +66,7 @@
 			continue
 		}
 		c.releaseAtNextProcess(cutCall{call.ID, s.Address, call.connMadeAt, c.now}, next)
-		c.cutEstablished(call, CutServerGone)
+		c.cutEstablished(call, reason)
 	}
 	for _, call := range inArrivalOrder(s.outstanding) { // their answers may cross the close of their connections
 		if conn := call.attempt.conn; conn != nil {
@@ -75,6 +75,47 @@
 	}
 }
 
+// replaceProcess handles the news that a server has another process, at the same address or elsewhere. Calls and connections of the former
+// process are lost. The news may be late: calls that stand on the next process go on, and what may stand there is released there.
+func (c *Core) replaceProcess(s *server, entry Server) {
+	if s.Address != entry.Address {
+		c.endCallsOfGoneServer(s, CutProcessReplaced)
+		c.closeServerConns(s)
+		c.forgetOutages(s)
+		return
+	}
+	started := entry.Started
+	if started <= s.Started { // earlier news said otherwise
+		started = 0
+	}
+	var uncertain []ID
+	for _, call := range inArrivalOrder(s.established) {
+		process := c.processOfCall(call, started)
+		if process == uncertainProcess {
+			uncertain = append(uncertain, call.ID)
+		}
+		if process != nextProcess {
+			c.cutEstablished(call, CutProcessReplaced)
+		}
+	}
+	connsLostBefore := c.now + 1
+	if c.startKnown(started) {
+		connsLostBefore = started
+	}
+	for _, call := range inArrivalOrder(s.outstanding) { // their answers may cross the close of their connections
+		if conn := call.attempt.conn; conn != nil && conn.madeAt < connsLostBefore && c.mayLeadToNext(conn.madeAt, started) {
+			uncertain = append(uncertain, call.ID)
+		}
+	}
+	c.closeServerConnsBefore(s, connsLostBefore)
+	for _, id := range uncertain {
+		c.releaseAtServer(s, id)
+	}
+	if len(s.established) == 0 {
+		c.forgetOutages(s)
+	}
+}
+
 // nextServerAt returns another listed server that has the address of a server, the one that started last; nil: there is none.
 func (c *Core) nextServerAt(former *server) (next *server) {
 	for _, s := range c.serverOrder {
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -45,24 +45,6 @@
 	c.updatePhases(changedServers, ev.Full, ev.Cached)
 }
 
-// replaceProcess handles the news that a server has another process: the calls established on the former one are lost, and its connections are
-// useless. The news may be late, so that calls and connections made since the new process started belong to it.
-func (c *Core) replaceProcess(s *server, entry Server) {
-	newSince := entry.Started
-	if s.Address != entry.Address || entry.Started <= s.Started {
-		newSince = c.now + 1
-	}
-	for _, call := range inArrivalOrder(s.established) {
-		if call.establishedAt < newSince {
-			c.cutEstablished(call, CutProcessReplaced)
-		}
-	}
-	c.closeServerConnsBefore(s, newSince)
-	if len(s.established) == 0 {
-		c.forgetOutages(s)
-	}
-}
-
 // updatePhases recomputes the effective phases of servers and reports them to the controller. Servers that are ready are dialled.
 // Servers that are not lose their waiting attempts and unwritten offers. A server that is gone from the list also loses its
 // established calls and its connections.
@@ -98,7 +80,7 @@
 			}
 		}
 		if s.Phase == elmseam.PhaseGone { // closing the connections ends the outstanding attempts
-			c.endCallsOfGoneServer(s)
+			c.endCallsOfGoneServer(s, CutServerGone)
 			c.closeServerConns(s)
 			c.removeServerIfUnused(s)
 		} else if len(s.pendingReleases) > 0 || c.mayHaveUnknownCalls(s) {
