--- a/cmd/elmseamctl/soak.go
+++ b/cmd/elmseamctl/soak.go
@@ -26,12 +26,13 @@
 	var seeds, planPath, binaryPath, outDir string
 	var parallel int
 	var minutes float64
+	var takeOvers bool
 	cmd := &cobra.Command{
 		Use:   "soak",
 		Short: "Plays short trials with many faults, one for each seed, and checks the rules from outside",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			plans, err := soakPlans(seeds, planPath)
+			plans, err := soakPlans(seeds, planPath, takeOvers)
 			if err == nil && (parallel < 1 || parallel > maxSoakParallel) {
 				err = fmt.Errorf("parallel: %d, not in [1, %d]", parallel, maxSoakParallel)
 			}
@@ -56,6 +57,7 @@
 	cmd.Flags().StringVar(&planPath, "plan", "", "plays the plan in this file, such as one that a violated trial left, instead of seeds")
 	cmd.Flags().StringVar(&binaryPath, "binary", "bin/elmseam", "path of the softswitch program")
 	cmd.Flags().StringVar(&outDir, "out", "", "folder for the records of violated trials (default: in the folder for temporary files)")
+	cmd.Flags().BoolVar(&takeOvers, "take-overs", false, "adds processes that take the address of others, which the list tells late, and signals in series")
 	cmd.Flags().IntVar(&parallel, "parallel", 3, "trials at a time")
 	cmd.Flags().Float64Var(&minutes, "minutes", 60, "no trial begins after so many minutes")
 	return cmd
@@ -84,8 +86,8 @@
 	return seeds, nil
 }
 
-// soakPlans returns the plans of the seeds, or the one in a file.
-func soakPlans(seeds, planPath string) ([]lab.TrialPlan, error) {
+// soakPlans returns the plans of the seeds, with or without take-overs, or the one in a file.
+func soakPlans(seeds, planPath string, takeOvers bool) ([]lab.TrialPlan, error) {
 	if planPath != "" {
 		plan, err := lab.ReadTrialPlan(planPath)
 		return []lab.TrialPlan{plan}, err
@@ -93,7 +95,11 @@
 	list, err := parseSeeds(seeds)
 	var plans []lab.TrialPlan
 	for _, seed := range list {
-		plans = append(plans, lab.DrawTrial(seed))
+		plan := lab.DrawTrial(seed)
+		if takeOvers {
+			plan = lab.AddTakeOvers(plan)
+		}
+		plans = append(plans, plan)
 	}
 	return plans, err
 }
--- a/internal/lab/trial.go
+++ b/internal/lab/trial.go
@@ -69,6 +69,9 @@
 		return nil, err
 	}
 	t.play()
+	for _, server := range t.servers {
+		server.reportStandingCalls()
+	}
 	t.checker.finish()
 	result := &TrialResult{Seed: plan.Seed, Counts: t.checker.counts, Faults: t.faults}
 	result.Violations, result.Unjudged = t.checker.judge()
--- a/internal/lab/trial_checker.go
+++ b/internal/lab/trial_checker.go
@@ -41,6 +41,7 @@
 	endDetail         string
 	releaseDue        time.Duration // when the caller must have read the release; unknownTime: none is owed
 	releasedAt        time.Duration // when the caller read it; unknownTime: not yet
+	memberEnded       bool          // its softswitch ended since: what it still had to tell the server is lost
 	callerReleasedAt  time.Duration // when the caller's own release was acknowledged; unknownTime: never, or its softswitch ended since
 }
 
@@ -347,7 +348,7 @@
 		if call.served && call.releasedAt == unknownTime {
 			call.excuseRelease()
 		}
-		call.callerReleasedAt = unknownTime
+		call.callerReleasedAt, call.memberEnded = unknownTime, true
 	}
 }
 
@@ -366,12 +367,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	call := c.calls[id]
-	if call == nil || server != call.establishedServer || call.callerReleasedAt == unknownTime || disturbedAt >= call.callerReleasedAt-trialSlack {
+	if call == nil || server != call.establishedServer {
 		return
 	}
-	if late := c.clock() - call.callerReleasedAt; late > releaseLimit+trialSlack {
+	now := c.clock()
+	stoodTooLong := func(since time.Duration) bool {
+		return since > 0 && disturbedAt < since-trialSlack && now > since+releaseLimit+trialSlack
+	}
+	switch {
+	case call.callerReleasedAt != unknownTime && stoodTooLong(call.callerReleasedAt):
 		c.violate("release not passed on to the server", "call %016x through n%d at %s, acknowledged at %.3f, %v before", id, call.member+1, server,
-			call.callerReleasedAt.Seconds(), late)
+			call.callerReleasedAt.Seconds(), now-call.callerReleasedAt)
+	case call.served && !call.memberEnded && stoodTooLong(call.releasedAt):
+		c.violate("call stands at its server only", "call %016x through n%d at %s, its caller read the release at %.3f, %v before", id,
+			call.member+1, server, call.releasedAt.Seconds(), now-call.releasedAt)
 	}
 }
 
--- a/internal/lab/trial_faults.go
+++ b/internal/lab/trial_faults.go
@@ -20,6 +20,10 @@
 		t.die(server, step.Duration)
 	case StepReplace:
 		t.replace(server, step.Duration, step.Pause)
+	case StepTakeOver:
+		t.takeOver(step)
+	case StepSignals:
+		t.signalInSeries(member, step.Count)
 	case StepReset:
 		t.servers[server].resetConns()
 	case StepLate:
@@ -104,17 +108,8 @@
 		t.channel.publish(false, serverChange{former, "terminating", 0})
 		t.wait(drain)
 		t.channel.publish(false, serverChange{former, "terminated", 0})
-		server.setState(serverDead)
-		server.loseCalls("server replaced")
-		server.resetConns()
-		t.wait(pause)
-		t.mu.Lock()
-		t.renamed++
-		name := fmt.Sprintf("%s-%d", former[:2], t.renamed)
-		t.mu.Unlock()
-		server.rename(name)
-		server.startCold()
-		server.setState(serverServing)
+		t.replaceProcess(server, pause, false)
+		name := server.currentName()
 		t.channel.publish(false, serverChange{name, "in_service", time.Now().UnixMilli()})
 		t.record("%s in place of %s", name, former)
 	})
--- a/internal/lab/trial_plan.go
+++ b/internal/lab/trial_plan.go
@@ -51,12 +51,14 @@
 	StepHang        StepKind = "hang"        // the process of Server does nothing for Duration; its kernel takes connections
 	StepDie         StepKind = "die"         // the process of Server ends and is restarted after Duration
 	StepReplace     StepKind = "replace"     // Server drains for Duration, ends, and after Pause another one has its address
+	StepTakeOver    StepKind = "take over"   // another process has the address of Server after Duration; the list tells after Pause, as Mode says; Count times
 	StepReset       StepKind = "reset"       // all connections to Server are reset
 	StepLate        StepKind = "late"        // new connections to Server come up after Duration
 	StepDiscovery   StepKind = "discovery"   // discovery fails as Mode says for Duration; with Drain, Server drains close to its return
 	StepSilence     StepKind = "silence"     // the open streams of discovery fall silent
 	StepReconfigure StepKind = "reconfigure" // Softswitch gets Count new configurations in quick succession
 	StepKill        StepKind = "kill"        // Softswitch is killed and restarted after Duration
+	StepSignals     StepKind = "signals"     // Softswitch gets Count new configurations and two SIGTERM in quick succession, and is restarted
 	StepRestart     StepKind = "restart"     // Count softswitches from Softswitch on are restarted in turn, with a pause of Duration / 3
 )
 
@@ -68,9 +70,10 @@
 	Softswitch int           `toml:"softswitch,omitempty"` // number, from 1
 	Duration   time.Duration `toml:"for,omitempty"`
 	Pause      time.Duration `toml:"pause,omitempty"`
+	Early      time.Duration `toml:"early,omitempty"` // by which the list tells the start of a process before the former one's end
 	NewProcess bool          `toml:"new_process,omitempty"`
 	Drain      bool          `toml:"drain,omitempty"`
-	Mode       string        `toml:"mode,omitempty"` // how discovery fails
+	Mode       string        `toml:"mode,omitempty"` // how discovery fails, or in which order the list tells
 	Count      int           `toml:"count,omitempty"`
 }
 
--- a/internal/lab/trial_plan_file.go
+++ b/internal/lab/trial_plan_file.go
@@ -100,8 +100,8 @@
 
 // The kinds of steps by what they need.
 var (
-	serverSteps     = []StepKind{StepCutOff, StepVanish, StepHang, StepDie, StepReplace, StepReset, StepLate}
-	softswitchSteps = []StepKind{StepReconfigure, StepKill, StepRestart}
+	serverSteps     = []StepKind{StepCutOff, StepVanish, StepHang, StepDie, StepReplace, StepTakeOver, StepReset, StepLate}
+	softswitchSteps = []StepKind{StepReconfigure, StepKill, StepSignals, StepRestart}
 	otherSteps      = []StepKind{StepDiscovery, StepSilence}
 )
 
@@ -124,7 +124,13 @@
 		return fmt.Errorf("softswitch: %d, not in [1, %d]", step.Softswitch, p.Softswitches)
 	case step.Kind == StepRestart && (step.Count < 1 || step.Count > p.Softswitches):
 		return fmt.Errorf("count: %d, not in [1, %d]", step.Count, p.Softswitches)
-	case step.Kind == StepReconfigure && (step.Count < 1 || step.Count > 100):
+	case step.Early < 0:
+		return fmt.Errorf("early: %v is negative", step.Early)
+	case step.Kind == StepTakeOver && (step.Count < 0 || step.Count > 10):
+		return fmt.Errorf("count: %d, not in [0, 10]", step.Count)
+	case step.Kind == StepTakeOver && !slices.Contains(takeOverOrders, takeOverOrder(step.Mode)):
+		return fmt.Errorf("mode: %q is not one of %q", step.Mode, takeOverOrders)
+	case (step.Kind == StepReconfigure || step.Kind == StepSignals) && (step.Count < 1 || step.Count > 100):
 		return fmt.Errorf("count: %d, not in [1, 100]", step.Count)
 	}
 	if step.Kind == StepDiscovery {
--- a/internal/lab/trial_server.go
+++ b/internal/lab/trial_server.go
@@ -342,6 +342,15 @@
 	}
 }
 
+// reportStandingCalls tells the checker which calls stand at the server.
+func (s *trialServer) reportStandingCalls() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, call := range s.calls {
+		s.checker.standsAtServer(call.conn.server, id, s.disturbedAt)
+	}
+}
+
 // resetConns resets the connections of all processes.
 func (s *trialServer) resetConns() {
 	s.mu.Lock()
--- a/internal/lab/trial_test.go
+++ b/internal/lab/trial_test.go
@@ -108,6 +108,23 @@
 			now += 1100 * ms
 			c.standsAtServer("s1", 2, now) // something went wrong at the server meanwhile
 		},
+		"call stands at its server only": func(c *trialChecker) {
+			now += time.Second
+			serve(c, 1)
+			c.releaseRead(1)
+			serve(c, 2)
+			c.releaseRead(2)
+			c.softswitchDown(0, unknownTime, true)
+			serve(c, 3)
+			now += 1100 * ms
+			c.standsAtServer("s1", 1, now) // something went wrong at the server meanwhile
+			c.standsAtServer("s1", 2, 0)   // its softswitch ended meanwhile
+			c.standsAtServer("s1", 3, 0)   // it stands for its caller as well
+			serve(c, 4)
+			c.releaseRead(4)
+			now += 1100 * ms
+			c.standsAtServer("s1", 4, 0)
+		},
 		"release too late": func(c *trialChecker) {
 			serve(c, 1)
 			c.callEnded("s1", 1, "", silentReleaseLimit)
@@ -134,6 +151,9 @@
 		if err := plan.check(); err != nil {
 			t.Fatalf("seed %d: %v", seed, err)
 		}
+		if takeOvers := AddTakeOvers(plan); takeOvers.check() != nil || len(takeOvers.Steps) <= len(plan.Steps) {
+			t.Errorf("seed %d: take-overs: %v, %d steps", seed, takeOvers.check(), len(takeOvers.Steps))
+		}
 		if !reflect.DeepEqual(plan, DrawTrial(seed)) || reflect.DeepEqual(plan, DrawTrial(seed+1)) {
 			t.Fatalf("the plan of seed %d does not follow its seed alone", seed)
 		}
