Core: a release is that of its call also on a connection of another server at the same address

Callers saw: a call that was never released, where the list names the next server at an address before the end of the former one, both in the softswitch's eyes ready. The process sends the release on any open connection, also on the next server's; there the call was looked up by the server's name and dropped as that of another server. A repeated answer there released the live call. Change: two servers at one address are one process to what it says of established calls. Evidence: TestReleaseOnConnectionOfServerAtSameAddress failed (no release), passes. A release by a server at another address, as of an earlier attempt, is still ignored (same test).

--- a/internal/core/callprocess.go
+++ b/internal/core/callprocess.go
@@ -126,6 +126,16 @@
 	return next
 }
 
+// establishedCall returns the established call that a message on a connection of a server is about. Where two servers have one address, their
+// connections lead to one process.
+func (c *Core) establishedCall(s *server, id ID) *call {
+	call := c.calls[id]
+	if call == nil || call.server == nil || call.server != s && call.server.Address != s.Address {
+		return nil
+	}
+	return call
+}
+
 // moveEstablished records that an established call stands on another server than the one it was offered to.
 func (c *Core) moveEstablished(call *call, s *server) {
 	c.stats.Failures.CallsMoved++
--- a/internal/core/servermsgs.go
+++ b/internal/core/servermsgs.go
@@ -54,7 +54,7 @@
 	c.recordServerInput(s, ev.Conn)
 	call := s.outstanding[ev.ID]
 	switch {
-	case call == nil && s.established[ev.ID] != nil:
+	case call == nil && c.establishedCall(s, ev.ID) != nil:
 		return // repeated answer
 	case call != nil && call.concernsEarlierAttempt(ev.Conn) && c.guardEnabled(GuardSingleAnswer):
 		return // answer to an earlier attempt, whose End is being written
@@ -97,14 +97,14 @@
 	}
 	c.recordServerInput(s, ev.Conn)
 	outcome := elmseam.Outcome{Refusal: ev.Refusal, Report: c.reportForController(ev.Report)}
-	if call := s.established[ev.ID]; call != nil {
+	if call := c.establishedCall(s, ev.ID); call != nil {
 		if ev.RefusalOnly { // a second answer to the set-up
 			c.forwardLoadReport(s, ev.Report)
 			return
 		}
 		if outcome.Cause = elmseam.CauseReset; ev.Reason == ReasonNormal {
 			outcome.Cause = elmseam.CauseEnded
-			c.recordServerRelease(s, call)
+			c.recordServerRelease(call.server, call)
 		}
 		c.endEstablished(call, ev.Reason, outcome)
 		return
--- a/internal/core/servers_test.go
+++ b/internal/core/servers_test.go
@@ -208,3 +208,16 @@
 		})
 	}
 }
+
+// Two servers have one address for a while, as the list names the next one before the former one's end. The process releases a call that was
+// offered to the former one on a connection of the next.
+func TestReleaseOnConnectionOfServerAtSameAddress(t *testing.T) {
+	h := newHarness(t)
+	h.setUp(7, 5*time.Second)
+	h.wantEffects(h.step(ServerAnswer{Server: "a", Conn: 10, ID: 7}), "answered7@1 ")
+	h.step(ServerList{Servers: []Server{{Name: "c", Address: "a:1", Cell: 2, Phase: elmseam.PhaseReady, Started: h.now - ms}}})
+	h.step(ServerUp{Server: "c", Address: "a:1", Conn: 13})
+	h.wantEffects(h.step(ServerEnd{Server: "b", Conn: 11, ID: 7, Reason: ReasonNormal}), "") // of an earlier attempt
+	h.wantEffects(h.step(ServerAnswer{Server: "c", Conn: 13, ID: 7}), "")                    // repeated
+	h.wantEffects(h.step(ServerEnd{Server: "c", Conn: 13, ID: 7, Reason: ReasonNormal}), "released7@1 ")
+}
