Core: a server whose address has another one that started later gets no set-ups

Where the list names the next server at an address before the end of the former one, set-ups in the former's name, at the rate of a warm server, reached the process that had just started, of which the softswitch had been told: it could be pushed over. Change: while a server that has started later is listed at its address, a server counts as draining; when that one leaves, it is ready again. Evidence: TestSetUpsToFormerServerPushNextOneOver failed (20 of 20 set-ups to the former server's connection), passes.

--- a/internal/core/callprocess.go
+++ b/internal/core/callprocess.go
@@ -126,6 +126,13 @@
 	return next
 }
 
+// superseded says whether another listed server has started at the address of one since. The process of the one is gone then, though the list
+// does not say so yet: set-ups to it would reach the other one, beyond what that may get as it has just started.
+func (c *Core) superseded(s *server) bool {
+	next := c.nextServerAt(s)
+	return next != nil && next.Started > s.Started && c.startKnown(next.Started)
+}
+
 // establishedCall returns the established call that a message on a connection of a server is about. Where two servers have one address, their
 // connections lead to one process.
 func (c *Core) establishedCall(s *server, id ID) *call {
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -9,11 +9,14 @@
 
 // handleServerList handles news of the servers from one source.
 func (c *Core) handleServerList(ev ServerList) {
-	listedNames := make(map[string]bool)
+	listedNames, addresses := make(map[string]bool), make(map[string]bool)
 	var changedServers []*server
 	for _, entry := range ev.Servers {
-		listedNames[entry.Name] = true
+		listedNames[entry.Name], addresses[entry.Address] = true, true
 		s := c.servers[entry.Name]
+		if s != nil {
+			addresses[s.Address] = true
+		}
 		if s != nil && entry.Started == 0 && entry.Address == s.Address { // the entry names no start: it says nothing about the process
 			entry.Started = s.Started
 		}
@@ -33,14 +36,17 @@
 		changedServers = append(changedServers, s)
 	}
 	if ev.Full {
+		changedServers = nil
 		for _, s := range c.serverOrder {
 			if s.listSource == ev.Source && !listedNames[s.Name] {
 				s.Phase = elmseam.PhaseGone
 			}
 		}
 	}
-	if ev.Full { // the controller takes a full list to name all servers
-		changedServers = slices.Clone(c.serverOrder)
+	for _, s := range c.serverOrder { // the controller takes a full list to name all servers
+		if ev.Full || addresses[s.Address] && !slices.Contains(changedServers, s) {
+			changedServers = append(changedServers, s)
+		}
 	}
 	c.updatePhases(changedServers, ev.Full, ev.Cached)
 }
@@ -55,7 +61,7 @@
 		switch {
 		case s.effectivePhase == elmseam.PhaseReady && c.routeWithdrawn(s):
 			s.effectivePhase = elmseam.PhaseGone
-		case s.effectivePhase == elmseam.PhaseReady && (s.signallingPaused || s.drainReport.expiry > 0):
+		case s.effectivePhase == elmseam.PhaseReady && (s.signallingPaused || s.drainReport.expiry > 0 || c.superseded(s)):
 			s.effectivePhase = elmseam.PhaseDraining
 		}
 		entries = append(entries, elmseam.ListEntry{Server: s.id, Cell: s.Cell, Phase: s.effectivePhase, Started: s.Started})
--- a/internal/core/servers_test.go
+++ b/internal/core/servers_test.go
@@ -221,3 +221,27 @@
 	h.wantEffects(h.step(ServerAnswer{Server: "c", Conn: 13, ID: 7}), "")                    // repeated
 	h.wantEffects(h.step(ServerEnd{Server: "c", Conn: 13, ID: 7, Reason: ReasonNormal}), "released7@1 ")
 }
+
+// The list names a server that has just started at the address of one that it still names. Set-ups in the former one's name would reach the
+// same process and push it over.
+func TestSetUpsToFormerServerPushNextOneOver(t *testing.T) {
+	h := newHarness(t)
+	next := Server{Name: "c", Address: "a:1", Cell: 2, Phase: elmseam.PhaseReady, Started: h.now - ms}
+	h.step(ServerList{Servers: []Server{next}})
+	h.step(ServerUp{Server: "c", Address: "a:1", Conn: 13})
+	effects := ""
+	for id := ID(1); id <= 20; id++ {
+		effects += h.setUp(id, 5*time.Second)
+	}
+	if countEffects(effects, "@10") > 0 {
+		t.Errorf("effects %q, want no set-up in the former server's name", effects)
+	}
+	next.Phase = elmseam.PhaseGone
+	h.step(ServerList{Servers: []Server{next}})
+	for id := ID(21); id <= 40; id++ {
+		effects += h.setUp(id, 5*time.Second)
+	}
+	if countEffects(effects, "@10") == 0 {
+		t.Errorf("effects %q, want set-ups to the former server once the other one is gone", effects)
+	}
+}
