M3UA: the circuit of a call that is cut with its server's process is released

After a list that named another process of an M3UA server, or its end and return, the circuits of the calls that were cut stayed occupied for ever; a call might also have been left to another server at the address, whose circuits know nothing of it. Cause: a call's identity was taken to be its id everywhere, where on an association it is a circuit of the server's name. Change: calls on associations are never left to another server, and each that is cut is released there on the next association. Two servers at one address count as one process only where messages name the call.

--- a/internal/core/callprocess.go
+++ b/internal/core/callprocess.go
@@ -10,6 +10,9 @@
 // the same name, and the list may say so late. Connections to the former server then lead to the next process, and calls that were set up on
 // them stand there.
 //
+// That holds for protocols whose messages name the call. Where they name a circuit of an association, the call stands on a circuit of the
+// server's name, whichever process serves it: it is never left to another server, and its release frees the circuit.
+//
 // A connection leads to one process for all its life, so the connection of a call's set-up says on which process the call stands. The time
 // of the answer does not: a process starts before the former one at its address has ended, and the former one answers until then.
 
@@ -30,6 +33,8 @@
 // lost its connection in a way that may show the end of a process.
 func (c *Core) processOfCall(call *call, nextStarted Time) callProcess {
 	switch {
+	case !c.limits.Transient[call.server.Protocol]:
+		return uncertainProcess
 	case !c.mayLeadToNext(call.connMadeAt, nextStarted):
 		return formerProcess
 	case !c.startKnown(nextStarted), call.connMadeAt <= nextStarted, call.doubt.since != 0:
@@ -51,6 +56,7 @@
 // cutCall is a call whose server has gone, with its set-up or established, and which may stand on the next process at the address.
 type cutCall struct {
 	id         ID
+	server     string // name of that server
 	address    string // of that server
 	connMadeAt Time   // when the connection of its set-up was made
 	cutAt      Time
@@ -65,30 +71,30 @@
 			c.moveEstablished(call, next)
 			continue
 		}
-		c.releaseAtNextProcess(cutCall{call.ID, s.Address, call.connMadeAt, c.now}, next)
+		c.releaseAtNextProcess(cutCall{call.ID, s.Name, s.Address, call.connMadeAt, c.now}, next)
 		c.cutEstablished(call, reason)
 	}
 	for _, call := range inArrivalOrder(s.outstanding) { // their answers may cross the close of their connections
 		if conn := call.attempt.conn; conn != nil {
-			c.releaseAtNextProcess(cutCall{call.ID, s.Address, conn.madeAt, c.now}, next)
+			c.releaseAtNextProcess(cutCall{call.ID, s.Name, s.Address, conn.madeAt, c.now}, next)
 		}
 	}
 }
 
 // replaceProcess handles the news that a server has another process, at the same address or elsewhere. Calls and connections of the former
-// process are lost. The news may be late: calls that stand on the next process go on, and what may stand there is released there.
-func (c *Core) replaceProcess(s *server, entry Server) {
-	if s.Address != entry.Address {
+// process are lost. The news may be late: calls that stand on the next process go on. It returns the calls that have to be released at the
+// server, as they may stand on the next process.
+func (c *Core) replaceProcess(s *server, entry Server) (uncertain []ID) {
+	if s.Address != entry.Address && c.limits.Transient[s.Protocol] {
 		c.endCallsOfGoneServer(s, CutProcessReplaced)
 		c.closeServerConns(s)
 		c.forgetOutages(s)
-		return
+		return nil
 	}
 	started := entry.Started
 	if started <= s.Started { // earlier news said otherwise
 		started = 0
 	}
-	var uncertain []ID
 	for _, call := range inArrivalOrder(s.established) {
 		process := c.processOfCall(call, started)
 		if process == uncertainProcess {
@@ -99,7 +105,7 @@
 		}
 	}
 	connsLostBefore := c.now + 1
-	if c.startKnown(started) {
+	if c.startKnown(started) && s.Address == entry.Address {
 		connsLostBefore = started
 	}
 	for _, call := range inArrivalOrder(s.outstanding) { // their answers may cross the close of their connections
@@ -108,24 +114,27 @@
 		}
 	}
 	c.closeServerConnsBefore(s, connsLostBefore)
-	for _, id := range uncertain {
-		c.releaseAtServer(s, id)
-	}
 	if len(s.established) == 0 {
 		c.forgetOutages(s)
 	}
+	return uncertain
 }
 
 // nextServerAt returns another listed server that has the address of a server, the one that started last; nil: there is none.
 func (c *Core) nextServerAt(former *server) (next *server) {
 	for _, s := range c.serverOrder {
-		if s != former && s.Address == former.Address && s.Phase != elmseam.PhaseGone && (next == nil || s.Started > next.Started) {
+		if s != former && c.sameProcess(s, former) && s.Phase != elmseam.PhaseGone && (next == nil || s.Started > next.Started) {
 			next = s
 		}
 	}
 	return next
 }
 
+// sameProcess says whether the connections to two servers lead to one process.
+func (c *Core) sameProcess(a, b *server) bool {
+	return a.Address == b.Address && a.Protocol == b.Protocol && c.limits.Transient[a.Protocol]
+}
+
 // superseded says whether another listed server has started at the address of one since. The process of the one is gone then, though the list
 // does not say so yet: set-ups to it would reach the other one, beyond what that may get as it has just started.
 func (c *Core) superseded(s *server) bool {
@@ -137,7 +146,7 @@
 // connections lead to one process.
 func (c *Core) establishedCall(s *server, id ID) *call {
 	call := c.calls[id]
-	if call == nil || call.server == nil || call.server != s && call.server.Address != s.Address {
+	if call == nil || call.server == nil || call.server != s && !c.sameProcess(call.server, s) {
 		return nil
 	}
 	return call
@@ -156,21 +165,26 @@
 // releaseAtNextProcess releases a call at the next server at its address (nil: none is listed) if it may stand there, and remembers the call
 // for servers that come into the list later.
 func (c *Core) releaseAtNextProcess(call cutCall, next *server) {
-	if next != nil && c.mayLeadToNext(call.connMadeAt, next.Started) {
+	if next != nil && c.mayStandOn(call, next.Server) {
 		c.releaseAtServer(next, call.id)
 	}
 	c.cutCalls = append(c.cutCalls, call)
 	c.cutCalls = c.cutCalls[max(len(c.cutCalls)-c.limits.MaxPendingReleases, 0):]
 }
 
-// releasesAtReusedAddress returns the calls to release at a server that comes into the list: those that were cut with a former server at its
-// address, and may stand on its process. A call that has been established again since is left alone.
-func (c *Core) releasesAtReusedAddress(entry Server) (ids []ID) {
+// mayStandOn says whether a call that was cut may stand on the process of a listed server.
+func (c *Core) mayStandOn(cut cutCall, listed Server) bool {
+	if !c.limits.Transient[listed.Protocol] {
+		return cut.server == listed.Name
+	}
+	return cut.address == listed.Address && cut.cutAt > c.now-c.limits.EndedCallTTL && c.mayLeadToNext(cut.connMadeAt, listed.Started)
+}
+
+// releasesOfCutCalls returns the calls to release at a server that comes into the list, of those that were cut. A call that has been established
+// again since is left alone.
+func (c *Core) releasesOfCutCalls(entry Server) (ids []ID) {
 	for _, cut := range c.cutCalls {
-		if cut.address != entry.Address || cut.cutAt <= c.now-c.limits.EndedCallTTL || !c.mayLeadToNext(cut.connMadeAt, entry.Started) {
-			continue
-		}
-		if call := c.calls[cut.id]; call == nil || call.server == nil {
+		if call := c.calls[cut.id]; c.mayStandOn(cut, entry) && (call == nil || call.server == nil) {
 			ids = append(ids, cut.id)
 		}
 	}
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -23,16 +23,20 @@
 		if s == nil || s.Server != entry {
 			c.emit(Trace{Kind: TraceServerListed, Server: entry.Name, Address: entry.Address, Phase: entry.Phase, Started: entry.Started})
 		}
+		var releases []ID
 		switch {
 		case s == nil:
 			s = &server{id: c.controllerServerID(entry.Name), established: make(map[ID]*call), outstanding: make(map[ID]*call)}
-			s.lastAliveAt, s.pendingReleases = c.now, append(c.releasesForNewServer(), c.releasesAtReusedAddress(entry)...)
+			s.lastAliveAt, s.pendingReleases = c.now, append(c.releasesForNewServer(), c.releasesOfCutCalls(entry)...)
 			c.servers[entry.Name], c.serversByID[s.id] = s, s
 			c.serverOrder = append(c.serverOrder, s)
 		case s.Started != entry.Started || s.Address != entry.Address:
-			c.replaceProcess(s, entry)
+			releases = c.replaceProcess(s, entry)
 		}
 		s.Server, s.listSource, s.drainReport = entry, ev.Source, drainReport{listedAt: c.now}
+		for _, id := range releases {
+			c.releaseAtServer(s, id)
+		}
 		changedServers = append(changedServers, s)
 	}
 	if ev.Full {
--- a/internal/m3ua/restart_test.go
+++ b/internal/m3ua/restart_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"elmseam"
 	"elmseam/internal/core"
 )
 
@@ -182,3 +183,31 @@
 		t.Error("the new call is on the circuit of the earlier one, which the server has not confirmed as free")
 	}
 }
+
+// The list says that a server has another process, or that it has gone and is back: its calls are cut. Their circuits stayed occupied for ever,
+// as no REL was sent on them.
+func TestCircuitOfCutCallStaysOccupied(t *testing.T) {
+	for name, goneBetween := range map[string]bool{"another process": false, "gone and back": true} {
+		t.Run(name, func(t *testing.T) {
+			l := listen(t)
+			m, _ := startSoftswitch(t, 50*time.Millisecond, serverFileConfig("hlr", serverPC, l))
+			server := mustAcceptASP(t, l)
+			caller := attachCaller(m)
+			circ := caller.setUp(t, 1, server)
+			server.sendISUP(circ.reverse(), isupMessage{kind: isupANM, desc: []byte("x")})
+			caller.want(t, func(e core.Effect) bool { _, ok := e.(core.Answered); return ok })
+			time.Sleep(1100 * time.Millisecond) // the connection is older than any doubt about the start of the next process
+			entry := core.Server{Name: "hlr", Address: l.Addr().String(), Protocol: Protocol, Phase: elmseam.PhaseGone}
+			if goneBetween {
+				m.loop.Post(core.ServerList{Servers: []core.Server{entry}})
+			}
+			entry.Phase, entry.Started = elmseam.PhaseReady, m.loop.Now()
+			m.loop.Post(core.ServerList{Servers: []core.Server{entry}})
+			caller.want(t, func(e core.Effect) bool { _, ok := e.(core.Released); return ok })
+			server = mustAcceptASP(t, l)
+			if released, _ := server.wantISUP(t, isupREL); released != circ {
+				t.Errorf("REL on circuit %v, want %v", released, circ)
+			}
+		})
+	}
+}
