Core: calls on a later process of a gone server are released before its connections close

Servers saw: calls that stood on until the next server at the address came into the list, 1.4 s later there, or for ever where it never came. Cause: they were released only at a listed server. The connection on which they were set up was open, and was closed without a word. Change: a call whose connection was made after all earlier ones had ended is released on it; set-ups out on it are given up by messages, and the connection is closed when these are written. In TestCallsOfProcessAtReusedAddress the release comes on the former connection too now: stricter than before.

--- a/cmd/elmseam/reusedaddress_test.go
+++ b/cmd/elmseam/reusedaddress_test.go
@@ -122,6 +122,7 @@
 	readyAndGone  listOrder = "next ready and former gone in one event"
 	goneThenReady listOrder = "former gone, then next ready"
 	readyThenGone listOrder = "next ready, then former gone"
+	goneOnly      listOrder = "former gone, next never listed"
 	restarted     listOrder = "another start under the same name"
 )
 
@@ -149,6 +150,8 @@
 		return [][]string{{gone}, {ready}}
 	case readyThenGone:
 		return [][]string{{ready}, {gone}}
+	case goneOnly:
+		return [][]string{{gone}}
 	}
 	return [][]string{{startedServerEntry("former", "in_service", server, startedAt)}}
 }
@@ -195,7 +198,9 @@
 	for _, order := range []listOrder{goneAndReady, goneThenReady, readyThenGone} {
 		playStarts(t, order)
 	}
-	t.Run(string(readyAndGone), replacement{order: readyAndGone, startTold: true, refuseFor: 50 * time.Millisecond}.play)
+	for _, order := range []listOrder{readyAndGone, goneOnly} {
+		t.Run(string(order), replacement{order: order, startTold: true, refuseFor: 50 * time.Millisecond}.play)
+	}
 }
 
 // TestCallsStandOnOneSideAfterRestart guards against the same after a restart that the list names late.
--- a/internal/core/callprocess.go
+++ b/internal/core/callprocess.go
@@ -71,6 +71,7 @@
 			c.moveEstablished(call, next)
 			continue
 		}
+		c.releaseOnOwnConn(call)
 		c.releaseAtNextProcess(cutCall{call.ID, s.Name, s.Address, call.connMadeAt, c.now}, next)
 		c.cutEstablished(call, reason)
 	}
@@ -162,6 +163,27 @@
 	c.watchLiveness(s)
 }
 
+// releaseOnOwnConn releases a call on the connection of its set-up before that is closed, if the connection was made after all earlier ones had
+// ended: the next process at the address may be the one that it leads to, and may come into the list much later.
+func (c *Core) releaseOnOwnConn(call *call) {
+	conn := call.server.connByID(call.serverConn)
+	if conn == nil || conn.generation == 0 || call.doubt.since != 0 {
+		return
+	}
+	conn.closeGracefully = true
+	c.emit(End{To: conn.id, ID: call.ID})
+}
+
+// closeAfterReleases closes a connection once the releases on it are written. Its set-ups are given up by messages, not by the close.
+func (c *Core) closeAfterReleases(s *server, conn *serverConn) {
+	for _, call := range inArrivalOrder(s.outstanding) {
+		if call.attempt.conn == conn {
+			c.emit(End{To: conn.id, ID: call.ID})
+		}
+	}
+	c.emit(GracefulClose{To: conn.id})
+}
+
 // releaseAtNextProcess releases a call at the next server at its address (nil: none is listed) if it may stand there, and remembers the call
 // for servers that come into the list later.
 func (c *Core) releaseAtNextProcess(call cutCall, next *server) {
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -289,7 +289,7 @@
 // closeServerConns closes all connections to a server at once.
 func (c *Core) closeServerConns(s *server) { c.closeServerConnsBefore(s, c.now+1) }
 
-// closeServerConnsBefore closes the connections to a server at once that were made before the time. The attempts outstanding on them end as
+// closeServerConnsBefore closes the connections to a server that were made before the time, at once unless releases have to be written. The attempts outstanding on them end as
 // reset and, if no connection is left, attempts that wait for one as not sent.
 func (c *Core) closeServerConnsBefore(s *server, before Time) {
 	conns := s.conns
@@ -298,7 +298,11 @@
 		if conn.madeAt >= before {
 			continue
 		}
-		c.emit(CloseConn{To: conn.id})
+		if conn.closeGracefully {
+			c.closeAfterReleases(s, conn)
+		} else {
+			c.emit(CloseConn{To: conn.id})
+		}
 		c.endAttemptsOnConn(s, conn, elmseam.CauseReset)
 	}
 }
--- a/internal/core/servers_test.go
+++ b/internal/core/servers_test.go
@@ -174,7 +174,7 @@
 				h.wantEffects(h.step(ServerEnd{Server: "c", Conn: 13, ID: 8, Reason: ReasonNormal}), "released8@1 ")
 				return
 			}
-			h.wantEffects(h.step(ServerList{Servers: []Server{gone}}), "withdraw@12 released7@1 released8@1 closeconn@12 ")
+			h.wantEffects(h.step(ServerList{Servers: []Server{gone}}), "withdraw@12 released7@1 end8@12 released8@1 close@12 ")
 			h.step(ServerList{Servers: []Server{next}})
 			h.wantEffects(h.step(ServerUp{Server: "c", Address: "a:1", Conn: 13}), "end8@13 ")
 		})
