Lab: each trial has loopback addresses of its own

While a stand-in refuses connections its port is free, and another trial's stand-in took 127.0.2.1:42887 (both configurations name it); the softswitch reached it. Change: the addresses of a trial differ from those of every other trial of the process, and by the process id from most others.

--- a/internal/lab/trial.go
+++ b/internal/lab/trial.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -35,12 +36,14 @@
 	plan      TrialPlan
 	options   TrialOptions
 	startedAt time.Time
-	checker   *trialChecker
-	channel   *trialChannel
-	servers   []*trialServer
-	members   []*trialMember
-	stop      chan struct{} // closed when the callers stop
-	tasks     sync.WaitGroup
+	// addressBlock is the number of the trial's block of loopback addresses.
+	addressBlock int
+	checker      *trialChecker
+	channel      *trialChannel
+	servers      []*trialServer
+	members      []*trialMember
+	stop         chan struct{} // closed when the callers stop
+	tasks        sync.WaitGroup
 
 	mu      sync.Mutex // guards the fields below
 	rng     *rand.Rand
@@ -54,7 +57,7 @@
 // RunTrial plays a trial. An error means that the trial could not be played.
 func RunTrial(plan TrialPlan, options TrialOptions) (*TrialResult, error) {
 	t := &trial{plan: plan, options: options, startedAt: time.Now(), stop: make(chan struct{}), rng: rand.New(rand.NewPCG(plan.Seed, 1)),
-		busy: make(map[string]bool)}
+		busy: make(map[string]bool), addressBlock: int(startedTrials.Add(1) % trialAddressBlocks)}
 	t.nextID = t.rng.Uint64() | 1
 	if err := os.MkdirAll(options.OutDir, 0o755); err != nil {
 		return nil, err
@@ -85,7 +88,7 @@
 func (t *trial) startWorld() error {
 	var memberHosts, serverHosts, channelHosts []string
 	for i := range t.plan.Softswitches {
-		memberHosts, serverHosts, channelHosts = append(memberHosts, loopbackAddress(1, i)), append(serverHosts, loopbackAddress(2, i)), append(channelHosts, loopbackAddress(3, i))
+		memberHosts, serverHosts, channelHosts = append(memberHosts, t.host(1, i)), append(serverHosts, t.host(2, i)), append(channelHosts, t.host(3, i))
 	}
 	var entries []serverChange
 	for i := range t.plan.Servers {
@@ -122,6 +125,22 @@
 	return nil
 }
 
+// host returns the loopback address for a softswitch in one of the trial's networks. No other trial of this process has it, and of another
+// process hardly any: while a stand-in refuses connections, its port is free for others to take.
+func (t *trial) host(network, index int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%processAddressBlocks, t.addressBlock*networksPerTrial+network, index+1)
+}
+
+// Numbers of address blocks. The second octet belongs to a process, the third to a trial and its network.
+const (
+	processAddressBlocks = 250
+	trialAddressBlocks   = 60
+	networksPerTrial     = 4
+)
+
+// startedTrials counts the trials of this process.
+var startedTrials atomic.Int64
+
 // serverAddress returns the address at which a softswitch reaches a server. A replaced server keeps its address.
 func (t *trial) serverAddress(name string, member int) string {
 	index := int(name[1] - '1')
