Core: resets that are noticed far apart still show the end of one process

Callers saw: calls of a process that died and was replaced at once were never released while discovery was down, if the reset of one of its connections was noticed over 50 ms after the first, and a connection to the next process was made in between. That one counted as from before the second series of resets, and so as proof that the process lived. Change: a reset up to 0.3 s after the first one belongs to its series if nothing came on that connection since. Evidence: TestResetsFarApartLeaveCallsOfDeadProcess failed 1 of 2 cases, passes; the other case, two connections of a live process that are reset one after the other, cuts no call. Found by reading; not seen in the records.

--- a/internal/core/liveness.go
+++ b/internal/core/liveness.go
@@ -52,7 +52,7 @@
 	if conn == nil {
 		return
 	}
-	conn.unansweredSince = 0
+	conn.unansweredSince, conn.lastInputAt = 0, c.now
 	if conn.generation < s.doubtGeneration {
 		c.endDoubt(s, conn.generation+1)
 	}
@@ -83,12 +83,16 @@
 	s.unreachable, s.dialFailed, s.mayBeRenewed, s.lastAliveAt = false, false, false, c.now
 }
 
-// resetSeriesWindow is the longest time between two resets by the same process that dies.
-const resetSeriesWindow = 50 * time.Millisecond
+// Longest times between two resets by the same process that dies. The second one holds if nothing came on the connection that ends later since
+// the first reset: its end may just be noticed late.
+const (
+	resetSeriesWindow       = 50 * time.Millisecond
+	silentResetSeriesWindow = 300 * time.Millisecond
+)
 
-// recordServerDown records the end of a connection to a server, which is no longer among its connections, or a dial that failed.
-func (c *Core) recordServerDown(s *server, ev ServerDown) {
-	if ev.Conn == 0 {
+// recordServerDown records the end of a connection to a server, which is no longer among its connections, or (nil) a dial that failed.
+func (c *Core) recordServerDown(s *server, endedConn *serverConn, ev ServerDown) {
+	if endedConn == nil {
 		c.recordFailedDial(s, ev.End)
 		return
 	}
@@ -97,7 +101,7 @@
 	}
 	switch {
 	case ev.End == ConnEndReset:
-		c.recordReset(s)
+		c.recordReset(s, endedConn)
 	case ev.End == ConnEndClosed && !s.unreachable:
 		s.lastAliveAt = c.now
 	}
@@ -115,8 +119,8 @@
 
 // recordReset records that a connection to a server was reset. When no connection is left from before the series of resets, a process may
 // have died. A new one may have given signs of life between the resets.
-func (c *Core) recordReset(s *server) {
-	if s.resetsSince == 0 || c.now-s.resetsSince > resetSeriesWindow {
+func (c *Core) recordReset(s *server, endedConn *serverConn) {
+	if !c.continuesResets(s, endedConn) {
 		s.resetsSince = c.now
 		s.connGeneration++
 	}
@@ -130,6 +134,15 @@
 	}
 }
 
+// continuesResets says whether the reset of a connection may belong to the last series of resets.
+func (c *Core) continuesResets(s *server, endedConn *serverConn) bool {
+	window := resetSeriesWindow
+	if endedConn.generation < s.connGeneration && endedConn.lastInputAt <= s.resetsSince {
+		window = silentResetSeriesWindow
+	}
+	return s.resetsSince != 0 && c.now-s.resetsSince <= window
+}
+
 // hasEarlierConn says whether a connection to the server is open that was made before the last outage or series of resets.
 func (s *server) hasEarlierConn() bool {
 	return slices.ContainsFunc(s.conns, func(conn *serverConn) bool { return conn.generation < s.connGeneration })
--- a/internal/core/liveness_test.go
+++ b/internal/core/liveness_test.go
@@ -129,6 +129,35 @@
 	t.Error("the call of the former process is still established")
 }
 
+// The resets of one process's end come far apart, as one of its connections is read late, and a connection to the next process is made in
+// between. It shows nothing about the calls of the former process, unless the connection that ends later has brought something since.
+func TestResetsFarApartLeaveCallsOfDeadProcess(t *testing.T) {
+	for name, outlives := range map[string]bool{"one process ends": false, "two connections of a live process": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newLivenessHarness(t)
+			h.core.limits.ConnsPerServer = map[Protocol]int{"": 2}
+			h.step(ServerUp{Server: "a", Address: "a:1", Conn: 20})
+			h.advance(time.Second)
+			h.step(ServerDown{Server: "a", Conn: 10, End: ConnEndReset})
+			h.advance(20 * ms)
+			h.step(ServerUp{Server: "a", Address: "a:1", Conn: 12})
+			h.advance(40 * ms)
+			if outlives {
+				h.step(ServerReport{Server: "a", Conn: 20})
+			}
+			h.advance(40 * ms)
+			h.step(ServerDown{Server: "a", Conn: 20, End: ConnEndReset})
+			for range 9 {
+				h.step(ServerReport{Server: "a", Conn: 12})
+				h.advance(time.Second)
+			}
+			if stands := h.core.calls[1] != nil; stands != outlives {
+				t.Errorf("the call stands: %v, want %v", stands, outlives)
+			}
+		})
+	}
+}
+
 // The calls of a protocol whose associations end and begin apart from its calls outlive an outage that is over in time.
 func TestAssociationOutageCutsNoCall(t *testing.T) {
 	h := newLivenessHarness(t)
--- a/internal/core/servermsgs.go
+++ b/internal/core/servermsgs.go
@@ -42,6 +42,7 @@
 	lastOfferAt     Time // when the last offer went out on the connection
 	unusable        bool // a message on the connection could not be decoded, or the connection counts as dead: no new offer goes there
 	closeGracefully bool // releases were sent on the connection just before it is closed
+	lastInputAt     Time // when the connection last brought something; 0: never
 	unansweredSince Time // time of the first set-up or probe sent since the connection last brought something; 0: none
 }
 
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -371,7 +371,7 @@
 			return
 		}
 	}
-	c.recordServerDown(s, ev)
+	c.recordServerDown(s, endedConn, ev)
 	c.endAttemptsOnConn(s, endedConn, cause)
 	if !s.dialPending && !s.redialPending && s.usableConnCount() < c.wantedConnCount(s) {
 		redialAt := c.now
