Core: the release of a moved call is heard on the former server's connection too

A release that was on its way on the former server's connection when the list left its call to the next server was dropped, as the sender had left the list; only the server's repetition on its next connection could still end the call. Change: a call that was moved remembers from which server. Established calls are looked up in one place, by the sender's name. Evidence: TestReleaseOfMovedCallOnFormerConnection failed (no release), passes. Found by reading.

--- a/internal/core/callprocess.go
+++ b/internal/core/callprocess.go
@@ -144,13 +144,16 @@
 }
 
 // establishedCall returns the established call that a message on a connection of a server is about. Where two servers have one address, their
-// connections lead to one process.
-func (c *Core) establishedCall(s *server, id ID) *call {
-	call := c.calls[id]
-	if call == nil || call.server == nil || call.server != s && !c.sameProcess(call.server, s) {
+// connections lead to one process. A server that has left the list may be the one that a call was moved from.
+func (c *Core) establishedCall(serverName string, id ID) *call {
+	call, s := c.calls[id], c.servers[serverName]
+	switch {
+	case call == nil || call.server == nil:
 		return nil
+	case call.server == s, call.movedFrom == serverName, s != nil && c.sameProcess(call.server, s):
+		return call
 	}
-	return call
+	return nil
 }
 
 // moveEstablished records that an established call stands on another server than the one it was offered to.
@@ -158,6 +161,7 @@
 	c.stats.Failures.CallsMoved++
 	c.emit(Trace{Kind: TraceCallMoved, Server: s.Name, Former: call.server.Name, ID: call.ID, StoodFor: c.now - call.establishedAt})
 	delete(call.server.established, call.ID)
+	call.movedFrom = call.server.Name
 	call.server, call.serverConn, call.connGeneration, call.doubt = s, 0, s.connGeneration, callDoubt{}
 	s.established[call.ID] = call
 	c.watchLiveness(s)
--- a/internal/core/servermsgs.go
+++ b/internal/core/servermsgs.go
@@ -56,7 +56,7 @@
 	c.recordServerInput(s, ev.Conn)
 	call := s.outstanding[ev.ID]
 	switch {
-	case call == nil && c.establishedCall(s, ev.ID) != nil:
+	case call == nil && c.establishedCall(ev.Server, ev.ID) != nil:
 		return // repeated answer
 	case call != nil && call.concernsEarlierAttempt(ev.Conn) && c.guardEnabled(GuardSingleAnswer):
 		return // answer to an earlier attempt, whose End is being written
@@ -93,24 +93,18 @@
 // handleServerEnd handles a server's refusal of a set-up or its release of an established call.
 func (c *Core) handleServerEnd(ev ServerEnd) {
 	s := c.servers[ev.Server]
+	if s != nil {
+		c.recordServerInput(s, ev.Conn)
+	}
+	if call := c.establishedCall(ev.Server, ev.ID); call != nil {
+		c.handleServerRelease(call, ev)
+		return
+	}
 	if s == nil { // the server has just left the list, or is in the list of a successor only
 		c.releaseUnknown(ev)
 		return
 	}
-	c.recordServerInput(s, ev.Conn)
 	outcome := elmseam.Outcome{Refusal: ev.Refusal, Report: c.reportForController(ev.Report)}
-	if call := c.establishedCall(s, ev.ID); call != nil {
-		if ev.RefusalOnly { // a second answer to the set-up
-			c.forwardLoadReport(s, ev.Report)
-			return
-		}
-		if outcome.Cause = elmseam.CauseReset; ev.Reason == ReasonNormal {
-			outcome.Cause = elmseam.CauseEnded
-			c.recordServerRelease(call.server, call)
-		}
-		c.endEstablished(call, ev.Reason, outcome)
-		return
-	}
 	call := s.outstanding[ev.ID]
 	if call == nil || call.attempt.phase != attemptSent || call.concernsEarlierAttempt(ev.Conn) {
 		c.forwardLoadReport(s, ev.Report)
@@ -132,6 +126,20 @@
 	c.endAttempt(call, outcome)
 }
 
+// handleServerRelease ends an established call that its server releases. A message that can only refuse a set-up is a second answer to that.
+func (c *Core) handleServerRelease(call *call, ev ServerEnd) {
+	if ev.RefusalOnly {
+		c.forwardLoadReport(call.server, ev.Report)
+		return
+	}
+	outcome := elmseam.Outcome{Cause: elmseam.CauseReset, Refusal: ev.Refusal, Report: c.reportForController(ev.Report)}
+	if ev.Reason == ReasonNormal {
+		outcome.Cause = elmseam.CauseEnded
+		c.recordServerRelease(call.server, call)
+	}
+	c.endEstablished(call, ev.Reason, outcome)
+}
+
 // handleServerMalformed gives up the attempt that an undecodable message was for, as the set-up may have run. No new offer goes out on that
 // connection, and the connection is closed once no attempt is outstanding on it, so that no other call is lost.
 func (c *Core) handleServerMalformed(ev ServerMalformed) {
--- a/internal/core/servers_test.go
+++ b/internal/core/servers_test.go
@@ -247,3 +247,17 @@
 		t.Errorf("effects %q, want set-ups to the former server once the other one is gone", effects)
 	}
 }
+
+// The release of a call that is left to the next server is on its way on the former server's connection when the list tells of both.
+func TestReleaseOfMovedCallOnFormerConnection(t *testing.T) {
+	h := newHarness(t)
+	h.core.limits.Transient = map[Protocol]bool{"": true}
+	h.step(ServerDown{Server: "a", Conn: 10, End: ConnEndReset})
+	next := Server{Name: "c", Address: "a:1", Cell: 2, Phase: elmseam.PhaseReady, Started: h.now}
+	h.advance(ms)
+	h.step(ServerUp{Server: "a", Address: "a:1", Conn: 12})
+	h.wantEffects(h.setUp(8, 5*time.Second), "offer8@12 ")
+	h.step(ServerAnswer{Server: "a", Conn: 12, ID: 8})
+	h.wantEffects(h.step(ServerList{Servers: []Server{{Name: "a", Address: "a:1", Phase: elmseam.PhaseGone}, next}}), "withdraw@12 closeconn@12 ")
+	h.wantEffects(h.step(ServerEnd{Server: "a", Conn: 12, ID: 8, Reason: ReasonNormal}), "released8@1 ")
+}
