--- a/cmd/elmseam/reusedaddress_test.go
+++ b/cmd/elmseam/reusedaddress_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -205,3 +206,35 @@
 
 // TestCallsStandOnOneSideAfterRestart guards against the same after a restart that the list names late.
 func TestCallsStandOnOneSideAfterRestart(t *testing.T) { playStarts(t, restarted) }
+
+// TestCallsStandOnOneSideAfterReplacementInUpgrade guards against the same where the predecessor of an upgrade has some of the calls.
+func TestCallsStandOnOneSideAfterReplacementInUpgrade(t *testing.T) {
+	for _, order := range []listOrder{goneAndReady, goneThenReady, readyThenGone, restarted} {
+		t.Run(string(order), func(t *testing.T) {
+			t.Parallel()
+			dir, server := t.TempDir(), startMachine(t, 300*time.Millisecond)
+			predecessor := startUpgradable(t, dir, serverEntry("former", "in_service", server))
+			channels := []*conn{accept(t, predecessor.channel)}
+			channels[0].acceptEventStream()
+			caller := followCaller(predecessor)
+			caller.setUpCalls(1, 3)
+			successor := predecessor.startSuccessor(dir)
+			channels = append(channels, accept(t, predecessor.channel))
+			channels[1].acceptEventStream()
+			predecessor.cmd.Process.Signal(syscall.SIGTERM)
+			successor.wantConnsTakenOver(1)
+			endedAt := time.Now()
+			server.restartProcess(0)
+			pause(t.Context().Done(), 200*time.Millisecond)
+			caller.setUpCalls(4, 6)
+			for i, entries := range (replacement{order: order, start: -100 * time.Millisecond, startTold: true}).events(server, endedAt) {
+				for _, channel := range channels {
+					channel.sendEvent(2+i, entries...)
+				}
+				pause(t.Context().Done(), 300*time.Millisecond)
+			}
+			pause(t.Context().Done(), time.Until(endedAt.Add(releaseLimit)))
+			caller.wantSameCalls(server, endedAt.Add(releaseLimit))
+		})
+	}
+}
