--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -148,6 +148,6 @@
 
 // concernsEarlierAttempt says whether a message that has come on a connection is for an earlier attempt of the call: an earlier
 // attempt was sent on that connection, and the outstanding one was not.
-func (c *call) concernsEarlierAttempt(conn ConnID) bool {
-	return slices.Contains(c.earlierConns, conn) && (c.attempt.conn == nil || c.attempt.conn.id != conn)
+func (call *call) concernsEarlierAttempt(conn ConnID) bool {
+	return slices.Contains(call.earlierConns, conn) && (call.attempt.conn == nil || call.attempt.conn.id != conn)
 }
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"slices"
 	"time"
 
@@ -253,3 +254,26 @@
 		c.endedCallOrder = c.endedCallOrder[1:]
 	}
 }
+
+// callsInOrder returns the calls that are wanted, in the order of their arrival.
+func (c *Core) callsInOrder(wanted func(*call) bool) (calls []*call) {
+	for _, call := range c.calls {
+		if wanted(call) {
+			calls = append(calls, call)
+		}
+	}
+	sortByArrival(calls)
+	return calls
+}
+
+// sortByArrival sorts calls in the order of their arrival, so that the same events always have the same effects.
+func sortByArrival(calls []*call) {
+	slices.SortFunc(calls, func(a, b *call) int { return int(a.controllerID) - int(b.controllerID) })
+}
+
+// inArrivalOrder returns calls in the order of their arrival.
+func inArrivalOrder(calls map[ID]*call) []*call {
+	sorted := slices.Collect(maps.Values(calls))
+	sortByArrival(sorted)
+	return sorted
+}
