Core: calls on a connection made just before its process died are in doubt too

Callers saw: calls of a dead process that were not released while discovery was down. Cause, from the trace: a connection was reset by itself, another was made 1 ms later, and within 50 ms of that reset the process died. The new connection's reset counted as part of the same series, so its calls as set up on the next process. Change: a connection made since a series of resets began leads to a process that was alive then; its reset begins another series. Evidence: TestCallsOnConnectionMadeJustBeforeProcessDied failed 2 of 2 cases, passes.

--- a/internal/core/liveness.go
+++ b/internal/core/liveness.go
@@ -134,13 +134,17 @@
 	}
 }
 
-// continuesResets says whether the reset of a connection may belong to the last series of resets.
+// continuesResets says whether the reset of a connection may belong to the last series of resets. A connection that was made since that began
+// leads to a process that was alive then.
 func (c *Core) continuesResets(s *server, endedConn *serverConn) bool {
+	if s.resetsSince == 0 || endedConn.generation == s.connGeneration {
+		return false
+	}
 	window := resetSeriesWindow
-	if endedConn.generation < s.connGeneration && endedConn.lastInputAt <= s.resetsSince {
+	if endedConn.lastInputAt <= s.resetsSince {
 		window = silentResetSeriesWindow
 	}
-	return s.resetsSince != 0 && c.now-s.resetsSince <= window
+	return c.now-s.resetsSince <= window
 }
 
 // hasEarlierConn says whether a connection to the server is open that was made before the last outage or series of resets.
--- a/internal/core/liveness_test.go
+++ b/internal/core/liveness_test.go
@@ -158,6 +158,37 @@
 	}
 }
 
+// A connection to a process is made just after another one was reset, and the process dies within the window of that reset. Its calls on
+// the new connection are over as well.
+func TestCallsOnConnectionMadeJustBeforeProcessDied(t *testing.T) {
+	for name, order := range map[string][]ConnID{"new connection ends first": {12, 20}, "new connection ends last": {20, 12}} {
+		t.Run(name, func(t *testing.T) {
+			h := newLivenessHarness(t)
+			h.core.limits.ConnsPerServer = map[Protocol]int{"": 2}
+			h.step(ServerUp{Server: "a", Address: "a:1", Conn: 20})
+			h.step(ServerAnswer{Server: "a", Conn: 20, ID: 99}) // a sign of life
+			h.advance(time.Second)
+			h.step(ServerDown{Server: "a", Conn: 10, End: ConnEndReset})
+			h.step(ServerUp{Server: "a", Address: "a:1", Conn: 12})
+			h.core.servers["a"].conns[0].lastOfferAt = h.now // so that the set-up takes the new connection
+			h.wantEffects(h.setUp(2, 9*time.Second), "offer2@12 ")
+			h.wantEffects(h.step(ServerAnswer{Server: "a", Conn: 12, ID: 2}), "answered2@1 ")
+			h.advance(45 * ms)
+			for _, conn := range order {
+				h.step(ServerDown{Server: "a", Conn: conn, End: ConnEndReset})
+			}
+			h.step(ServerUp{Server: "a", Address: "a:1", Conn: 13})
+			for range 8 {
+				h.step(ServerReport{Server: "a", Conn: 13})
+				h.advance(time.Second)
+			}
+			if h.core.calls[1] != nil || h.core.calls[2] != nil {
+				t.Errorf("calls still established: 1 %v, 2 %v", h.core.calls[1] != nil, h.core.calls[2] != nil)
+			}
+		})
+	}
+}
+
 // The calls of a protocol whose associations end and begin apart from its calls outlive an outage that is over in time.
 func TestAssociationOutageCutsNoCall(t *testing.T) {
 	h := newLivenessHarness(t)
