Controller: a server that starts in the future gets what one that starts now gets

With a start ahead of the softswitch's clock the share of a cold server became smaller with the difference, and negative where it was large: the server got no set-ups until that time had come. Change: such a start counts as one just now. Evidence: TestServerThatStartsInTheFutureGetsNothing failed, passes.

--- a/budgets.go
+++ b/budgets.go
@@ -29,10 +29,10 @@
 }
 
 // coldRateMultiple returns the number of set-ups that a cold server may get, at the time now, for each set-up
-// that it takes when warm.
+// that it takes when warm. A start in the future, by a clock that differs, counts as one just now.
 func (c *Controller) coldRateMultiple(s *server, now Time) float64 {
 	warmShare := c.settings.ColdInitialShare + (1-c.settings.ColdInitialShare)*
-		float64(now-s.startedAt)/float64(c.settings.ColdRamp)
+		float64(max(now-s.startedAt, 0))/float64(c.settings.ColdRamp)
 	return coldSafetyFactor * c.settings.OverloadMultiple * warmShare
 }
 
--- a/controller_test.go
+++ b/controller_test.go
@@ -1360,6 +1360,18 @@
 	}
 }
 
+// A server whose start is told by a clock that is ahead gets what one that has just started gets, not less.
+func TestServerThatStartsInTheFutureGetsNothing(t *testing.T) {
+	h := newHarness(t, testSettings(), 2)
+	for started, id := range map[Time]ServerID{h.now: 3, h.now + time.Minute: 4} {
+		h.handle(ListDelta{Entries: []ListEntry{{Server: id, Cell: 3, Phase: PhaseReady, Started: started}}})
+	}
+	now, future := h.controller.coldRateMultiple(h.controller.serversByID[3], h.now), h.controller.coldRateMultiple(h.controller.serversByID[4], h.now)
+	if future != now {
+		t.Errorf("rate multiples: started now %.2f, started in the future %.2f", now, future)
+	}
+}
+
 // A server's rate before its restart is computed at its last answer. Computed at the restart, the rate of a
 // server that had been down for some seconds was underestimated by half, and its budget stayed too small until
 // it was warm.
