Core: every call that is cut with a gone server is released on its open connection

A softswitch that had restarted made its first connection in a server's name when the next process already had the address; the list told of the end 2.9 s later, and of the next server 1.4 s after that, while the calls stood there. An open connection leads to the next process, to the former one that still runs, or to a silent machine; a release is right or harmless on each. Evidence: TestCallsOnFirstConnectionStandAtNextProcess fails without the change, passes. Four tests wanted the connection of a removed server closed without a word (TestServeFollowStop, TestLateServerConnection, TestAnotherServerAtTheSameAddress, TestServerReplacedAtSameAddress): PROTOCOL has a standing call end by a release, so they want that first now, exactly that, and the close after it as before.

--- a/cmd/elmseam/main_test.go
+++ b/cmd/elmseam/main_test.go
@@ -319,6 +319,7 @@
 		t.Errorf("Last-Event-ID %s, want 2", last)
 	}
 	channel.sendEvent(3, serverEntry("old", "terminated", old))
+	first.wantLine(`"op":"end","call":"0000000000000001"`) // the call established on the removed server ends there too
 	if _, err := first.reader.ReadByte(); err != io.EOF { // the connection to the server closes when its calls have ended
 		t.Errorf("the old server reads %v, want EOF", err)
 	}
--- a/internal/core/callprocess.go
+++ b/internal/core/callprocess.go
@@ -173,15 +173,13 @@
 	c.watchLiveness(s)
 }
 
-// releaseOnOwnConn releases a call on the connection of its set-up before that is closed, if the connection was made after all earlier ones had
-// ended: the next process at the address may be the one that it leads to, and may come into the list much later.
+// releaseOnOwnConn releases a call on the connection of its set-up, if that is open, before it is closed. It may lead to the next process at
+// the address, which may come into the list much later, or to the former one that still runs.
 func (c *Core) releaseOnOwnConn(call *call) {
-	conn := call.server.connByID(call.serverConn)
-	if conn == nil || conn.generation == 0 || call.doubt.since != 0 {
-		return
+	if conn := call.server.connByID(call.serverConn); conn != nil {
+		conn.closeGracefully = true
+		c.emit(End{To: conn.id, ID: call.ID})
 	}
-	conn.closeGracefully = true
-	c.emit(End{To: conn.id, ID: call.ID})
 }
 
 // closeAfterReleases closes a connection once the releases on it are written. Its set-ups are given up by messages, not by the close.
--- a/internal/core/callprocess_test.go
+++ b/internal/core/callprocess_test.go
@@ -155,3 +155,12 @@
 		})
 	}
 }
+
+// The first connection to a server leads to the next process at its address already, which the list names only after the server's end.
+func TestCallsOnFirstConnectionStandAtNextProcess(t *testing.T) {
+	h := newHarness(t)
+	h.core.limits.Transient = map[Protocol]bool{"": true}
+	h.wantEffects(h.setUp(7, 5*time.Second), "offer7@10 ")
+	h.wantEffects(h.step(ServerAnswer{Server: "a", Conn: 10, ID: 7}), "answered7@1 ")
+	h.wantEffects(h.step(ServerList{Servers: []Server{{Name: "a", Address: "a:1", Phase: elmseam.PhaseGone}}}), "withdraw@10 end7@10 released7@1 close@10 ")
+}
--- a/internal/core/crossings_test.go
+++ b/internal/core/crossings_test.go
@@ -177,7 +177,7 @@
 	h.wantEffects(h.step(ServerUp{Server: "a", Address: "a:1", Conn: 12}), "closeconn@12 ") // one connection is enough for the established call
 	h.wantEffects(h.step(ServerDown{Server: "a", Conn: 12}), "")
 	h.wantEffects(h.sendServerList(elmseam.PhaseReady, elmseam.PhaseReady), "dial-a ")
-	h.wantEffects(h.sendServerList(elmseam.PhaseGone, elmseam.PhaseReady), "withdraw@10 released1@1 closeconn@10 ")
+	h.wantEffects(h.sendServerList(elmseam.PhaseGone, elmseam.PhaseReady), "withdraw@10 end1@10 released1@1 close@10 ")
 	h.wantEffects(h.step(ServerUp{Server: "a", Address: "a:1", Conn: 13}), "closeconn@13 ")
 	h.step(ServerDown{Server: "b", Conn: 11})
 	h.wantEffects(h.setUp(2, 50*time.Millisecond), "") // given up before a connection is made
@@ -211,7 +211,7 @@
 	h.wantEffects(h.step(ServerList{Servers: []Server{
 		{Name: "a", Address: "a:1", Phase: elmseam.PhaseGone}, {Name: "b", Address: "b:1", Cell: 1, Phase: elmseam.PhaseGone},
 		{Name: "c", Address: "a:1", Phase: elmseam.PhaseReady, Started: h.now},
-	}}), "withdraw@10 released1@1 closeconn@10 dial-c ")
+	}}), "withdraw@10 end1@10 released1@1 end2@10 close@10 dial-c ")
 	h.wantEffects(h.step(ServerUp{Server: "a", Address: "a:1", Conn: 12}), "closeconn@12 ")
 	h.wantEffects(h.step(ServerAnswer{Server: "a", Conn: 10, ID: 2}), "") // crossed the close
 	h.wantEffects(h.step(ServerUp{Server: "c", Address: "a:1", Conn: 13}), "")
--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -726,7 +726,7 @@
 }
 
 // One event removes a server and adds another at the same address. The first server's connection must be closed and its
-// established calls released, and the next set-up must go over a new connection for the second server.
+// established calls released on both sides, and the next set-up must go over a new connection for the second server.
 func TestServerReplacedAtSameAddress(t *testing.T) {
 	s := newScenario(t)
 	s.callerConn.Write(setUpFrame(1, "voice", "9000", ""))
@@ -738,6 +738,7 @@
 		{Name: "s", Address: address, Protocol: Protocol, Phase: elmseam.PhaseGone}, {Name: "t", Address: address, Protocol: Protocol, Phase: elmseam.PhaseReady},
 	}})
 	s.wantFrame(typeRelease, 1, 41)
+	s.wantLine(`"end"`, `0001"`)
 	if s.serverLines.Scan() || s.serverLines.Err() != nil {
 		t.Errorf("read %q, error %v, want the end of the removed server's connection", s.serverLines.Text(), s.serverLines.Err())
 	}
