--- a/cmd/elmseam/reusedaddress_test.go
+++ b/cmd/elmseam/reusedaddress_test.go
@@ -93,16 +93,23 @@
 	}
 }
 
+// startWithCalls starts the program with a server, on which a caller's calls 1 to 3 stand.
+func startWithCalls(t *testing.T) (server *machine, channel *conn, caller *followedCaller) {
+	t.Helper()
+	server = startMachine(t, 300*time.Millisecond)
+	process := startProgram(t, "", serverEntry("former", "in_service", server))
+	channel = accept(t, process.channel)
+	channel.acceptEventStream()
+	caller = followCaller(process)
+	caller.setUpCalls(1, 3)
+	return server, channel, caller
+}
+
 // TestCallsOfDeadProcessLeftWithNextServer guards against calls that are never released: their server died, and the list then named another
 // one at its address that had started before they were answered.
 func TestCallsOfDeadProcessLeftWithNextServer(t *testing.T) {
 	t.Parallel()
-	server := startMachine(t, 300*time.Millisecond)
-	process := startProgram(t, "", serverEntry("former", "in_service", server))
-	channel := accept(t, process.channel)
-	channel.acceptEventStream()
-	caller := followCaller(process)
-	caller.setUpCalls(1, 3)
+	server, channel, caller := startWithCalls(t)
 	nextStartedAt := time.Now()
 	pause(t.Context().Done(), 5*time.Millisecond)
 	caller.setUpCalls(4, 6)
@@ -160,12 +167,7 @@
 // play replaces the process of a server with calls, sets calls up on the next one before the list names it, and compares both sides.
 func (r replacement) play(t *testing.T) {
 	t.Parallel()
-	server := startMachine(t, 300*time.Millisecond)
-	process := startProgram(t, "", serverEntry("former", "in_service", server))
-	channel := accept(t, process.channel)
-	channel.acceptEventStream()
-	caller := followCaller(process)
-	caller.setUpCalls(1, 3)
+	server, channel, caller := startWithCalls(t)
 	pause(t.Context().Done(), 20*time.Millisecond)
 	endedAt := time.Now()
 	server.restartProcess(r.refuseFor)
