Core: connections to a process that outlives its end in the list are known as its own

A connection that was made anew after the told start of the next process led to the former one; its calls were left to the next server, and released by nobody when the former process ended. Change: a connection to a process that is known to have run before that start contradicts it: an earlier one that is open, or one by whose input a later connection is known to lead to the same process. The calls are cut and released on both sides then. Evidence: TestCallsOfProcessThatOutlivesItsEndInTheList failed, passes (2 cases).

--- a/cmd/elmseam/main_test.go
+++ b/cmd/elmseam/main_test.go
@@ -320,7 +320,7 @@
 	}
 	channel.sendEvent(3, serverEntry("old", "terminated", old))
 	first.wantLine(`"op":"end","call":"0000000000000001"`) // the call established on the removed server ends there too
-	if _, err := first.reader.ReadByte(); err != io.EOF { // the connection to the server closes when its calls have ended
+	if _, err := first.reader.ReadByte(); err != io.EOF {  // the connection to the server closes when its calls have ended
 		t.Errorf("the old server reads %v, want EOF", err)
 	}
 	caller.wantCallerMessage(12, 1) // the call established on the removed server ends
--- a/internal/core/callprocess.go
+++ b/internal/core/callprocess.go
@@ -36,16 +36,22 @@
 	switch {
 	case !c.limits.Transient[call.server.Protocol]:
 		return uncertainProcess
-	case !c.mayLeadToNext(call.connMadeAt, nextStarted):
+	case !c.mayLeadToNext(call.connMadeAt(), nextStarted):
 		return formerProcess
-	case !c.startKnown(nextStarted), call.connMadeAt <= nextStarted, call.doubt.since != 0:
+	case !c.startKnown(nextStarted), call.setUpConn == nil, call.setUpConn.processSince <= nextStarted, call.doubt.since != 0:
 		return uncertainProcess
-	case call.connGeneration < call.server.connGeneration && !call.server.hasConnOf(call.connGeneration):
+	case call.server.hasConnFrom(nextStarted), call.connGeneration < call.server.connGeneration && !call.server.hasConnOf(call.connGeneration):
 		return uncertainProcess
 	}
 	return nextProcess
 }
 
+// hasConnFrom says whether a connection is open to a process that is known to have run at a time. It contradicts the start of another process
+// since, unless that one's machine vanished.
+func (s *server) hasConnFrom(startedBy Time) bool {
+	return slices.ContainsFunc(s.conns, func(conn *serverConn) bool { return conn.processSince <= startedBy })
+}
+
 // hasConnOf says whether a connection of a generation is open.
 func (s *server) hasConnOf(generation int) bool {
 	return slices.ContainsFunc(s.conns, func(conn *serverConn) bool { return conn.generation == generation })
@@ -78,7 +84,7 @@
 			continue
 		}
 		c.releaseOnOwnConn(call)
-		c.releaseAtNextProcess(cutCall{call.ID, s.Name, s.Address, call.connMadeAt, c.now}, next)
+		c.releaseAtNextProcess(cutCall{call.ID, s.Name, s.Address, call.connMadeAt(), c.now}, next)
 		c.cutEstablished(call, reason)
 	}
 	for _, call := range inArrivalOrder(s.outstanding) { // their answers may cross the close of their connections
--- a/internal/core/callprocess_test.go
+++ b/internal/core/callprocess_test.go
@@ -164,3 +164,32 @@
 	h.wantEffects(h.step(ServerAnswer{Server: "a", Conn: 10, ID: 7}), "answered7@1 ")
 	h.wantEffects(h.step(ServerList{Servers: []Server{{Name: "a", Address: "a:1", Phase: elmseam.PhaseGone}}}), "withdraw@10 end7@10 released7@1 close@10 ")
 }
+
+// The list is ahead of the processes: the former one still runs, and has a connection that was made after the told start of the next one. An
+// older connection that is open, or has brought input since, shows whose process that is.
+func TestCallsOfProcessThatOutlivesItsEndInTheList(t *testing.T) {
+	for name, olderEnded := range map[string]bool{"older connection is open": false, "older connection brought input and ended": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.core.limits.Transient, h.core.limits.MaxPendingReleases = map[Protocol]bool{"": true}, 10
+			h.core.limits.ConnsPerServer = map[Protocol]int{"": 2}
+			h.step(ServerUp{Server: "a", Address: "a:1", Conn: 20})
+			next := Server{Name: "c", Address: "a:1", Cell: 2, Phase: elmseam.PhaseReady, Started: h.now}
+			h.advance(100 * ms)
+			h.step(ServerDown{Server: "a", Conn: 10, End: ConnEndReset})
+			h.step(ServerUp{Server: "a", Address: "a:1", Conn: 12})
+			h.core.servers["a"].conns[0].lastOfferAt = h.now // so that the set-up takes the new connection
+			h.wantEffects(h.setUp(7, 5*time.Second), "offer7@12 ")
+			h.wantEffects(h.step(ServerAnswer{Server: "a", Conn: 12, ID: 7}), "answered7@1 ")
+			h.advance(100 * ms)
+			if olderEnded {
+				h.step(ServerReport{Server: "a", Conn: 20})
+				h.step(ServerDown{Server: "a", Conn: 20})
+			}
+			effects := h.step(ServerList{Servers: []Server{{Name: "a", Address: "a:1", Phase: elmseam.PhaseGone}, next}})
+			if countEffects(effects, "end7@12 released7@1") != 1 {
+				t.Errorf("effects %q, want the release on both sides", effects)
+			}
+		})
+	}
+}
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -30,7 +30,7 @@
 	movedFrom      string         // name of the server that it was offered to, where it stands on another one
 	establishedAt  Time           // when that server's answer came
 	serverConn     ConnID         // connection of the set-up to that server
-	connMadeAt     Time           // when that connection was made
+	setUpConn      *serverConn    // the same, which may have ended since
 	connGeneration int            // generation of that connection
 	doubt          callDoubt      // whether that server's process may be gone
 	answerDesc     []byte         // description in the answer of that server
--- a/internal/core/liveness.go
+++ b/internal/core/liveness.go
@@ -53,11 +53,22 @@
 		return
 	}
 	conn.unansweredSince, conn.lastInputAt = 0, c.now
+	c.recordSameProcess(s, conn)
 	if conn.generation < s.doubtGeneration {
 		c.endDoubt(s, conn.generation+1)
 	}
 }
 
+// recordSameProcess records that input on a connection shows the process which listened when later ones were made: its own. Input that comes
+// just after may have been sent before a process died.
+func (c *Core) recordSameProcess(s *server, conn *serverConn) {
+	for _, later := range s.conns {
+		if later.processSince > conn.processSince && c.now > later.madeAt+resetSeriesWindow {
+			later.processSince = conn.processSince
+		}
+	}
+}
+
 // recordServerRelease records that a server has released an established call, so its process is the one that knows the call.
 func (c *Core) recordServerRelease(s *server, call *call) {
 	if call.doubt.since != 0 {
@@ -250,8 +261,16 @@
 // recordSetUpConn records on which connection the set-up of an established call went out; nil: no longer known.
 func (call *call) recordSetUpConn(conn *serverConn) {
 	if conn != nil {
-		call.serverConn, call.connMadeAt, call.connGeneration = conn.id, conn.madeAt, conn.generation
+		call.serverConn, call.setUpConn, call.connGeneration = conn.id, conn, conn.generation
+	}
+}
+
+// connMadeAt returns when the connection of the set-up of an established call was made.
+func (call *call) connMadeAt() Time {
+	if call.setUpConn == nil {
+		return 0
 	}
+	return call.setUpConn.madeAt
 }
 
 // watchLiveness has checkLiveness called while calls are established on a server.
--- a/internal/core/liveness_test.go
+++ b/internal/core/liveness_test.go
@@ -248,7 +248,7 @@
 // were established on the new process.
 func TestLateNewsOfRestartCutsNewCalls(t *testing.T) {
 	h := newLivenessHarness(t)
-	h.core.calls[1].connMadeAt -= time.Minute // long before the new process started
+	h.core.calls[1].setUpConn.madeAt -= time.Minute // long before the new process started
 	h.advance(time.Second)
 	h.step(ServerDown{Server: "a", Conn: 10, End: ConnEndReset})
 	startedAt := h.now
--- a/internal/core/serverconns.go
+++ b/internal/core/serverconns.go
@@ -178,7 +178,7 @@
 		c.emit(CloseConn{To: ev.Conn})
 		return
 	}
-	s.conns = append(s.conns, &serverConn{id: ev.Conn, madeAt: c.now, generation: s.connGeneration})
+	s.conns = append(s.conns, &serverConn{id: ev.Conn, madeAt: c.now, processSince: c.now, generation: s.connGeneration})
 	s.redialDelay = 0
 	for _, id := range s.pendingReleases {
 		c.sendEnd(s, id)
--- a/internal/core/servermsgs.go
+++ b/internal/core/servermsgs.go
@@ -38,6 +38,7 @@
 type serverConn struct {
 	id              ConnID
 	madeAt          Time
+	processSince    Time // since when its process is known to have run, by input on earlier connections
 	generation      int  // connGeneration of the server when the connection was made
 	lastOfferAt     Time // when the last offer went out on the connection
 	unusable        bool // a message on the connection could not be decoded, or the connection counts as dead: no new offer goes there
