Test: a silent machine in the replacement tests; refused set-ups are tried again

One more variation: the former machine vanishes without a reset, and the next process is named in one event. It failed 3 of 8 times at 'call 4 has no answer': traced, the set-up was refused as the server had just come back, which is allowed, and the test waited for an answer only.

--- a/cmd/elmseam/reusedaddress_test.go
+++ b/cmd/elmseam/reusedaddress_test.go
@@ -24,7 +24,7 @@
 // followedCaller is a caller that follows which of its calls stand.
 type followedCaller struct {
 	*conn
-	answers chan string // ids of the calls that are answered
+	answers chan bool // whether a set-up was answered, or else refused
 
 	mu       sync.Mutex
 	standing map[string]bool
@@ -32,7 +32,7 @@
 
 // followCaller connects a caller to the program.
 func followCaller(process *program) *followedCaller {
-	caller := &followedCaller{conn: dial(process.T, process.listen), answers: make(chan string, 1000), standing: make(map[string]bool)}
+	caller := &followedCaller{conn: dial(process.T, process.listen), answers: make(chan bool, 1000), standing: make(map[string]bool)}
 	caller.SetDeadline(time.Time{})
 	go caller.read()
 	go keepActive(caller.conn)
@@ -55,27 +55,43 @@
 		switch message[0] {
 		case 9:
 			c.standing[call] = true
-			c.answers <- call
+			c.answers <- true
 		case 12:
+			if !c.standing[call] {
+				c.answers <- false
+			}
 			delete(c.standing, call)
 		}
 		c.mu.Unlock()
 	}
 }
 
-// setUpCalls sets calls up, numbered from first to last, and waits for their answers.
+// retryIDs is the difference between the ids of two tries of a call.
+const retryIDs = 1000
+
+// setUpCalls sets calls up, numbered from first to last, and waits for their answers. A refused one is tried again, as a caller does.
 func (c *followedCaller) setUpCalls(first, last uint64) {
 	c.Helper()
 	for call := first; call <= last; call++ {
-		c.sendSetUp(call)
-		select {
-		case <-c.answers:
-		case <-time.After(testTimeout):
-			c.Fatalf("call %d has no answer", call)
+		for id := call; !c.setUpCall(id); id += retryIDs {
+			pause(c.Context().Done(), 100*time.Millisecond)
 		}
 	}
 }
 
+// setUpCall sends a set-up, and reports whether it was answered, or else refused.
+func (c *followedCaller) setUpCall(id uint64) bool {
+	c.Helper()
+	c.sendSetUp(id)
+	select {
+	case answered := <-c.answers:
+		return answered
+	case <-time.After(testTimeout):
+		c.Fatalf("set-up %d has neither answer nor refusal", id)
+		return false
+	}
+}
+
 // standingCalls returns the ids of the calls that stand for the caller, in order.
 func (c *followedCaller) standingCalls() []string {
 	c.mu.Lock()
@@ -140,6 +156,7 @@
 	start     time.Duration // as the list tells it, from the end of the former process
 	startTold bool
 	refuseFor time.Duration // from the end of the former process until the next one listens
+	silentFor time.Duration // from the former machine's silent end until the next process listens; 0: the former process resets its connections
 }
 
 // events returns the entries of the list's events.
@@ -170,7 +187,13 @@
 	server, channel, caller := startWithCalls(t)
 	pause(t.Context().Done(), 20*time.Millisecond)
 	endedAt := time.Now()
-	server.restartProcess(r.refuseFor)
+	if r.silentFor > 0 {
+		server.vanish()
+		pause(t.Context().Done(), r.silentFor)
+		server.returnAsNewProcess()
+	} else {
+		server.restartProcess(r.refuseFor)
+	}
 	pause(t.Context().Done(), r.refuseFor+200*time.Millisecond)
 	caller.setUpCalls(4, 6)
 	pause(t.Context().Done(), 400*time.Millisecond)
@@ -201,6 +224,7 @@
 	for _, order := range []listOrder{goneAndReady, goneThenReady, readyThenGone} {
 		playStarts(t, order)
 	}
+	t.Run("silent machine", replacement{order: goneAndReady, startTold: true, start: 1500 * time.Millisecond, silentFor: 2 * time.Second}.play)
 	for _, order := range []listOrder{readyAndGone, goneOnly} {
 		t.Run(string(order), replacement{order: order, startTold: true, refuseFor: 50 * time.Millisecond}.play)
 	}
