Core: a release is heard on the connection of any former server at the address

Discovery was down while three processes took an address one after the other; the list then told of all at once, and a call was left to three servers in turn. Its release, on its way on the connection of the first, was dropped, as only the last of its former servers was remembered. Change: servers that have left the list are remembered with their address, as they are with their ids already; what names a call as moved goes. Evidence: TestReleaseOfCallMovedSeveralTimes fails without the change, passes.

--- a/internal/core/callprocess.go
+++ b/internal/core/callprocess.go
@@ -136,16 +136,16 @@
 // nextServerAt returns another listed server that has the address of a server, the one that started last; nil: there is none.
 func (c *Core) nextServerAt(former *server) (next *server) {
 	for _, s := range c.serverOrder {
-		if s != former && c.sameProcess(s, former) && s.Phase != elmseam.PhaseGone && (next == nil || s.Started > next.Started) {
+		if s != former && c.sameProcess(s, former.Address, former.Protocol) && s.Phase != elmseam.PhaseGone && (next == nil || s.Started > next.Started) {
 			next = s
 		}
 	}
 	return next
 }
 
-// sameProcess says whether the connections to two servers lead to one process.
-func (c *Core) sameProcess(a, b *server) bool {
-	return a.Address == b.Address && a.Protocol == b.Protocol && c.limits.Transient[a.Protocol]
+// sameProcess says whether the connections to a server lead to the process at an address of a protocol.
+func (c *Core) sameProcess(s *server, address string, protocol Protocol) bool {
+	return s.Address == address && s.Protocol == protocol && c.limits.Transient[protocol]
 }
 
 // superseded says whether another listed server has started at the address of one since. The process of the one is gone then, though the list
@@ -156,16 +156,27 @@
 }
 
 // establishedCall returns the established call that a message on a connection of a server is about. Where two servers have one address, their
-// connections lead to one process. A server that has left the list may be the one that a call was moved from.
+// connections lead to one process. The sender may have left the list, and its calls been left to the next server at its address.
 func (c *Core) establishedCall(serverName string, id ID) *call {
 	call, s := c.calls[id], c.servers[serverName]
 	switch {
 	case call == nil || call.server == nil:
 		return nil
-	case call.server == s, call.movedFrom == serverName, s != nil && c.sameProcess(call.server, s):
-		return call
+	case s == nil:
+		if !c.wasAtAddressOf(call.server, serverName) {
+			return nil
+		}
+	case call.server != s && !c.sameProcess(call.server, s.Address, s.Protocol):
+		return nil
 	}
-	return nil
+	return call
+}
+
+// wasAtAddressOf says whether a server that has left the list had the address of a listed one.
+func (c *Core) wasAtAddressOf(s *server, removedName string) bool {
+	return slices.ContainsFunc(c.removedServers, func(removed removedServer) bool {
+		return removed.name == removedName && c.sameProcess(s, removed.address, removed.protocol)
+	})
 }
 
 // moveEstablished records that an established call stands on another server than the one it was offered to.
@@ -173,7 +184,6 @@
 	c.stats.Failures.CallsMoved++
 	c.emit(Trace{Kind: TraceCallMoved, Server: s.Name, Former: call.server.Name, ID: call.ID, StoodFor: c.now - call.establishedAt})
 	delete(call.server.established, call.ID)
-	call.movedFrom = call.server.Name
 	call.server, call.serverConn, call.connGeneration, call.doubt = s, 0, s.connGeneration, callDoubt{}
 	s.established[call.ID] = call
 	c.watchLiveness(s)
--- a/internal/core/callprocess_test.go
+++ b/internal/core/callprocess_test.go
@@ -111,7 +111,7 @@
 // The release of a call that is left to the next server is on its way on the former server's connection when the list tells of both.
 func TestReleaseOfMovedCallOnFormerConnection(t *testing.T) {
 	h := newHarness(t)
-	h.core.limits.Transient = map[Protocol]bool{"": true}
+	h.core.limits.Transient, h.core.limits.MaxRemovedServers = map[Protocol]bool{"": true}, 10
 	h.step(ServerDown{Server: "a", Conn: 10, End: ConnEndReset})
 	next := Server{Name: "c", Address: "a:1", Cell: 2, Phase: elmseam.PhaseReady, Started: h.now}
 	h.advance(ms)
@@ -193,3 +193,23 @@
 		})
 	}
 }
+
+// The list names several processes at one address at once, after discovery was down: a call is left to one server after the other, while its
+// release is on its way on the connection of the first.
+func TestReleaseOfCallMovedSeveralTimes(t *testing.T) {
+	h := newHarness(t)
+	h.core.limits.Transient, h.core.limits.MaxRemovedServers = map[Protocol]bool{"": true}, 10
+	h.step(ServerDown{Server: "a", Conn: 10, End: ConnEndReset})
+	startedAt := h.now
+	listed := func(name string, phase elmseam.Phase) Server {
+		return Server{Name: name, Address: "a:1", Cell: 2, Phase: phase, Started: startedAt}
+	}
+	second, third := listed("c", elmseam.PhaseReady), listed("d", elmseam.PhaseReady)
+	h.advance(ms)
+	h.step(ServerUp{Server: "a", Address: "a:1", Conn: 12})
+	h.wantEffects(h.setUp(8, 5*time.Second), "offer8@12 ")
+	h.step(ServerAnswer{Server: "a", Conn: 12, ID: 8})
+	h.step(ServerList{Servers: []Server{{Name: "a", Address: "a:1", Phase: elmseam.PhaseGone}, second}})
+	h.step(ServerList{Servers: []Server{listed("c", elmseam.PhaseGone), third}})
+	h.wantEffects(h.step(ServerEnd{Server: "a", Conn: 12, ID: 8, Reason: ReasonNormal}), "released8@1 ")
+}
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -27,7 +27,6 @@
 	earlierConns   []ConnID       // connections of the attempts that have ended
 	resendAfter    Time           // no offer goes out before this time, by the release guard
 	server         *server        // server on which the call is established; nil: not established
-	movedFrom      string         // name of the server that it was offered to, where it stands on another one
 	establishedAt  Time           // when that server's answer came
 	serverConn     ConnID         // connection of the set-up to that server
 	setUpConn      *serverConn    // the same, which may have ended since
--- a/internal/core/servermsgs.go
+++ b/internal/core/servermsgs.go
@@ -27,11 +27,13 @@
 	pendingReleases  []ID          // calls whose release waits for a connection
 }
 
-// removedServer remembers the controller's id of a server that has left the list, so that the server keeps the id when it
-// comes back.
+// removedServer remembers a server that has left the list: it keeps the controller's id when it comes back, and messages on its former
+// connections may be about calls that stand on the next server at its address.
 type removedServer struct {
-	name string
-	id   elmseam.ServerID
+	name     string
+	id       elmseam.ServerID
+	address  string
+	protocol Protocol
 }
 
 // serverConn is a connection to a server.
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -111,7 +111,7 @@
 	c.closeServerConns(s)
 	delete(c.servers, s.Name)
 	delete(c.serversByID, s.id)
-	c.removedServers = append(c.removedServers, removedServer{s.Name, s.id})
+	c.removedServers = append(c.removedServers, removedServer{s.Name, s.id, s.Address, s.Protocol})
 	c.removedServers = c.removedServers[max(len(c.removedServers)-c.limits.MaxRemovedServers, 0):]
 	for i, other := range c.serverOrder {
 		if other == s {
