Core: a connection between resets does not put off the release of a vanished server's calls

Callers saw: calls of a machine that vanished and whose successor reset its connections 2 s later, released 1.5 s too late. Cause, from the log: a connection was made between the two resets and counted as the last sign of life, so the 7.5 s began at the resets. Change: the last sign of life before resets that come close to each other counts; connections made since show nothing of the former process.

--- a/internal/core/liveness.go
+++ b/internal/core/liveness.go
@@ -29,6 +29,7 @@
 	mayBeRenewed     bool // the process that serves after the outage may be another one
 	doubtGeneration  int  // of the last outage whose calls may be in doubt; 0: none
 	resetsSince      Time // when the first of the last series of resets came; 0: none came
+	aliveBefore      Time // last sign of life before the resets that came close to each other: connections made since show nothing
 	connGeneration   int  // of the next connection; it grows when an outage or a series of resets begins
 	timerSet         bool // a timer for checkLiveness is set
 	verifying        bool // the dial under way is for a connection beyond those that are wanted: see dialExtra
@@ -131,6 +132,9 @@
 // recordReset records that a connection to a server was reset. When no connection is left from before the series of resets, a process may
 // have died. A new one may have given signs of life between the resets.
 func (c *Core) recordReset(s *server, endedConn *serverConn) {
+	if s.resetsSince == 0 || c.now-s.resetsSince > silentResetSeriesWindow {
+		s.aliveBefore = s.lastAliveAt
+	}
 	if !c.continuesResets(s, endedConn) {
 		s.resetsSince = c.now
 		s.connGeneration++
@@ -138,7 +142,7 @@
 	if s.hasEarlierConn() {
 		return
 	}
-	c.beginOutage(s, min(s.lastAliveAt, s.resetsSince))
+	c.beginOutage(s, min(s.aliveBefore, s.resetsSince))
 	s.mayBeRenewed = true
 	if len(s.conns) > 0 {
 		c.reconnect(s)
--- a/internal/core/liveness_test.go
+++ b/internal/core/liveness_test.go
@@ -129,6 +129,25 @@
 	t.Error("the call of the former process is still established")
 }
 
+// A machine vanishes, and another process resets its connections when it takes the address. A connection made between the resets is no sign of
+// life of the former one: its calls are timed from its last.
+func TestCallsTimedFromConnectionBetweenResets(t *testing.T) {
+	h := newLivenessHarness(t)
+	h.core.limits.ConnsPerServer = map[Protocol]int{"": 2}
+	h.step(ServerUp{Server: "a", Address: "a:1", Conn: 20})
+	h.advance(2 * time.Second)
+	h.step(ServerDown{Server: "a", Conn: 10, End: ConnEndReset})
+	h.step(ServerUp{Server: "a", Address: "a:1", Conn: 12})
+	h.step(ServerDown{Server: "a", Conn: 12, End: ConnEndReset})
+	h.step(ServerUp{Server: "a", Address: "a:1", Conn: 13})
+	h.step(ServerDown{Server: "a", Conn: 20, End: ConnEndReset})
+	effects := h.advance(3 * time.Second)
+	effects += h.step(ServerReport{Server: "a", Conn: 13}) + h.advance(2510*ms)
+	if countEffects(effects, "released1@1") != 1 {
+		t.Errorf("effects %q until 7.51 s after the last sign of life, want the release", effects)
+	}
+}
+
 // The resets of one process's end come far apart, as one of its connections is read late, and a connection to the next process is made in
 // between. It shows nothing about the calls of the former process, unless the connection that ends later has brought something since.
 func TestResetsFarApartLeaveCallsOfDeadProcess(t *testing.T) {
