Test: the replacement tests keep the command channel alive

The program takes a channel without a comment for 2.5 s for dead, as PROTOCOL has one each second; the stand-in sent none, so that in the test of the silent machine the event was written to a connection that had ended.

--- a/cmd/elmseam/reusedaddress_test.go
+++ b/cmd/elmseam/reusedaddress_test.go
@@ -109,13 +109,39 @@
 	}
 }
 
+// eventStream is a stream of the command channel that brings comments, as the program takes a silent one for dead.
+type eventStream struct {
+	*conn
+	mu sync.Mutex // held while an event or a comment is written
+}
+
+// acceptCommentedStream accepts the program's request on the command channel.
+func acceptCommentedStream(process *program) *eventStream {
+	stream := &eventStream{conn: accept(process.T, process.channel)}
+	stream.acceptEventStream()
+	go func() {
+		for pause(stream.Context().Done(), 500*time.Millisecond) {
+			stream.mu.Lock()
+			io.WriteString(stream, "2\r\n:\n\r\n")
+			stream.mu.Unlock()
+		}
+	}()
+	return stream
+}
+
+// sendEvent sends a change of servers.
+func (s *eventStream) sendEvent(cursor int, serverEntries ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conn.sendEvent(cursor, serverEntries...)
+}
+
 // startWithCalls starts the program with a server, on which a caller's calls 1 to 3 stand.
-func startWithCalls(t *testing.T) (server *machine, channel *conn, caller *followedCaller) {
+func startWithCalls(t *testing.T) (server *machine, channel *eventStream, caller *followedCaller) {
 	t.Helper()
 	server = startMachine(t, 300*time.Millisecond)
 	process := startProgram(t, "", serverEntry("former", "in_service", server))
-	channel = accept(t, process.channel)
-	channel.acceptEventStream()
+	channel = acceptCommentedStream(process)
 	caller = followCaller(process)
 	caller.setUpCalls(1, 3)
 	return server, channel, caller
@@ -240,13 +266,11 @@
 			t.Parallel()
 			dir, server := t.TempDir(), startMachine(t, 300*time.Millisecond)
 			predecessor := startUpgradable(t, dir, serverEntry("former", "in_service", server))
-			channels := []*conn{accept(t, predecessor.channel)}
-			channels[0].acceptEventStream()
+			channels := []*eventStream{acceptCommentedStream(predecessor)}
 			caller := followCaller(predecessor)
 			caller.setUpCalls(1, 3)
 			successor := predecessor.startSuccessor(dir)
-			channels = append(channels, accept(t, predecessor.channel))
-			channels[1].acceptEventStream()
+			channels = append(channels, acceptCommentedStream(predecessor))
 			predecessor.cmd.Process.Signal(syscall.SIGTERM)
 			successor.wantConnsTakenOver(1)
 			endedAt := time.Now()
