--- a/internal/lab/trial_server_conn.go
+++ b/internal/lab/trial_server_conn.go
@@ -108,19 +108,25 @@
 	s.mu.Lock()
 	idleClose := s.faults.IdleClose
 	s.mu.Unlock()
+	malformed := "" // the last line, if it could not be decoded
 	for {
 		if idleClose > 0 {
 			c.SetReadDeadline(time.Now().Add(idleClose))
 		}
-		if !lines.Scan() {
+		more := lines.Scan()
+		if malformed != "" && (more || lines.Err() == nil) { // otherwise a reset by this side, or another failure, has cut the line
+			s.checker.report("malformed line to a server", "%s: %.80q", c.server, malformed)
+		}
+		if !more {
 			break
 		}
+		malformed = ""
 		var message struct {
 			Op   string `json:"op"`
 			Call string `json:"call"`
 		}
 		if err := json.Unmarshal(lines.Bytes(), &message); err != nil {
-			s.checker.report("malformed line to a server", "%s: %.80q", c.server, lines.Text())
+			malformed = lines.Text()
 			continue
 		}
 		id, err := strconv.ParseUint(message.Call, 16, 64)
