Test: calls moved in the instant in which their process dies (known red)

From the log: the calls were moved at 10.372 s, their process ended at 10.373 s, their connections had just been closed by the softswitch, and nothing else showed the end. Not fixed: the connections have to pass from one server to the other, which time does not allow.

--- a/internal/core/callprocess_test.go
+++ b/internal/core/callprocess_test.go
@@ -213,3 +213,25 @@
 	h.step(ServerList{Servers: []Server{listed("c", elmseam.PhaseGone), third}})
 	h.wantEffects(h.step(ServerEnd{Server: "a", Conn: 12, ID: 8, Reason: ReasonNormal}), "released8@1 ")
 }
+
+// The process that the list names as the next one dies just as its calls are left to it: the connections that would show its end are closed with
+// the former server's, and a later process answers on the new ones.
+func TestCallsMovedAsTheirProcessDies(t *testing.T) {
+	h := newLivenessHarness(t)
+	h.step(ServerDown{Server: "a", Conn: 10, End: ConnEndReset})
+	next := Server{Name: "c", Address: "a:1", Cell: 2, Phase: elmseam.PhaseReady, Started: h.now}
+	h.advance(ms)
+	h.step(ServerUp{Server: "a", Address: "a:1", Conn: 12})
+	h.setUp(8, 9*time.Second)
+	h.step(ServerAnswer{Server: "a", Conn: 12, ID: 8})
+	h.step(ServerList{Servers: []Server{{Name: "a", Address: "a:1", Phase: elmseam.PhaseGone}, next}})
+	h.step(ServerDown{Server: "a", Conn: 12, End: ConnEndReset})
+	h.step(ServerUp{Server: "c", Address: "a:1", Conn: 13})
+	for range 9 {
+		h.step(ServerReport{Server: "c", Conn: 13})
+		h.advance(time.Second)
+	}
+	if h.core.calls[8] != nil {
+		t.Error("the call is still established 8 s after the end of its process")
+	}
+}
