Test: the silent machine's set-ups wait for its connections

A set-up that was sent before the softswitch had reconnected ended as unreachable, and with these tests' retransmit interval of 20 s the controller turned the only server away for 40 s, so that the comparison came late and met an answer on its way.

--- a/cmd/elmseam/reusedaddress_test.go
+++ b/cmd/elmseam/reusedaddress_test.go
@@ -163,6 +163,24 @@
 	caller.wantSameCalls(server, diedAt.Add(releaseLimit))
 }
 
+// awaitConns waits until connections are open to the present process, and have been for a while.
+func (m *machine) awaitConns(t *testing.T, count int) {
+	t.Helper()
+	const settled = 300 * time.Millisecond
+	since := time.Now()
+	for deadline := since.Add(testTimeout); time.Since(since) < settled; pause(m.stop, 10*time.Millisecond) {
+		m.mu.Lock()
+		open := len(m.conns)
+		m.mu.Unlock()
+		if open < count {
+			since = time.Now()
+		}
+		if since.After(deadline) {
+			t.Fatalf("%d connections, want %d", open, count)
+		}
+	}
+}
+
 // listOrder says in which events the list tells that another process has a server's address.
 type listOrder string
 
@@ -217,6 +235,7 @@
 		server.vanish()
 		pause(t.Context().Done(), r.silentFor)
 		server.returnAsNewProcess()
+		server.awaitConns(t, 2)
 	} else {
 		server.restartProcess(r.refuseFor)
 	}
